--- /dev/null
+++ b/silverspindle/src/director.rs
@@ -0,0 +1,531 @@
+//! The module's actor: turns messages into the module's events and carries out its actions. It owns the open
+//! requests, the attempts and the timers, and does what the simulator does by itself: it times attempts out,
+//! hands the first good answer on, and keeps events in order. It knows no wire format.
+
+use std::cell::Cell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use bitternhold::{
+    Action, Event, FillMode, Keep, Lifecycle, ListKind, Load, Member, MemberId, Micros, Outcome, Request,
+    RequestId, Settings, Status,
+};
+use bytes::Bytes;
+use futures_lite::future;
+
+use crate::feed::{Listed, News, Purged, hex};
+use crate::front::{Port, Taken};
+use crate::upstream::{Attempt, End, Order, Peer, Shared};
+use crate::{clock, invariant};
+
+/// Messages that may wait for the director.
+pub const MAILBOX: usize = 1024;
+/// Messages taken in before the timers are looked at again.
+const BATCH: usize = 64;
+/// The module's last word comes with the time-outs at the deadline; so much later one is given without it.
+const LAST_WORD: Micros = 5_000;
+
+/// A request, whatever protocol it came by.
+#[derive(Debug)]
+pub struct Call {
+    /// The client's id for it, passed on unchanged.
+    pub rid: String,
+    /// Place of its class in the settings.
+    pub class: usize,
+    /// The object, sixteen hex digits.
+    pub object: String,
+    /// The part of it.
+    pub part: u64,
+    /// The object's group.
+    pub group: u64,
+    /// Size, where told.
+    pub size_kb: Option<f64>,
+    /// The idempotency key.
+    pub token: Option<String>,
+    /// The tag of the copy that the client holds.
+    pub cached: Option<String>,
+    /// When the client gives up.
+    pub deadline: Micros,
+    /// What a write carries.
+    pub body: Bytes,
+    /// Books the body's memory.
+    pub taken: Taken,
+}
+
+impl Call {
+    /// The object as a purge names it.
+    pub fn key(&self) -> Option<u64> {
+        hex(&self.object)
+    }
+}
+
+/// The final answer to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Served, with the bytes.
+    Served(Bytes),
+    /// Served: the client's copy is the one.
+    Holds,
+    /// Refused: trying again is harmless, after so many milliseconds where there is advice.
+    Refused {
+        /// The advice.
+        backoff: Option<u64>,
+    },
+    /// Failed.
+    Failed,
+}
+
+impl Verdict {
+    /// Bytes of its body.
+    pub fn bytes(&self) -> usize {
+        if let Verdict::Served(body) = self { body.len() } else { 0 }
+    }
+}
+
+/// What the director is told by clients' and peers' actors.
+#[derive(Debug)]
+pub enum Message {
+    /// A request came.
+    Request {
+        /// Where its answer goes.
+        port: Rc<Port>,
+        /// Its number there.
+        seq: i32,
+        /// The request.
+        call: Call,
+    },
+    /// The client has stopped waiting.
+    Forget {
+        /// Its connection.
+        port: u64,
+        /// The request's number there.
+        seq: i32,
+    },
+    /// A client's connection ended.
+    Left {
+        /// The connection.
+        port: u64,
+    },
+    /// An attempt ended.
+    Ended(End),
+    /// A probe ended.
+    Probed {
+        /// Where it went.
+        member: MemberId,
+        /// How.
+        status: Status,
+        /// Time since the send.
+        elapsed: Micros,
+        /// The load report.
+        load: Option<Load>,
+    },
+}
+
+struct Open {
+    call: Rc<Call>,
+    port: Rc<Port>,
+    seq: i32,
+    attempts: u32,
+    /// Of them, those that are out.
+    out: Vec<u64>,
+    closed: bool,
+}
+
+struct Out {
+    id: RequestId,
+    number: u32,
+    member: MemberId,
+    sent: Micros,
+    attempt: Rc<Attempt>,
+}
+
+#[derive(Clone, Copy)]
+enum Due {
+    Module(u64),
+    Attempt(u64),
+    Request(RequestId),
+}
+
+/// How many requests are owed an answer.
+pub type Owed = Cell<usize>;
+
+/// The module's actor.
+pub struct Director {
+    module: bitternhold::Director,
+    settings: Settings,
+    shared: Rc<Shared>,
+    owed: Rc<Owed>,
+    peers: HashMap<MemberId, Sender<Order>>,
+    requests: HashMap<RequestId, Open>,
+    /// The open request under a connection's number.
+    by_client: BTreeMap<(u64, i32), RequestId>,
+    attempts: HashMap<u64, Out>,
+    due: BTreeMap<(Micros, u64), Due>,
+    /// Events that came of carrying out actions.
+    backlog: VecDeque<Event>,
+    actions: Vec<Action>,
+    next: u64,
+}
+
+impl Director {
+    /// A director for a module with this seed.
+    pub fn new(seed: u64, shared: Rc<Shared>, owed: Rc<Owed>) -> Self {
+        let settings = shared.catalogue.settings.clone();
+        Self {
+            module: bitternhold::Director::new(seed, settings.clone()),
+            settings,
+            shared,
+            owed,
+            peers: HashMap::new(),
+            requests: HashMap::new(),
+            by_client: BTreeMap::new(),
+            attempts: HashMap::new(),
+            due: BTreeMap::new(),
+            backlog: VecDeque::new(),
+            actions: Vec::new(),
+            next: 0,
+        }
+    }
+
+    /// Runs until both mailboxes are closed. News go ahead of everything else that waits: a purge or a drain
+    /// must not queue behind requests that would be sent without it.
+    pub async fn run(mut self, news: Receiver<News>, mailbox: Receiver<Message>) {
+        loop {
+            let due = self.due.keys().next().map(|(at, _)| *at);
+            let wake = async {
+                match due {
+                    Some(at) => clock::at(at).await,
+                    None => Timer::never().await,
+                };
+                Some(Next::Due)
+            };
+            let told = async { news.recv().await.ok().map(Next::News) };
+            let message = async { mailbox.recv().await.ok().map(Next::Message) };
+            match future::or(told, future::or(message, wake)).await {
+                Some(Next::News(told)) => self.news(told, ListKind::Full),
+                Some(Next::Message(message)) => self.message(message),
+                Some(Next::Due) => {}
+                None => return,
+            }
+            let mut batch = BATCH;
+            loop {
+                if let Ok(told) = news.try_recv() {
+                    self.news(told, ListKind::Full);
+                } else if let Some(message) = (batch > 0).then(|| mailbox.try_recv().ok()).flatten() {
+                    batch -= 1;
+                    self.message(message);
+                } else {
+                    break;
+                }
+            }
+            self.timers();
+        }
+    }
+
+    /// Takes news in. A whole list is of this kind: read back at the start, or told.
+    pub fn news(&mut self, news: News, whole: ListKind) {
+        match news {
+            News::Nothing => {}
+            News::Members { complete, members } => {
+                if complete {
+                    let listed: Vec<MemberId> = members.iter().map(|m| m.member.id).collect();
+                    let absent: Vec<MemberId> =
+                        self.peers.keys().filter(|id| !listed.contains(id)).copied().collect();
+                    absent.into_iter().for_each(|id| self.gone(id));
+                }
+                members.iter().for_each(|m| self.listed(m));
+                let members: Vec<Member> = members.into_iter().map(|m| m.member).collect();
+                log::debug!("list: {} entries, complete: {complete}", members.len());
+                self.event(Event::Members { kind: if complete { whole } else { ListKind::Delta }, members });
+            }
+            News::Purged { what, at } => {
+                let now = clock::now();
+                let keep = self.settings.purge_done + self.settings.purge_grace;
+                self.shared.board.purged(now, what, keep);
+                let (object, group) = match what {
+                    Purged::Object(key) => (Some(format!("{key:016x}")), 0),
+                    Purged::Group(group) => (None, group),
+                };
+                self.event(Event::Purged { object, group, age: now.saturating_sub(at) });
+            }
+        }
+    }
+
+    fn gone(&mut self, id: MemberId) {
+        self.shared.board.set_ready(id, false);
+        if let Some(peer) = self.peers.remove(&id) {
+            self.post(&peer, Order::Retire);
+        }
+    }
+
+    fn listed(&mut self, m: &Listed) {
+        let id = m.member.id;
+        if m.member.lifecycle == Lifecycle::Gone {
+            return self.gone(id);
+        }
+        self.shared.board.set_ready(id, m.member.lifecycle == Lifecycle::Ready);
+        match self.peers.get(&id).cloned() {
+            Some(peer) => self.post(&peer, Order::Address(m.address)),
+            None => drop(self.peers.insert(id, Peer::start(id, m.address, &self.shared))),
+        }
+    }
+
+    /// Hands an order on that must not be lost, however full the mailbox is.
+    fn post(&self, peer: &Sender<Order>, order: Order) {
+        if let Err(async_channel::TrySendError::Full(order)) = peer.try_send(order) {
+            let peer = peer.clone();
+            self.shared.tasks.spawn(async move { drop(peer.send(order).await) }).detach();
+        }
+    }
+
+    fn message(&mut self, message: Message) {
+        match message {
+            Message::Request { port, seq, call } => self.request(port, seq, call),
+            Message::Forget { port, seq } => {
+                if let Some(id) = self.by_client.get(&(port, seq)).copied() {
+                    self.left(id);
+                }
+            }
+            Message::Left { port } => {
+                let range = (port, i32::MIN)..=(port, i32::MAX);
+                let all: Vec<RequestId> = self.by_client.range(range).map(|(_, id)| *id).collect();
+                all.into_iter().for_each(|id| self.left(id));
+            }
+            Message::Ended(end) => self.ended(end),
+            Message::Probed { member, status, elapsed, load } => {
+                self.event(Event::Probed { member, status, elapsed, load });
+            }
+        }
+    }
+
+    fn request(&mut self, port: Rc<Port>, seq: i32, call: Call) {
+        // A number that is open already can't be answered twice: the later one fails.
+        if self.by_client.contains_key(&(port.id, seq)) {
+            log::warn!("client {}: number {seq} is open already", port.id);
+            return port.answer(seq, Verdict::Failed);
+        }
+        self.next += 1;
+        let id = RequestId(u128::from(self.next));
+        let call = Rc::new(call);
+        self.by_client.insert((port.id, seq), id);
+        let (out, closed) = (Vec::new(), false);
+        self.requests.insert(id, Open { call: call.clone(), port, seq, attempts: 0, out, closed });
+        self.owed.set(self.owed.get() + 1);
+        self.wake(call.deadline + LAST_WORD, Due::Request(id));
+        self.event(Event::Request(Request {
+            id,
+            class: call.class,
+            object: call.object.to_ascii_lowercase(),
+            part: call.part,
+            group: call.group,
+            size_kb: call.size_kb,
+            write: self.settings.classes.get(call.class).is_some_and(|c| c.write),
+            valid_until: call.deadline,
+        }));
+    }
+
+    /// Marks a request finished; false if it was already.
+    fn close(&mut self, id: RequestId) -> bool {
+        let Some(open) = self.requests.get_mut(&id).filter(|o| !o.closed) else { return false };
+        open.closed = true;
+        self.by_client.remove(&(open.port.id, open.seq));
+        self.owed.set(self.owed.get() - 1);
+        if open.out.is_empty() {
+            self.requests.remove(&id);
+        }
+        true
+    }
+
+    fn answer(&mut self, id: RequestId, verdict: Verdict) {
+        let Some(open) = self.requests.get(&id) else { return };
+        let (port, seq) = (open.port.clone(), open.seq);
+        if self.close(id) {
+            port.answer(seq, verdict);
+        }
+    }
+
+    fn left(&mut self, id: RequestId) {
+        let port = self.requests.get(&id).map(|open| open.port.clone());
+        if self.close(id) {
+            port.iter().for_each(|port| port.drop_request());
+            self.event(Event::ClientGone { id });
+        }
+    }
+
+    fn ended(&mut self, end: End) {
+        let Some(out) = self.attempts.remove(&end.ticket) else { return };
+        if end.status == Status::Ok {
+            let verdict = end.body.map_or(Verdict::Holds, Verdict::Served);
+            self.answer(out.id, verdict);
+        }
+        let End { status, note, waited, load, .. } = end;
+        let closed = self.let_go(out.id, end.ticket);
+        self.event(Event::Outcome(Outcome {
+            id: out.id,
+            attempt: out.number,
+            member: out.member,
+            status,
+            elapsed: clock::now().saturating_sub(out.sent),
+            closed,
+            note,
+            waited,
+            load,
+        }));
+    }
+
+    /// An attempt is out no more; whether its request is finished.
+    fn let_go(&mut self, id: RequestId, ticket: u64) -> bool {
+        let Some(open) = self.requests.get_mut(&id) else { return true };
+        open.out.retain(|t| *t != ticket);
+        let closed = open.closed;
+        if closed && open.out.is_empty() {
+            self.requests.remove(&id);
+        }
+        closed
+    }
+
+    /// Ends an attempt from this side: nobody waits for it any more.
+    fn drop_attempt(&mut self, ticket: u64, status: Status) {
+        let Some(out) = self.attempts.get(&ticket) else { return };
+        out.attempt.dropped.set(true);
+        if let Some(peer) = self.peers.get(&out.member) {
+            self.post(peer, Order::GiveUp(out.attempt.clone(), status == Status::Timeout));
+        }
+        self.ended(End::bare(ticket, status));
+    }
+
+    fn wake(&mut self, at: Micros, due: Due) {
+        self.next += 1;
+        self.due.insert((at, self.next), due);
+    }
+
+    fn timers(&mut self) {
+        let now = clock::now();
+        while let Some(entry) = self.due.first_entry().filter(|e| e.key().0 <= now) {
+            match entry.remove() {
+                Due::Module(token) => self.event(Event::Timer { token }),
+                Due::Attempt(ticket) => self.drop_attempt(ticket, Status::Timeout),
+                Due::Request(id) => {
+                    if self.requests.get(&id).is_some_and(|open| !open.closed) {
+                        log::warn!("a request had no answer from the module at its deadline");
+                        self.answer(id, Verdict::Failed);
+                        self.event(Event::ClientGone { id });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Tells the module an event and does what it says; what comes of that is told in turn.
+    fn event(&mut self, event: Event) {
+        self.backlog.push_back(event);
+        while let Some(event) = self.backlog.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.module.handle(clock::now(), event, &mut actions);
+            actions.drain(..).for_each(|action| self.act(action));
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Look { id, member, until } => {
+                self.send(id, member, until, None, Keep::Pass, None, FillMode::default());
+            }
+            Action::Fetch { id, member, until, source, keep, max_age, mode } => {
+                let source = (source != member).then_some(source);
+                self.send(id, member, until, source, keep, max_age, mode);
+            }
+            Action::Cancel { id, attempt } => {
+                let out = self.requests.get(&id).map(|open| open.out.clone()).unwrap_or_default();
+                let named = |t: &u64| self.attempts.get(t).is_some_and(|o| o.number == attempt);
+                if let Some(ticket) = out.into_iter().find(named) {
+                    self.drop_attempt(ticket, Status::Cancelled);
+                }
+            }
+            Action::Refuse { id, wait } => {
+                // Rounded up: the client is to stay away for so long at least.
+                let backoff = (wait > 0).then(|| wait.div_ceil(1000));
+                self.answer(id, Verdict::Refused { backoff });
+            }
+            Action::Fail { id } => self.answer(id, Verdict::Failed),
+            Action::Timer { delay, token } => self.wake(clock::now() + delay, Due::Module(token)),
+            Action::Probe { member } => {
+                let sent = self.peers.get(&member).is_some_and(|p| p.try_send(Order::Probe).is_ok());
+                if !sent {
+                    let (status, elapsed, load) = (Status::ConnectFailed, 0, None);
+                    self.backlog.push_back(Event::Probed { member, status, elapsed, load });
+                }
+            }
+            // The feed is always followed.
+            Action::Watch | Action::FetchList => {}
+            Action::Log(words) => log::info!("module: {words}"),
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn send(
+        &mut self,
+        id: RequestId,
+        member: MemberId,
+        until: Micros,
+        source: Option<MemberId>,
+        keep: Keep,
+        max_age: Option<Micros>,
+        mode: FillMode,
+    ) {
+        let now = clock::now();
+        let most = self.settings.max_attempts;
+        let peer = self.peers.get(&member).cloned();
+        let Some(open) = self.requests.get_mut(&id) else {
+            invariant!(false, "an attempt for a request that is not open");
+            return;
+        };
+        let number = open.attempts;
+        open.attempts += 1;
+        let until = if until == 0 { open.call.deadline } else { until.min(open.call.deadline) };
+        self.next += 1;
+        let ticket = self.next;
+        let attempt = Rc::new(Attempt {
+            ticket,
+            call: open.call.clone(),
+            source,
+            keep,
+            max_age,
+            mode,
+            until,
+            decided: self.shared.board.moment(),
+            written: Cell::new(false),
+            dropped: Cell::new(false),
+        });
+        // In simulation, too, what may not or can't be sent any more ends as never sent.
+        let may = !open.closed && until > now && (most == 0 || number < most);
+        let sent = may && peer.is_some_and(|p| p.try_send(Order::Send(attempt.clone())).is_ok());
+        if !sent {
+            let closed = open.closed;
+            self.backlog.push_back(Event::Outcome(Outcome {
+                id,
+                attempt: number,
+                member,
+                status: Status::Moot,
+                elapsed: 0,
+                closed,
+                note: None,
+                waited: None,
+                load: None,
+            }));
+            return;
+        }
+        open.out.push(ticket);
+        self.attempts.insert(ticket, Out { id, number, member, sent: now, attempt });
+        self.wake(until, Due::Attempt(ticket));
+    }
+}
+
+enum Next {
+    News(News),
+    Message(Message),
+    Due,
+}
--- /dev/null
+++ b/silverspindle/src/feed.rs
@@ -0,0 +1,168 @@
+//! The coordinator's events, as frames and as the configuration's `known`. No I/O.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use bitternhold::settings::{Catalogue, place};
+use bitternhold::{Lifecycle, Member, MemberId, Micros};
+use serde_json::Value;
+
+use crate::framing::{Cursor, Malformed};
+
+/// The largest frame: a list of some ten thousand members.
+const MOST_FRAME: usize = 256 * 1024;
+const RECORD: usize = 27;
+
+/// A member as listed, with where it listens.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// What the module is told.
+    pub member: Member,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// An event.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// Nothing new.
+    Nothing,
+    /// News of the members.
+    Members {
+        /// They are all there are.
+        complete: bool,
+        /// The entries.
+        members: Vec<Listed>,
+    },
+    /// Copies older than this are not to be served.
+    Purged {
+        /// What was purged.
+        what: Purged,
+        /// When.
+        at: Micros,
+    },
+}
+
+/// What a purge names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Purged {
+    /// An object.
+    Object(u64),
+    /// All objects of a group.
+    Group(u64),
+}
+
+/// An event under its number.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Event {
+    /// Its number.
+    pub index: u64,
+    /// What it tells.
+    pub news: News,
+}
+
+/// See [`crate::framing::Measure`].
+pub fn measure(buffer: &[u8]) -> Result<usize, Malformed> {
+    match Cursor(buffer).number(4) {
+        Err(_) => Ok(4),
+        Ok(length) if (9..=MOST_FRAME as u64).contains(&length) => Ok(4 + length as usize),
+        Ok(_) => Err(Malformed("frame of a length that no event has")),
+    }
+}
+
+/// Reads a whole frame.
+pub fn decode(frame: &[u8]) -> Result<Event, Malformed> {
+    let mut c = Cursor(frame);
+    c.number(4)?;
+    let (index, kind) = (c.number(8)?, c.number(1)?);
+    let news = match kind {
+        0 => News::Nothing,
+        1 | 2 if c.0.len() % RECORD == 0 => {
+            let mut members = Vec::with_capacity(c.0.len() / RECORD);
+            while !c.0.is_empty() {
+                members.push(record(&mut c)?);
+            }
+            News::Members { complete: kind == 1, members }
+        }
+        3 => News::Purged { what: Purged::Object(c.number(8)?), at: millis(c.number(8)?) },
+        4 => News::Purged { what: Purged::Group(c.number(2)?), at: millis(c.number(8)?) },
+        _ => return Err(Malformed("unknown kind or half a record")),
+    };
+    if kind != 0 && !c.0.is_empty() {
+        return Err(Malformed("bytes after the event"));
+    }
+    Ok(Event { index, news })
+}
+
+fn millis(ms: u64) -> Micros {
+    ms.saturating_mul(1000)
+}
+
+fn record(c: &mut Cursor) -> Result<Listed, Malformed> {
+    let id = MemberId(c.number(4)?);
+    let address = SocketAddr::from((Ipv4Addr::from(c.number(4)? as u32), c.number(2)? as u16));
+    let lifecycle = match c.number(1)? {
+        0 => Lifecycle::Ready,
+        1 => Lifecycle::Draining,
+        2 => Lifecycle::Gone,
+        _ => return Err(Malformed("unknown state")),
+    };
+    let (zone, kind, cell) = (c.number(1)? as usize, c.number(1)? as usize, c.number(2)?);
+    let weight = c.number(4)? as f64 / 1000.0;
+    let started = millis(c.number(8)?);
+    Ok(Listed { member: Member { id, lifecycle, zone, kind, cell, weight, started }, address })
+}
+
+/// Reads `known`: the number of its last event and the events. An error names the key.
+pub fn known(value: &Value, names: &Catalogue) -> Result<(u64, Vec<Event>), String> {
+    let index = value["index"].as_u64().ok_or("known.index: must be a whole number")?;
+    let updates = value["updates"].as_array().ok_or("known.updates: must be a list")?;
+    let events = updates.iter().enumerate().map(|(i, v)| {
+        let bad = |what: &str| format!("known.updates[{i}].{what}: missing or malformed");
+        let news = if let Some(list) = v.get("endpoints") {
+            let entries = list["members"].as_array().ok_or_else(|| bad("endpoints.members"))?;
+            let members = entries
+                .iter()
+                .map(|m| listed(m, names).map_err(|key| bad(&format!("endpoints.members.{key}"))))
+                .collect::<Result<_, _>>()?;
+            News::Members { complete: list["complete"].as_bool().unwrap_or(false), members }
+        } else {
+            let purge = v.get("evict").ok_or_else(|| bad("endpoints"))?;
+            let what = match (purge.get("ref"), purge.get("shard")) {
+                (Some(object), _) => object.as_str().and_then(hex).map(Purged::Object),
+                (None, group) => group.and_then(Value::as_u64).map(Purged::Group),
+            };
+            let at = purge["unix_ms"].as_u64().ok_or_else(|| bad("evict.unix_ms"))?;
+            News::Purged { what: what.ok_or_else(|| bad("evict.ref"))?, at: millis(at) }
+        };
+        Ok(Event { index: v["index"].as_u64().ok_or_else(|| bad("index"))?, news })
+    });
+    Ok((index, events.collect::<Result<_, String>>()?))
+}
+
+/// A number of sixteen hex digits, as objects and requests are named.
+pub fn hex(text: &str) -> Option<u64> {
+    let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
+
+fn listed(m: &Value, names: &Catalogue) -> Result<Listed, &'static str> {
+    let id =
+        m["id"].as_str().and_then(|t| t.strip_prefix("s-")).and_then(|t| u32::from_str_radix(t, 16).ok());
+    Ok(Listed {
+        member: Member {
+            id: MemberId(u64::from(id.ok_or("id")?)),
+            lifecycle: match m["phase"].as_str() {
+                Some("ready") => Lifecycle::Ready,
+                Some("draining") => Lifecycle::Draining,
+                Some("gone") => Lifecycle::Gone,
+                _ => return Err("phase"),
+            },
+            zone: place(&names.zones, m["locality"].as_str()),
+            kind: place(&names.kinds, m["flavor"].as_str()),
+            cell: m["cell"].as_u64().unwrap_or(0),
+            weight: m["size"].as_f64().unwrap_or(0.0),
+            started: millis(m["up_since_ms"].as_u64().unwrap_or(0)),
+        },
+        address: m["host_port"].as_str().and_then(|t| t.parse().ok()).ok_or("host_port")?,
+    })
+}
--- /dev/null
+++ b/silverspindle/src/framing.rs
@@ -0,0 +1,90 @@
+//! What the three parsers share: a message is measured in the buffer it was read into, split off whole
+//! without a copy, then read as borrowed slices.
+
+use std::fmt;
+use std::io;
+
+use bytes::{Bytes, BytesMut};
+use futures_lite::{AsyncRead, AsyncReadExt};
+
+/// Why a message can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "malformed: {}", self.0)
+    }
+}
+
+impl From<Malformed> for io::Error {
+    fn from(why: Malformed) -> Self {
+        io::Error::new(io::ErrorKind::InvalidData, why.to_string())
+    }
+}
+
+/// How many bytes the first message needs, as far as can be told yet. It is whole if the buffer holds them.
+pub type Measure = fn(&[u8]) -> Result<usize, Malformed>;
+
+/// Splits the first message off the buffer, if it is whole.
+pub fn split(buffer: &mut BytesMut, measure: Measure) -> Result<Option<Bytes>, Malformed> {
+    let needed = measure(buffer)?;
+    Ok((needed <= buffer.len()).then(|| buffer.split_to(needed).freeze()))
+}
+
+/// Reads whole messages from a stream.
+pub struct Messages<R> {
+    stream: R,
+    buffer: BytesMut,
+    /// So much of the buffer was read; what lies behind is room for a read that was dropped half way.
+    filled: usize,
+    measure: Measure,
+    chunk: usize,
+}
+
+impl<R: AsyncRead + Unpin> Messages<R> {
+    /// Reads at most `chunk` bytes at a time, so that an idle connection holds no more.
+    pub fn new(stream: R, measure: Measure, chunk: usize) -> Self {
+        Self { stream, buffer: BytesMut::new(), filled: 0, measure, chunk }
+    }
+
+    /// The next message; none at the end of the stream. May be dropped and called again.
+    pub async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        loop {
+            self.buffer.truncate(self.filled);
+            if let Some(message) = split(&mut self.buffer, self.measure)? {
+                self.filled = self.buffer.len();
+                return Ok(Some(message));
+            }
+            self.buffer.resize(self.filled + self.chunk, 0);
+            match self.stream.read(&mut self.buffer[self.filled..]).await? {
+                0 => return Ok(None),
+                read => self.filled += read,
+            }
+        }
+    }
+}
+
+/// Reads fields in order; every length is checked against what is there.
+#[derive(Clone, Copy)]
+pub struct Cursor<'a>(pub &'a [u8]);
+
+impl<'a> Cursor<'a> {
+    /// The next bytes.
+    pub fn take(&mut self, n: usize) -> Result<&'a [u8], Malformed> {
+        let (head, rest) = self.0.split_at_checked(n).ok_or(Malformed("ends early"))?;
+        self.0 = rest;
+        Ok(head)
+    }
+
+    /// A big-endian unsigned number of so many bytes, eight at most.
+    pub fn number(&mut self, bytes: usize) -> Result<u64, Malformed> {
+        Ok(self.take(bytes)?.iter().fold(0, |n, b| n << 8 | u64::from(*b)))
+    }
+
+    /// A length of four bytes, then so many bytes.
+    pub fn counted(&mut self) -> Result<&'a [u8], Malformed> {
+        let length = self.number(4)? as usize;
+        self.take(length)
+    }
+}
--- /dev/null
+++ b/silverspindle/src/front.rs
@@ -0,0 +1,386 @@
+//! Clients' connections: each is read and written by a task of its own and answers every request once.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use bitternhold::settings::{Catalogue, place};
+use bitternhold::{Effect, Micros};
+use bytes::Bytes;
+use futures_lite::{AsyncWriteExt, future};
+
+use crate::clock;
+use crate::director::{Call, Message, Verdict};
+use crate::feed::hex;
+use crate::framing::Messages;
+use crate::{invariant, thrift};
+
+/// Requests that may be open on one connection.
+pub const MOST_OPEN: usize = 32;
+/// Read at a time: an idle connection holds no more.
+const CHUNK: usize = 8 * 1024;
+/// Bodies up to this are copied behind their head, so that one write does.
+const SMALL: usize = 4096;
+/// A client that takes nothing for so long is gone; one without a request for so long is cut off.
+const STALLED: Duration = Duration::from_secs(10);
+const IDLE: Duration = Duration::from_secs(60);
+/// Wait after a failed accept: out of descriptors, say.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// Advice to a client that is refused before the module sees it.
+const BACKOFF_MS: u64 = 200;
+/// Longest budget that is believed, and longest text passed on.
+const MOST_BUDGET: Micros = 600_000_000;
+const MOST_TEXT: usize = 128;
+
+/// What the writer has to write.
+#[derive(Debug)]
+enum Reply {
+    Verdict(i32, Verdict),
+    Well(i32, bool),
+    Unknown(i32, String),
+}
+
+/// Where answers to a connection's requests go.
+#[derive(Debug)]
+pub struct Port {
+    /// Its number.
+    pub id: u64,
+    out: Sender<Reply>,
+    /// A permit is taken for each open request, so that no more are read than may be open.
+    permits: Receiver<()>,
+    cut: Sender<()>,
+    held: Cell<usize>,
+    owed: Cell<usize>,
+    front: Rc<Front>,
+}
+
+impl Port {
+    /// The final answer to a request. It waits in a queue that the permits bound.
+    pub fn answer(&self, seq: i32, verdict: Verdict) {
+        let bytes = verdict.bytes();
+        if self.out.try_send(Reply::Verdict(seq, verdict)).is_ok() {
+            self.owe(1, bytes as isize);
+            self.front.relieve();
+        }
+    }
+
+    /// The client left or forgot the request: no answer will come.
+    pub fn drop_request(&self) {
+        let _ = self.permits.try_recv();
+    }
+
+    /// Books answers that wait to be written, and the bytes of their bodies.
+    fn owe(&self, answers: isize, bytes: isize) {
+        for (count, change) in [
+            (&self.owed, answers),
+            (&self.front.unflushed, answers),
+            (&self.held, bytes),
+            (&self.front.held, bytes),
+        ] {
+            invariant!(count.get() as isize + change >= 0, "more answers written than given");
+            count.set(count.get().saturating_add_signed(change));
+        }
+    }
+}
+
+/// Books the bytes of a write while it is open.
+#[derive(Debug)]
+pub struct Taken {
+    all: Rc<Cell<usize>>,
+    own: usize,
+}
+
+impl Taken {
+    fn new(all: &Rc<Cell<usize>>, own: usize) -> Self {
+        all.set(all.get() + own);
+        Self { all: all.clone(), own }
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.all.set(self.all.get() - self.own);
+    }
+}
+
+/// What all connections share.
+#[derive(Debug)]
+pub struct Front {
+    catalogue: Rc<Catalogue>,
+    director: Sender<Message>,
+    /// `isWell` is answered with this.
+    well: Cell<bool>,
+    /// Answers not yet written, and bytes of bodies in them; as much is borne.
+    unflushed: Cell<usize>,
+    held: Cell<usize>,
+    most_held: usize,
+    /// Bytes of writes taken in and not yet finished; as much is borne.
+    taken: Rc<Cell<usize>>,
+    most_taken: usize,
+    most_connections: usize,
+    ports: RefCell<BTreeMap<u64, Rc<Port>>>,
+    next: Cell<u64>,
+}
+
+impl Front {
+    /// A front that hands its requests to the director. A third of the memory may lie in answers that slow
+    /// clients have not taken, an eighth in writes; half of the descriptors are clients'.
+    pub fn new(
+        catalogue: Rc<Catalogue>,
+        director: Sender<Message>,
+        memory: usize,
+        sockets: usize,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            catalogue,
+            director,
+            well: Cell::new(false),
+            unflushed: Cell::new(0),
+            held: Cell::new(0),
+            most_held: memory / 3,
+            taken: Rc::default(),
+            most_taken: memory / 8,
+            most_connections: sockets / 2,
+            ports: RefCell::default(),
+            next: Cell::new(0),
+        })
+    }
+
+    /// Whether the front that sends clients here may do so.
+    pub fn set_well(&self, well: bool) {
+        self.well.set(well);
+    }
+
+    /// All answers are written.
+    pub fn flushed(&self) -> bool {
+        self.unflushed.get() == 0
+    }
+
+    /// Guards the memory against slow readers: past the bound, who holds most is cut off.
+    fn relieve(&self) {
+        if self.held.get() <= self.most_held {
+            return;
+        }
+        if let Some(port) = self.ports.borrow().values().max_by_key(|p| p.held.get()) {
+            log::warn!("client {}: cut off, {} bytes wait for it", port.id, port.held.get());
+            let _ = port.cut.try_send(());
+        }
+    }
+
+    /// Accepts clients, for ever. With all descriptors of clients in use, the next wait to be accepted.
+    pub async fn accept(
+        self: Rc<Self>,
+        listener: Async<std::net::TcpListener>,
+        tasks: Rc<LocalExecutor<'static>>,
+    ) {
+        loop {
+            if self.ports.borrow().len() >= self.most_connections {
+                Timer::after(ACCEPT_AGAIN).await;
+                continue;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => tasks.spawn(self.clone().connection(stream)).detach(),
+                Err(e) => {
+                    log::warn!("accept: {e}");
+                    Timer::after(ACCEPT_AGAIN).await;
+                }
+            }
+        }
+    }
+
+    async fn connection(self: Rc<Self>, stream: Async<TcpStream>) {
+        let _ = stream.get_ref().set_nodelay(true);
+        let id = self.next.get();
+        self.next.set(id + 1);
+        let (out, replies) = async_channel::bounded(MOST_OPEN);
+        let (take, permits) = async_channel::bounded(MOST_OPEN);
+        let (cut, cuts) = async_channel::bounded(1);
+        let port = Rc::new(Port {
+            id,
+            out,
+            permits,
+            cut,
+            held: Cell::new(0),
+            owed: Cell::new(0),
+            front: self.clone(),
+        });
+        self.ports.borrow_mut().insert(id, port.clone());
+        let cut_off = async {
+            let _ = cuts.recv().await;
+            Ok(())
+        };
+        let write = self.write(&stream, &replies, &port);
+        let ended = future::or(future::or(self.read(&stream, take, &port), write), cut_off).await;
+        if let Err(e) = ended.as_ref().map_err(|e| (e.kind(), e)) {
+            match e.0 {
+                io::ErrorKind::InvalidData => log::warn!("client {id}: {}; closed", e.1),
+                _ => log::debug!("client {id}: {}", e.1),
+            }
+        }
+        // What was not written is not owed any more.
+        self.ports.borrow_mut().remove(&id);
+        port.out.close();
+        port.owe(-(port.owed.get() as isize), -(port.held.get() as isize));
+        let _ = self.director.send(Message::Left { port: id }).await;
+    }
+
+    async fn read(&self, stream: &Async<TcpStream>, take: Sender<()>, port: &Rc<Port>) -> io::Result<()> {
+        let mut frames = Messages::new(stream, thrift::measure, CHUNK);
+        loop {
+            let idle = async {
+                Timer::after(IDLE).await;
+                Ok(None)
+            };
+            let frame = match future::or(frames.next(), idle).await? {
+                Some(frame) => frame,
+                None if take.is_empty() => return Ok(()),
+                None => continue,
+            };
+            let arrived = clock::now();
+            let message = thrift::decode(&frame)?;
+            let reply = match message {
+                thrift::Message::Forget(seq) => {
+                    self.director.send(Message::Forget { port: port.id, seq }).await.map_err(closed)?;
+                    continue;
+                }
+                thrift::Message::Unknown { oneway: true, .. } => continue,
+                thrift::Message::Serve { seq, fields, body } => {
+                    take.send(()).await.map_err(closed)?;
+                    let body = frame.slice_ref(body);
+                    match self.call(&fields, body, arrived) {
+                        Ok(call) => {
+                            let request = Message::Request { port: port.clone(), seq, call };
+                            self.director.send(request).await.map_err(closed)?;
+                        }
+                        Err(verdict) => port.answer(seq, verdict),
+                    }
+                    continue;
+                }
+                thrift::Message::IsWell(seq) => Reply::Well(seq, self.well.get()),
+                thrift::Message::Unknown { seq, name, .. } => {
+                    Reply::Unknown(seq, String::from_utf8_lossy(name).into_owned())
+                }
+            };
+            take.send(()).await.map_err(closed)?;
+            port.out.send(reply).await.map_err(closed)?;
+        }
+    }
+
+    /// A request from its fields. One that can't be used is failed here: nothing may be sent for it.
+    fn call(&self, fields: &thrift::Fields, body: Bytes, arrived: Micros) -> Result<Call, Verdict> {
+        // Outer none: not readable; inner none: not given.
+        let given = |name: &str| match fields.iter().find(|(n, _)| *n == name.as_bytes()) {
+            Some((_, value)) => std::str::from_utf8(value).ok().map(Some),
+            None => Some(None),
+        };
+        // Caches read lists of name=value: what would end a value there must not get into one.
+        let plain = |t: &str| {
+            let good = |b: u8| b.is_ascii_graphic() && b != b',' && b != b'=';
+            ((1..=MOST_TEXT).contains(&t.len()) && t.bytes().all(good)).then(|| t.to_owned())
+        };
+        let passed = |name: &str| match given(name)? {
+            Some(text) => plain(text).map(Some),
+            None => Some(None),
+        };
+        let number = |text: &str| text.parse().ok().filter(|x: &f64| x.is_finite() && *x >= 0.0);
+        let named = |name: &str| given(name)?.filter(|t| hex(t).is_some()).map(str::to_owned);
+        let read = || {
+            let class = place(&self.catalogue.classes, given("method")?);
+            let keyed = self.catalogue.settings.classes.get(class)?.effect == Effect::Deduplicated;
+            let token = passed("token")?;
+            if keyed && token.is_none() || body.len() > thrift::MOST_WRITE {
+                return None;
+            }
+            let budget = (number(given("budget")??)? * 1000.0) as Micros;
+            let size_kb = match given("mem")? {
+                Some(text) => Some(number(text)?).filter(|kb| *kb > 0.0),
+                None => None,
+            };
+            Some(Call {
+                rid: named("rid")?,
+                class,
+                object: named("obj")?,
+                part: given("block")?.unwrap_or("0").parse().ok()?,
+                group: given("family")?.unwrap_or("0").parse().ok().filter(|g| *g < 256)?,
+                size_kb,
+                token,
+                cached: passed("cached")?,
+                deadline: arrived + budget.min(MOST_BUDGET),
+                taken: Taken::new(&self.taken, body.len()),
+                body: body.clone(),
+            })
+        };
+        let call = read().ok_or(Verdict::Failed)?;
+        match self.taken.get() > self.most_taken {
+            // Guards the memory: nothing has run, so a refusal does no harm.
+            true => Err(Verdict::Refused { backoff: Some(BACKOFF_MS) }),
+            false => Ok(call),
+        }
+    }
+
+    async fn write(
+        &self,
+        stream: &Async<TcpStream>,
+        replies: &Receiver<Reply>,
+        port: &Port,
+    ) -> io::Result<()> {
+        while let Ok(reply) = replies.recv().await {
+            let verdict = matches!(reply, Reply::Verdict(..));
+            let (mut head, body, tail) = encode(reply);
+            let stalled = async {
+                Timer::after(STALLED).await;
+                Err(io::Error::from(io::ErrorKind::TimedOut))
+            };
+            let write = async {
+                let mut stream = stream;
+                if body.len() <= SMALL {
+                    head.extend_from_slice(&body);
+                    head.extend_from_slice(&tail);
+                    return stream.write_all(&head).await;
+                }
+                stream.write_all(&head).await?;
+                stream.write_all(&body).await?;
+                stream.write_all(&tail).await
+            };
+            let written = future::or(write, stalled).await;
+            if verdict {
+                port.owe(-1, -(body.len() as isize));
+            }
+            written?;
+            let _ = port.permits.try_recv();
+        }
+        Ok(())
+    }
+}
+
+fn closed<T>(_: T) -> io::Error {
+    io::ErrorKind::BrokenPipe.into()
+}
+
+/// The parts of a reply: what stands before the body, the body as it came, what stands behind.
+fn encode(reply: Reply) -> (Vec<u8>, Bytes, Vec<u8>) {
+    let whole = |frame| (frame, Bytes::new(), Vec::new());
+    match reply {
+        Reply::Verdict(seq, Verdict::Served(body)) => {
+            let [head, tail] = thrift::answer("serve", seq, body.len(), &[], true);
+            (head, body, tail)
+        }
+        Reply::Verdict(seq, Verdict::Holds) => {
+            let [head, tail] = thrift::answer("serve", seq, 0, &[("keep", "1")], true);
+            (head, Bytes::new(), tail)
+        }
+        Reply::Verdict(seq, Verdict::Refused { backoff }) => whole(thrift::throttled(seq, backoff)),
+        Reply::Verdict(seq, Verdict::Failed) => whole(thrift::broken(seq)),
+        Reply::Well(seq, good) => {
+            let [head, tail] = thrift::answer("isWell", seq, 0, &[], good);
+            (head, Bytes::new(), tail)
+        }
+        Reply::Unknown(seq, name) => whole(thrift::unknown_method(&name, seq)),
+    }
+}
--- /dev/null
+++ b/silverspindle/src/serve.rs
@@ -0,0 +1,64 @@
+//! Starts the actors and ends them: the life of a router from its configuration to its exit.
+
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use bitternhold::{ListKind, Micros};
+use futures_lite::{StreamExt, future};
+
+use crate::clock;
+use crate::config::Config;
+use crate::coordinator::Coordinator;
+use crate::director::{self, Director, Owed};
+use crate::front::Front;
+use crate::upstream::{Board, Descriptors, Shared};
+
+/// Descriptors kept for all else: the listener, the coordinator, signals, the reactor.
+const OTHER_DESCRIPTORS: usize = 24;
+/// After a signal to end, clients may still come for so long (0.4 s for connections, 0.2 s for requests).
+const LINGER: Micros = 700_000;
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// Serves until a signal to end, then answers what is owed and returns.
+pub fn serve(config: Config) -> io::Result<()> {
+    let listener = Async::<TcpListener>::bind(config.listen)?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let tasks = Rc::new(LocalExecutor::new());
+    let catalogue = Rc::new(config.catalogue);
+    let (mailbox, messages) = async_channel::bounded(director::MAILBOX);
+    let (tell, news) = async_channel::bounded(director::MAILBOX);
+    let shared = Rc::new(Shared {
+        catalogue: catalogue.clone(),
+        board: Rc::new(Board::default()),
+        descriptors: Descriptors::new(config.sockets / 2 - OTHER_DESCRIPTORS),
+        director: mailbox.clone(),
+        tasks: tasks.clone(),
+    });
+    let owed = Rc::new(Owed::default());
+    let mut director = Director::new(config.seed, shared, owed.clone());
+    let (last, known) = config.known;
+    known.into_iter().for_each(|event| director.news(event.news, ListKind::Cached));
+    tasks.spawn(director.run(news, messages)).detach();
+    tasks.spawn(Coordinator { address: config.coordinator, last, news: tell }.run()).detach();
+    let front = Front::new(catalogue, mailbox, config.memory, config.sockets);
+    tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
+    front.set_well(true);
+    log::info!("{} serves on {}, list known to event {last}", config.name, config.listen);
+    let run = async {
+        let signal = signals.next().await;
+        front.set_well(false);
+        log::info!("ending on {signal:?}: {} requests open", owed.get());
+        let since = clock::now();
+        while clock::now() < since + LINGER || owed.get() > 0 || !front.flushed() {
+            Timer::after(LOOK_AGAIN).await;
+        }
+        log::info!("ended: all is answered");
+    };
+    async_io::block_on(tasks.run(future::or(run, future::pending())));
+    Ok(())
+}
--- /dev/null
+++ b/silverspindle/src/upstream.rs
@@ -0,0 +1,597 @@
+//! A peer's actor: its connections, and the attempts on them. A peer is known by its id, not its address.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use bitternhold::settings::Catalogue;
+use bitternhold::{FillMode, Keep, Load, MemberId, Micros, Note, Status};
+use bytes::Bytes;
+use futures_lite::{AsyncWriteExt, future};
+
+use crate::clock;
+use crate::director::{Call, Message};
+use crate::feed::Purged;
+use crate::framing::Messages;
+use crate::resp::{self, Word};
+
+/// Orders that may wait for an actor; a director that finds it full counts the attempt as never sent.
+pub const MAILBOX: usize = 1024;
+/// Commands that may wait on a connection: its streams and what gives them up.
+const MOST_WAITING: usize = 96;
+/// Given-up ids that a connection remembers, and for how long: an answer may have crossed.
+const MOST_CROSSING: usize = 256;
+const CROSSING: Micros = 10_000_000;
+/// Read at a time.
+const CHUNK: usize = 32 * 1024;
+/// How often idle connections are looked for.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// What was told last of the members and of purges, for a last look at the moment of writing.
+#[derive(Debug, Default)]
+pub struct Board {
+    ready: RefCell<BTreeSet<MemberId>>,
+    purges: RefCell<HashMap<Purged, (u64, Micros)>>,
+    told: Cell<u64>,
+}
+
+impl Board {
+    /// A member takes work or does not.
+    pub fn set_ready(&self, id: MemberId, ready: bool) {
+        match ready {
+            true => self.ready.borrow_mut().insert(id),
+            false => self.ready.borrow_mut().remove(&id),
+        };
+    }
+
+    /// Whether a member takes work.
+    pub fn is_ready(&self, id: MemberId) -> bool {
+        self.ready.borrow().contains(&id)
+    }
+
+    /// Notes a purge; those told longer ago than `keep` concern nothing that still waits.
+    pub fn purged(&self, now: Micros, what: Purged, keep: Micros) {
+        self.told.set(self.told.get() + 1);
+        let mut purges = self.purges.borrow_mut();
+        purges.retain(|_, (_, at)| now.saturating_sub(*at) <= keep);
+        purges.insert(what, (self.told.get(), now));
+    }
+
+    /// The moment of a decision, to be compared with what is told later.
+    pub fn moment(&self) -> u64 {
+        self.told.get()
+    }
+
+    /// Whether an attempt may still be written. Guards against what waited (for a connection, or behind a
+    /// full socket) while its cache or its source was drained or its object purged.
+    fn allows(&self, attempt: &Attempt, to: MemberId) -> bool {
+        let purges = self.purges.borrow();
+        let since = |what| purges.get(&what).is_some_and(|(told, _)| *told > attempt.decided);
+        clock::now() < attempt.until
+            && self.is_ready(to)
+            && attempt.source.is_none_or(|source| self.is_ready(source))
+            && !since(Purged::Group(attempt.call.group))
+            && !attempt.call.key().is_some_and(|key| since(Purged::Object(key)))
+    }
+}
+
+/// Descriptors that peers' connections may take.
+#[derive(Debug)]
+pub struct Descriptors(Cell<usize>);
+
+impl Descriptors {
+    /// So many.
+    pub fn new(n: usize) -> Rc<Self> {
+        Rc::new(Self(Cell::new(n)))
+    }
+
+    fn take(self: &Rc<Self>) -> Option<Descriptor> {
+        self.0.set(self.0.get().checked_sub(1)?);
+        Some(Descriptor(self.clone()))
+    }
+}
+
+/// One of them, given back when dropped.
+#[derive(Debug)]
+struct Descriptor(Rc<Descriptors>);
+
+impl Drop for Descriptor {
+    fn drop(&mut self) {
+        self.0.0.set(self.0.0.get() + 1);
+    }
+}
+
+/// An attempt on its way.
+#[derive(Debug)]
+pub struct Attempt {
+    /// The director's number for it.
+    pub ticket: u64,
+    /// The request.
+    pub call: Rc<Call>,
+    /// Where a miss is filled from; none: nowhere.
+    pub source: Option<MemberId>,
+    /// How the copy is kept.
+    pub keep: Keep,
+    /// The oldest copy that will do; none: the class's fresh time.
+    pub max_age: Option<Micros>,
+    /// How the fill is done.
+    pub mode: FillMode,
+    /// When the attempt is dropped.
+    pub until: Micros,
+    /// The board's moment at which it was decided.
+    pub decided: u64,
+    /// Its first byte was written: from then on it may have run.
+    pub written: Cell<bool>,
+    /// Nobody waits for it any more.
+    pub dropped: Cell<bool>,
+}
+
+impl Attempt {
+    fn command(&self, names: &Catalogue) -> Vec<u8> {
+        let call = &*self.call;
+        let class = names.classes.get(call.class).map_or("", String::as_str);
+        // Rounded to the safe side: a shorter wait, a younger copy; 0 would mean the fresh time.
+        let ttl = (self.until.saturating_sub(clock::now()) / 1000).max(1);
+        let mut fields = format!("lane={class},name={},piece={},ttl={ttl}", call.object, call.part);
+        let mut put = |name: &str, value: &str| {
+            fields.push(',');
+            fields.push_str(name);
+            fields.push('=');
+            fields.push_str(value);
+        };
+        if let Some(token) = &call.token {
+            put("dedupe", token);
+        }
+        if let Some(MemberId(source)) = self.source {
+            put("fetch", &format!("s-{source:08x}"));
+        }
+        if self.keep != Keep::Pass {
+            put("retain", &(self.keep as u8).to_string());
+        }
+        if let Some(age) = self.max_age {
+            put("newer", &(age / 1000).max(1).to_string());
+        }
+        let FillMode { join, held_only, parent_pass, renew } = self.mode;
+        let words =
+            [(join, "coalesce"), (held_only, "shallow"), (parent_pass, "transit"), (renew, "freshen")];
+        let words: Vec<&str> = words.iter().filter(|(on, _)| *on).map(|(_, word)| *word).collect();
+        if !words.is_empty() {
+            put("handle", &words.join("+"));
+        }
+        if let Some(tag) = &call.cached {
+            put("holds", tag);
+        }
+        resp::command(&[b"want", call.rid.as_bytes(), fields.as_bytes(), &call.body])
+    }
+}
+
+/// What an actor is asked to do, and what its connections tell it.
+#[derive(Debug)]
+pub enum Order {
+    /// Send an attempt.
+    Send(Rc<Attempt>),
+    /// Nobody waits for an attempt any more; it timed out if so said.
+    GiveUp(Rc<Attempt>, bool),
+    /// Probe the peer.
+    Probe,
+    /// It listens there now.
+    Address(SocketAddr),
+    /// It is gone: finish what is out, then end.
+    Retire,
+    /// A connection is up.
+    Up(u64),
+    /// A connection brought an answer.
+    Answer(u64, Bytes),
+    /// An attempt was not written, as the board forbade it.
+    Unwritten(u64, Rc<Attempt>),
+    /// A connection ended, or never came up.
+    Down(u64, io::Error),
+}
+
+/// How an attempt ended, and what came with it.
+#[derive(Debug)]
+pub struct End {
+    /// The director's number for it.
+    pub ticket: u64,
+    /// How.
+    pub status: Status,
+    /// How it came about.
+    pub note: Option<Note>,
+    /// Time spent waiting for the source.
+    pub waited: Option<Micros>,
+    /// The load report.
+    pub load: Option<Load>,
+    /// The bytes, if it was served; none where the client's copy is the one.
+    pub body: Option<Bytes>,
+}
+
+impl End {
+    /// An end of which nothing else is known.
+    pub fn bare(ticket: u64, status: Status) -> Self {
+        Self { ticket, status, note: None, waited: None, load: None, body: None }
+    }
+}
+
+/// What a writer writes.
+#[derive(Debug)]
+enum Command {
+    Want(Rc<Attempt>),
+    Plain(Vec<u8>),
+}
+
+/// A connection as the actor sees it.
+#[derive(Debug)]
+struct Line {
+    commands: Sender<Command>,
+    up: bool,
+    /// Attempts and probes by the id under which their answer comes.
+    streams: HashMap<Bytes, Stream>,
+    /// Given-up ids: an answer may still come, so they are not used again here for a while.
+    crossing: HashMap<Bytes, Micros>,
+    last_used: Micros,
+    heard: Micros,
+    /// An attempt timed out with nothing heard since it was given to the connection.
+    silent: bool,
+    /// It gets nothing new and is closed when what it has is done.
+    closing: bool,
+    _descriptor: Descriptor,
+    /// Its task ends when this is dropped.
+    _alive: Sender<()>,
+}
+
+#[derive(Debug)]
+enum Stream {
+    Attempt(Rc<Attempt>, Micros),
+    Probe(Micros),
+}
+
+/// What all peers share.
+#[derive(Debug)]
+pub struct Shared {
+    /// The settings.
+    pub catalogue: Rc<Catalogue>,
+    /// What was told last.
+    pub board: Rc<Board>,
+    /// Descriptors left.
+    pub descriptors: Rc<Descriptors>,
+    /// The director's mailbox.
+    pub director: Sender<Message>,
+    /// Where tasks run.
+    pub tasks: Rc<LocalExecutor<'static>>,
+}
+
+/// A peer's actor.
+pub struct Peer {
+    id: MemberId,
+    address: SocketAddr,
+    shared: Rc<Shared>,
+    mailbox: Receiver<Order>,
+    /// For its connections.
+    own: Sender<Order>,
+    lines: BTreeMap<u64, Line>,
+    next_line: u64,
+    next_probe: u64,
+    retired: bool,
+}
+
+impl Peer {
+    /// Starts an actor; its mailbox.
+    pub fn start(id: MemberId, address: SocketAddr, shared: &Rc<Shared>) -> Sender<Order> {
+        let (own, mailbox) = async_channel::bounded(MAILBOX);
+        let peer = Peer {
+            id,
+            address,
+            shared: shared.clone(),
+            mailbox,
+            own: own.clone(),
+            lines: BTreeMap::new(),
+            next_line: 0,
+            next_probe: 0,
+            retired: false,
+        };
+        shared.tasks.spawn(peer.run()).detach();
+        own
+    }
+
+    async fn run(mut self) {
+        loop {
+            let sweep = async {
+                Timer::after(SWEEP).await;
+                None
+            };
+            let next = match self.lines.is_empty() {
+                true => self.mailbox.recv().await.ok(),
+                false => future::or(async { self.mailbox.recv().await.ok() }, sweep).await,
+            };
+            match next {
+                Some(order) => self.order(order).await,
+                None => self.sweep(),
+            }
+            if self.retired && self.lines.is_empty() {
+                return;
+            }
+        }
+    }
+
+    async fn order(&mut self, order: Order) {
+        match order {
+            Order::Send(attempt) => self.send(attempt).await,
+            Order::GiveUp(attempt, timed_out) => self.give_up(&attempt, timed_out),
+            Order::Probe => self.probe().await,
+            Order::Address(address) => {
+                if std::mem::replace(&mut self.address, address) != address {
+                    // Connections to the old address finish what they have and get nothing new.
+                    self.lines.values_mut().for_each(|l| l.closing = true);
+                    self.sweep();
+                }
+            }
+            Order::Retire => {
+                self.retired = true;
+                self.lines.values_mut().for_each(|l| l.closing = true);
+                self.sweep();
+            }
+            Order::Up(line) => {
+                if let Some(line) = self.lines.get_mut(&line) {
+                    line.up = true;
+                    line.heard = clock::now();
+                }
+            }
+            Order::Answer(line, frame) => self.answer(line, frame).await,
+            Order::Unwritten(line, attempt) => {
+                let own = |s: &Stream| matches!(s, Stream::Attempt(a, _) if a.ticket == attempt.ticket);
+                if let Some(line) = self.lines.get_mut(&line) {
+                    line.streams.retain(|_, stream| !own(stream));
+                }
+                self.end(End::bare(attempt.ticket, Status::Moot)).await;
+            }
+            Order::Down(line, why) => self.down(line, &why).await,
+        }
+    }
+
+    async fn end(&self, end: End) {
+        let _ = self.shared.director.send(Message::Ended(end)).await;
+    }
+
+    /// A connection that can take this id: one that is up and has room, else one that comes up, else a new
+    /// one. An id stands once on a connection at most, as its answers can't be told apart.
+    fn line_for(&mut self, id: &[u8]) -> Option<u64> {
+        let streams = self.shared.catalogue.streams_per_conn;
+        let takes = |l: &Line| {
+            l.streams.len() < streams
+                && !l.silent
+                && !l.closing
+                && !l.streams.contains_key(id)
+                && !l.crossing.contains_key(id)
+                && l.crossing.len() < MOST_CROSSING
+                && l.commands.len() < MOST_WAITING - 1
+        };
+        let found = self.lines.iter().filter(|(_, l)| takes(l)).max_by_key(|(n, l)| (l.up, u64::MAX - **n));
+        if let Some((n, _)) = found {
+            return Some(*n);
+        }
+        let Some(descriptor) = self.shared.descriptors.take() else {
+            log::warn!("peer s-{:08x}: no descriptor left for another connection", self.id.0);
+            return None;
+        };
+        let (commands, waiting) = async_channel::bounded(MOST_WAITING);
+        let (alive, ended) = async_channel::bounded(1);
+        let n = self.next_line;
+        self.next_line += 1;
+        let now = clock::now();
+        let line = Line {
+            commands,
+            up: false,
+            streams: HashMap::new(),
+            crossing: HashMap::new(),
+            last_used: now,
+            heard: now,
+            silent: false,
+            closing: false,
+            _descriptor: descriptor,
+            _alive: alive,
+        };
+        self.lines.insert(n, line);
+        let connection = Connection {
+            peer: self.id,
+            line: n,
+            address: self.address,
+            waiting,
+            ended,
+            actor: self.own.clone(),
+            shared: self.shared.clone(),
+        };
+        self.shared.tasks.spawn(connection.run()).detach();
+        Some(n)
+    }
+
+    async fn send(&mut self, attempt: Rc<Attempt>) {
+        let id = Bytes::copy_from_slice(attempt.call.rid.as_bytes());
+        let line = if attempt.dropped.get() || self.retired { None } else { self.line_for(&id) };
+        let Some(line) = line.and_then(|n| self.lines.get_mut(&n)) else {
+            return self.end(End::bare(attempt.ticket, Status::Moot)).await;
+        };
+        let now = clock::now();
+        line.last_used = now;
+        match line.commands.try_send(Command::Want(attempt.clone())) {
+            Ok(()) => drop(line.streams.insert(id, Stream::Attempt(attempt, now))),
+            Err(_) => self.end(End::bare(attempt.ticket, Status::Moot)).await,
+        }
+    }
+
+    async fn probe(&mut self) {
+        self.next_probe += 1;
+        let tag = Bytes::from(format!("probe-{}", self.next_probe));
+        let line = if self.retired { None } else { self.line_for(&tag) };
+        let sent = line.and_then(|n| self.lines.get_mut(&n)).is_some_and(|line| {
+            let command = Command::Plain(resp::command(&[b"busy", &tag]));
+            line.streams.insert(tag, Stream::Probe(clock::now()));
+            line.commands.try_send(command).is_ok()
+        });
+        if !sent {
+            self.probed(Status::ConnectFailed, 0, None).await;
+        }
+    }
+
+    async fn probed(&self, status: Status, elapsed: Micros, load: Option<Load>) {
+        let _ = self.shared.director.send(Message::Probed { member: self.id, status, elapsed, load }).await;
+    }
+
+    fn give_up(&mut self, attempt: &Rc<Attempt>, timed_out: bool) {
+        let id = attempt.call.rid.as_bytes();
+        let now = clock::now();
+        for line in self.lines.values_mut() {
+            let Some(Stream::Attempt(out, since)) = line.streams.get(id) else { continue };
+            if out.ticket != attempt.ticket {
+                continue;
+            }
+            // Guards against a machine that is cut off: its connections stay open and say nothing. New work
+            // goes over a new connection, whose failure to come up proves more than silence.
+            line.silent |= timed_out && line.heard <= *since;
+            line.streams.remove(id);
+            if attempt.written.get() {
+                let _ = line.commands.try_send(Command::Plain(resp::command(&[b"never_mind", id])));
+                line.crossing.insert(Bytes::copy_from_slice(id), now);
+            }
+            return;
+        }
+    }
+
+    async fn answer(&mut self, number: u64, frame: Bytes) {
+        let Some(line) = self.lines.get_mut(&number) else { return };
+        let now = clock::now();
+        (line.last_used, line.heard, line.silent) = (now, now, false);
+        let answer = match resp::decode(&frame) {
+            Ok(answer) => answer,
+            Err(e) => return self.down(number, &e.into()).await,
+        };
+        let Some(stream) = line.streams.remove(answer.id) else {
+            // It crossed with its giving up, or nobody asked.
+            line.crossing.remove(answer.id);
+            return;
+        };
+        match stream {
+            Stream::Probe(since) => {
+                let elapsed = now.saturating_sub(since);
+                self.probed(answer.word.status(), elapsed, answer.load).await;
+            }
+            Stream::Attempt(attempt, _) => {
+                let body = match answer.word {
+                    Word::Hit => Some(frame.slice_ref(answer.body)),
+                    Word::Valid if attempt.call.cached.is_some() => None,
+                    Word::Valid | Word::Pong | Word::Sick => {
+                        self.end(End::bare(attempt.ticket, Status::Reset)).await;
+                        let e = io::Error::new(io::ErrorKind::InvalidData, "an answer that fits no request");
+                        return self.down(number, &e).await;
+                    }
+                    _ => None,
+                };
+                let (status, note) = (answer.word.status(), answer.note);
+                let (waited, load) = (answer.waited, answer.load);
+                self.end(End { ticket: attempt.ticket, status, note, waited, load, body }).await;
+            }
+        }
+    }
+
+    /// A connection is no more. What was not yet written goes over another one if this one had been up;
+    /// what was may have run.
+    async fn down(&mut self, number: u64, why: &io::Error) {
+        let Some(line) = self.lines.remove(&number) else { return };
+        if !line.streams.is_empty() || why.kind() == io::ErrorKind::InvalidData {
+            let n = line.streams.len();
+            log::info!("peer s-{:08x}: connection ended with {n} attempts out: {why}", self.id.0);
+        }
+        for (_, stream) in line.streams {
+            match stream {
+                Stream::Probe(since) => {
+                    let elapsed = clock::now().saturating_sub(since);
+                    let status = if line.up { Status::Reset } else { Status::ConnectFailed };
+                    self.probed(status, elapsed, None).await;
+                }
+                Stream::Attempt(a, _) if a.written.get() => {
+                    self.end(End::bare(a.ticket, Status::Reset)).await;
+                }
+                Stream::Attempt(a, _) if line.up => self.send(a).await,
+                Stream::Attempt(a, _) => self.end(End::bare(a.ticket, Status::ConnectFailed)).await,
+            }
+        }
+    }
+
+    /// Closes what is idle, and what is silent once nothing waits for it.
+    fn sweep(&mut self) {
+        let now = clock::now();
+        // A little before the peer does, so that no request crosses its close.
+        let idle = self.shared.catalogue.idle_close / 10 * 9;
+        self.lines.retain(|_, line| {
+            line.crossing.retain(|_, at| now.saturating_sub(*at) < CROSSING);
+            let old = now.saturating_sub(line.last_used) >= idle;
+            !line.streams.is_empty() || !(old || line.silent || line.closing)
+        });
+    }
+}
+
+/// A connection's task.
+struct Connection {
+    peer: MemberId,
+    line: u64,
+    address: SocketAddr,
+    waiting: Receiver<Command>,
+    ended: Receiver<()>,
+    actor: Sender<Order>,
+    shared: Rc<Shared>,
+}
+
+impl Connection {
+    async fn run(self) {
+        let Err(why) = self.serve().await;
+        let _ = self.actor.send(Order::Down(self.line, why)).await;
+    }
+
+    async fn serve(&self) -> Result<std::convert::Infallible, io::Error> {
+        let late = async {
+            Timer::after(Duration::from_micros(self.shared.catalogue.settings.connect_timeout)).await;
+            Err(io::Error::new(io::ErrorKind::TimedOut, "no connection in time"))
+        };
+        let stream = future::or(Async::<TcpStream>::connect(self.address), late).await?;
+        let _ = stream.get_ref().set_nodelay(true);
+        self.actor.send(Order::Up(self.line)).await.map_err(gone)?;
+        let read = async {
+            let mut answers = Messages::new(&stream, resp::measure, CHUNK);
+            while let Some(frame) = answers.next().await? {
+                self.actor.send(Order::Answer(self.line, frame)).await.map_err(gone)?;
+            }
+            Err(io::Error::new(io::ErrorKind::UnexpectedEof, "closed by the peer"))
+        };
+        let write = async {
+            loop {
+                let bytes = match self.waiting.recv().await.map_err(gone)? {
+                    Command::Plain(bytes) => bytes,
+                    Command::Want(attempt) if attempt.dropped.get() => continue,
+                    Command::Want(attempt) if !self.shared.board.allows(&attempt, self.peer) => {
+                        self.actor.send(Order::Unwritten(self.line, attempt)).await.map_err(gone)?;
+                        continue;
+                    }
+                    Command::Want(attempt) => {
+                        attempt.written.set(true);
+                        attempt.command(&self.shared.catalogue)
+                    }
+                };
+                (&stream).write_all(&bytes).await?;
+            }
+        };
+        let cut = async {
+            let _ = self.ended.recv().await;
+            Err(io::Error::new(io::ErrorKind::NotConnected, "closed"))
+        };
+        future::or(future::or(read, write), cut).await
+    }
+}
+
+fn gone<T>(_: T) -> io::Error {
+    io::Error::new(io::ErrorKind::NotConnected, "closed")
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 
 pub mod choice;
 pub mod interface;
+pub mod settings;
 
 pub use choice::{AgeingFilter, Director};
 pub use interface::*;
--- a/wirehost/src/codec.rs
+++ b/wirehost/src/codec.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
+use bitternhold::settings::{Catalogue, micros, place};
 use bitternhold::*;
 use serde_json::{Map, Value};
 
@@ -12,9 +13,7 @@
 /// A director with the names its settings gave to classes, zones and kinds.
 struct Instance {
     director: Director,
-    classes: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
+    names: Catalogue,
 }
 
 /// All instances of this process, and the numbered lists that `fleet` events refer to.
@@ -68,10 +67,6 @@
     v.as_u64().or_else(|| v.as_f64().filter(|x| *x >= 0.0 && x.fract() == 0.0).map(|x| x as u64))
 }
 
-fn micros(v: &Value) -> Option<Micros> {
-    v.as_f64().map(|ms| (ms * 1000.0).round().max(0.0) as Micros)
-}
-
 /// Ids are returned unchanged: what would not come back the same is malformed.
 fn ticket(text: &str) -> Option<RequestId> {
     let hex: String = text.chars().filter(|c| *c != '-').collect();
@@ -121,140 +116,6 @@
     Some(Load { cpu: get("cpu"), active: get("active"), waiting: get("waiting"), link: get("x1") })
 }
 
-fn names(options: &Object, field: &str) -> Vec<String> {
-    let list = options.get(field).and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
-    list.iter().map(|v| v.as_str().unwrap_or_default().to_owned()).collect()
-}
-
-/// Place of a name among those of the settings; a name not met before lies out of range.
-fn place(names: &[String], name: Option<&str>) -> usize {
-    names.iter().position(|n| Some(n.as_str()) == name).unwrap_or(usize::MAX)
-}
-
-/// A part of the settings, read leniently: what is absent or of another kind reads as nothing.
-struct Part<'a>(Option<&'a Object>);
-
-impl<'a> Part<'a> {
-    fn of(parent: &'a Object, name: &str) -> Self {
-        Part(parent.get(name).and_then(Value::as_object))
-    }
-    fn get(&self, name: &str) -> Option<&'a Value> {
-        self.0.and_then(|m| m.get(name))
-    }
-    fn number(&self, name: &str) -> f64 {
-        self.get(name).and_then(Value::as_f64).unwrap_or(0.0)
-    }
-    fn micros(&self, name: &str) -> Micros {
-        self.get(name).and_then(micros).unwrap_or(0)
-    }
-    fn flag(&self, name: &str) -> bool {
-        self.get(name).and_then(Value::as_bool).unwrap_or(false)
-    }
-    fn text(&self, name: &str) -> &'a str {
-        self.get(name).and_then(Value::as_str).unwrap_or("")
-    }
-    fn kind(&self, name: &str) -> Option<usize> {
-        self.get(name).and_then(Value::as_u64).map(|k| k as usize)
-    }
-    fn list(&self, name: &str) -> Vec<f64> {
-        let list = self.get(name).and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
-        list.iter().map(|v| v.as_f64().or(v.as_bool().map(f64::from)).unwrap_or(0.0)).collect()
-    }
-}
-
-fn settings(options: &Object, zones: &[String]) -> Settings {
-    let top = Part(Some(options));
-    let (info, limits, rules) =
-        (Part::of(options, "family_info"), Part::of(options, "limits"), Part::of(options, "rules"));
-    let by_class = |name: &str| {
-        let list = info.list(name);
-        move |i: usize| list.get(i).copied().unwrap_or(0.0)
-    };
-    let (fresh, stale) = (by_class("fresh_for_ms"), by_class("stale_for_ms"));
-    let (stale_worth, segmented, write) =
-        (by_class("class_stale_worth"), by_class("segmented"), by_class("class_write"));
-    let entries = options.get("classes").and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
-    let classes = entries.iter().enumerate().map(|(i, v)| {
-        let c = Part(v.as_object());
-        Class {
-            aim: c.micros("slo_ms"),
-            aim_stretch: c.number("aim_stretch"),
-            deadline: c.micros("deadline_ms"),
-            effect: match c.text("idempotency") {
-                "idempotent" => Effect::Idempotent,
-                "deduplicated" => Effect::Deduplicated,
-                _ => Effect::AtMostOnce,
-            },
-            group: match c.text("group") {
-                "zone" => DedupGroup::Zone,
-                "cell" => DedupGroup::Cell,
-                _ => DedupGroup::All,
-            },
-            window: c.micros("window_ms"),
-            streamed: c.flag("streamed"),
-            worth: c.number("worth"),
-            late_worth: c.number("late_worth"),
-            fresh: (fresh(i) * 1000.0) as Micros,
-            stale: (stale(i) * 1000.0) as Micros,
-            stale_worth: stale_worth(i),
-            segmented: segmented(i) > 0.0,
-            write: write(i) > 0.0,
-        }
-    });
-    Settings {
-        index: top.number("index") as u32,
-        directors: top.number("balancers") as u32,
-        zone: place(zones, Some(top.text("my_zone"))),
-        zone_directors: info.list("crew_by_zone").iter().map(|x| *x as u32).collect(),
-        zone_hub: info.list("hub_by_zone").iter().map(|x| *x as usize).collect(),
-        zone_link_kb_per_s: info.list("link_in_kb_per_s"),
-        classes: classes.collect(),
-        parent_kind: info.kind("parent_kind"),
-        origin_kind: info.kind("root_kind"),
-        flow_kb_per_s: info.number("flow_kb_per_s"),
-        direct: info.flag("bypass_allowed"),
-        joins: info.flag("shares_fills"),
-        siblings: match info.text("neighbours") {
-            "location" => Siblings::Location,
-            "any" => Siblings::Any,
-            _ => Siblings::None,
-        },
-        tells: match info.text("detail") {
-            "all" => Tells::All,
-            "hit" => Tells::Hit,
-            _ => Tells::Nothing,
-        },
-        weights: match top.text("weights") {
-            "nominal" => Weights::Nominal,
-            "rough" => Weights::Rough,
-            "live" => Weights::Live,
-            _ => Weights::Unknown,
-        },
-        second_copies: limits.flag("second_copies"),
-        cancel: limits.flag("cancelling"),
-        probes: limits.flag("probes"),
-        max_attempts: limits.number("try_limit") as u32,
-        max_retry_after: if limits.flag("retry_after") { limits.micros("max_retry_after_ms") } else { 0 },
-        connect_timeout: limits.micros("connect_timeout_ms"),
-        discovery: match top.text("membership_mode") {
-            "on_request" => Discovery::OnRequest,
-            _ => Discovery::Pushed,
-        },
-        ask_within: rules.micros("must_ask_in_ms"),
-        answer_slack: rules.micros("grace_to_answer_ms"),
-        drain_grace: rules.micros("drain_grace_ms"),
-        cold_from: rules.number("cold_from"),
-        cold_time: rules.micros("cold_ms"),
-        fall_multiple: rules.number("fall_multiple"),
-        fall_window: rules.micros("tip_after_ms"),
-        parent_cold_from: info.number("upper_cold_from"),
-        parent_cold_time: info.micros("parent_ramp_ms"),
-        parent_fall_multiple: info.number("parent_fall_multiple"),
-        purge_grace: info.micros("heed_within_ms"),
-        purge_done: info.micros("cleared_within_ms"),
-    }
-}
-
 impl Host {
     /// Handles one batch and writes its reply, line end included.
     pub fn batch(&mut self, line: &str, reply: &mut String) -> Res<()> {
@@ -293,15 +154,9 @@
         match msg.name {
             "configure" => {
                 let options = msg.required("options", Value::as_object)?;
-                let mut classes = Vec::new();
-                for c in
-                    options.get("classes").and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default()
-                {
-                    classes.push(Part(c.as_object()).text("name").to_owned());
-                }
-                let (zones, kinds) = (names(options, "failure_domains"), names(options, "kinds"));
-                let director = Director::new(msg.number("prng")?, settings(options, &zones));
-                self.instances.insert(who, Instance { director, classes, zones, kinds });
+                let names = Catalogue::read(options);
+                let director = Director::new(msg.number("prng")?, names.settings.clone());
+                self.instances.insert(who, Instance { director, names });
                 return Ok(());
             }
             "define_list" => {
@@ -335,7 +190,7 @@
             }
             "call" => Event::Request(Request {
                 id: msg.ticket()?,
-                class: place(&instance.classes, msg.optional("band", Value::as_str)?),
+                class: place(&instance.names.classes, msg.optional("band", Value::as_str)?),
                 object: msg.text("key")?.to_owned(),
                 part: msg.optional("range_no", whole)?.unwrap_or(0),
                 group: msg.optional("tag", whole)?.unwrap_or(0),
@@ -385,8 +240,8 @@
                 2 => Lifecycle::Draining,
                 _ => return Err(msg.bad("lifecycle")),
             },
-            zone: place(&self.zones, msg.optional("hall", Value::as_str)?),
-            kind: place(&self.kinds, msg.optional("sku", Value::as_str)?),
+            zone: place(&self.names.zones, msg.optional("hall", Value::as_str)?),
+            kind: place(&self.names.kinds, msg.optional("sku", Value::as_str)?),
             cell: msg.optional("unit_group", whole)?.unwrap_or(0),
             weight: msg.optional("nominal", Value::as_f64)?.unwrap_or(0.0),
             started: msg.optional("born_ms", micros)?.unwrap_or(0),
