Tests of the codecs, the configuration and the command line

The router's start is split from its signals so that tests can run it on loopback beside scripted parties.

--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -1,7 +1,7 @@
 //! Starts the actors and ends them: the life of a router from its configuration to its exit.
 
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,14 +9,14 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use bitternhold::{ListKind, Micros};
-use futures_lite::{StreamExt, future};
+use futures_lite::StreamExt;
 
-use crate::clock;
 use crate::config::Config;
 use crate::coordinator::Coordinator;
 use crate::director::{self, Director, Owed};
 use crate::front::Front;
 use crate::upstream::{Board, Descriptors, Shared};
+use crate::{clock, invariant};
 
 /// Descriptors kept for all else: the listener, the coordinator, signals, the reactor.
 const OTHER_DESCRIPTORS: usize = 24;
@@ -24,41 +24,64 @@
 const LINGER: Micros = 700_000;
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
+/// The actors of a router, started.
+#[derive(Debug)]
+pub struct Router {
+    /// Where it listens.
+    pub address: SocketAddr,
+    front: Rc<Front>,
+    owed: Rc<Owed>,
+}
+
+impl Router {
+    /// Listens, takes `known` in and starts the actors; then the router is well.
+    pub fn start(config: Config, tasks: &Rc<LocalExecutor<'static>>) -> io::Result<Self> {
+        let listener = Async::<TcpListener>::bind(config.listen)?;
+        let address = listener.get_ref().local_addr()?;
+        let catalogue = Rc::new(config.catalogue);
+        let (mailbox, messages) = async_channel::bounded(director::MAILBOX);
+        let (tell, news) = async_channel::bounded(director::MAILBOX);
+        let shared = Rc::new(Shared {
+            catalogue: catalogue.clone(),
+            board: Rc::new(Board::default()),
+            descriptors: Descriptors::new(config.sockets / 2 - OTHER_DESCRIPTORS),
+            director: mailbox.clone(),
+            tasks: tasks.clone(),
+        });
+        let owed = Rc::new(Owed::default());
+        let mut director = Director::new(config.seed, shared, owed.clone());
+        let (last, known) = config.known;
+        known.into_iter().for_each(|event| director.news(event.news, ListKind::Cached));
+        tasks.spawn(director.run(news, messages)).detach();
+        tasks.spawn(Coordinator { address: config.coordinator, last, news: tell }.run()).detach();
+        let front = Front::new(catalogue, mailbox, config.memory, config.sockets);
+        tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
+        front.set_well(true);
+        log::info!("{} serves on {address}, list known to event {last}", config.name);
+        Ok(Self { address, front, owed })
+    }
+
+    /// Says that no more clients should come, serves those that still do, and returns when all is answered.
+    pub async fn end(&self) {
+        self.front.set_well(false);
+        let since = clock::now();
+        while clock::now() < since + LINGER || self.owed.get() > 0 || !self.front.flushed() {
+            Timer::after(LOOK_AGAIN).await;
+        }
+    }
+}
+
 /// Serves until a signal to end, then answers what is owed and returns.
 pub fn serve(config: Config) -> io::Result<()> {
-    let listener = Async::<TcpListener>::bind(config.listen)?;
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let tasks = Rc::new(LocalExecutor::new());
-    let catalogue = Rc::new(config.catalogue);
-    let (mailbox, messages) = async_channel::bounded(director::MAILBOX);
-    let (tell, news) = async_channel::bounded(director::MAILBOX);
-    let shared = Rc::new(Shared {
-        catalogue: catalogue.clone(),
-        board: Rc::new(Board::default()),
-        descriptors: Descriptors::new(config.sockets / 2 - OTHER_DESCRIPTORS),
-        director: mailbox.clone(),
-        tasks: tasks.clone(),
-    });
-    let owed = Rc::new(Owed::default());
-    let mut director = Director::new(config.seed, shared, owed.clone());
-    let (last, known) = config.known;
-    known.into_iter().for_each(|event| director.news(event.news, ListKind::Cached));
-    tasks.spawn(director.run(news, messages)).detach();
-    tasks.spawn(Coordinator { address: config.coordinator, last, news: tell }.run()).detach();
-    let front = Front::new(catalogue, mailbox, config.memory, config.sockets);
-    tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
-    front.set_well(true);
-    log::info!("{} serves on {}, list known to event {last}", config.name, config.listen);
+    let router = Router::start(config, &tasks)?;
     let run = async {
         let signal = signals.next().await;
-        front.set_well(false);
-        log::info!("ending on {signal:?}: {} requests open", owed.get());
-        let since = clock::now();
-        while clock::now() < since + LINGER || owed.get() > 0 || !front.flushed() {
-            Timer::after(LOOK_AGAIN).await;
-        }
-        log::info!("ended: all is answered");
+        log::info!("ending on {signal:?}: {} requests open", router.owed.get());
+        router.end().await;
+        log::info!("ended: all is answered; {} invariants broken", invariant::broken());
     };
-    async_io::block_on(tasks.run(future::or(run, future::pending())));
+    async_io::block_on(tasks.run(run));
     Ok(())
 }
--- /dev/null
+++ b/silverspindle/tests/cli.rs
@@ -0,0 +1,44 @@
+//! The binary's command line.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+fn run(args: &[&str], config: Option<&str>) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_silverspindle"));
+    command.args(args).env_remove("LB_CONFIG").env_remove("LB_NAME").env_remove("LB_LISTEN");
+    if config.is_some() {
+        command.env("LB_CONFIG", "/dev/stdin").stdin(Stdio::piped());
+    }
+    let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+    if let (Some(text), Some(mut input)) = (config, child.stdin.take()) {
+        // A program that has found its fault reads no further.
+        let _ = input.write_all(text.as_bytes());
+    }
+    child.wait_with_output().unwrap()
+}
+
+#[test]
+fn sub_commands_do_as_they_say() {
+    let version = run(&["version"], None);
+    assert!(
+        version.status.success() && String::from_utf8_lossy(&version.stdout).starts_with("silverspindle 0.")
+    );
+    let help = run(&["help"], None);
+    assert!(help.status.success() && String::from_utf8_lossy(&help.stdout).contains("check-config"));
+    for args in [&["dance"][..], &[], &["version", "now"]] {
+        assert!(!run(args, None).status.success(), "{args:?}");
+    }
+}
+
+#[test]
+fn bad_configuration_ends_it_and_names_the_key() {
+    for command in ["serve", "check-config"] {
+        for (config, key) in
+            [(None, "LB_CONFIG"), (Some("{"), "LB_CONFIG"), (Some(r#"{"name":"n0"}"#), "listen")]
+        {
+            let out = run(&[command], config);
+            let said = String::from_utf8_lossy(&out.stderr).into_owned();
+            assert!(!out.status.success() && said.contains(&format!("configuration: {key}: ")), "{said}");
+        }
+    }
+}
--- /dev/null
+++ b/silverspindle/tests/common/mod.rs
@@ -0,0 +1,258 @@
+//! The shared helper: messages in random pieces, and a router between scripted parties on loopback.
+#![allow(dead_code)]
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use bytes::{Bytes, BytesMut};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use proptest::test_runner::{Config as Cases, RngSeed};
+use serde_json::{Value, json};
+use silverspindle::config::Config;
+use silverspindle::framing::{Malformed, Measure, Messages, split};
+use silverspindle::serve::Router;
+use silverspindle::thrift;
+
+pub type Stream = Rc<Async<TcpStream>>;
+pub type Tasks = Rc<LocalExecutor<'static>>;
+
+/// The same cases at every run, and no file of past failures.
+pub fn cases() -> Cases {
+    Cases { cases: 256, failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..Cases::default() }
+}
+
+/// Feeds bytes to a parser in pieces of these sizes, over and over, and collects what it splits off.
+pub fn in_pieces(bytes: &[u8], sizes: &[usize], measure: Measure) -> Result<Vec<Bytes>, Malformed> {
+    let (mut buffer, mut rest, mut found) = (BytesMut::new(), bytes, Vec::new());
+    for size in sizes.iter().cycle() {
+        if rest.is_empty() {
+            break;
+        }
+        let (piece, later) = rest.split_at((*size).clamp(1, rest.len()));
+        (rest, _) = (later, buffer.extend_from_slice(piece));
+        while let Some(message) = split(&mut buffer, measure)? {
+            found.push(message);
+        }
+    }
+    Ok(found)
+}
+
+pub fn run<T>(work: impl AsyncFnOnce(&Tasks) -> T) -> T {
+    let tasks: Tasks = Rc::new(LocalExecutor::new());
+    async_io::block_on(tasks.run(work(&tasks)))
+}
+
+pub fn listen() -> (Async<TcpListener>, SocketAddr) {
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let address = listener.get_ref().local_addr().unwrap();
+    (listener, address)
+}
+
+pub fn settings() -> Value {
+    let class = |name: &str, kind: &str| json!({"name": name, "idempotency": kind, "group": "all", "slo_ms": 400.0, "deadline_ms": 30000.0, "window_ms": 2000.0});
+    json!({
+        "balancers": 1, "index": 0, "my_zone": "edge", "failure_domains": ["hub", "edge"],
+        "kinds": ["box", "parent", "origin"], "weights": "rough", "membership_mode": "pushed",
+        "classes": [class("page", "idempotent"), class("scan", "deduplicated")],
+        "family_info": {"parent_kind": 1, "root_kind": 2, "flow_kb_per_s": 5000.0, "detail": "all",
+            "class_write": [false, true], "crew_by_zone": [0, 1], "hub_by_zone": [0, 0],
+            "heed_within_ms": 500.0, "cleared_within_ms": 6000.0, "neighbours": "any"},
+        "limits": {"try_limit": 8, "retry_after": true, "max_retry_after_ms": 2000.0, "cancelling": true,
+            "second_copies": true, "connect_timeout_ms": 400.0, "streams_per_conn": 32, "idle_close_ms": 30000.0},
+        "rules": {"drain_grace_ms": 1000.0, "cold_ms": 16000.0, "tip_after_ms": 1500.0}
+    })
+}
+
+pub fn entry(id: u32, kind: &str, address: SocketAddr) -> Value {
+    let locality = if kind == "box" { "edge" } else { "hub" };
+    json!({"id": format!("s-{id:08x}"), "host_port": address.to_string(), "locality": locality, "flavor": kind,
+        "cell": 0, "phase": "ready", "size": 10, "up_since_ms": 0})
+}
+
+pub fn configuration(members: &[Value], coordinator: SocketAddr) -> Value {
+    json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7", "coordinator": coordinator.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings(),
+        "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"revision": 1, "complete": true, "members": members}}]}})
+}
+
+pub fn config(file: &Value) -> Result<Config, String> {
+    Config::parse(&file.to_string(), &|_| None)
+}
+
+/// A command as a cache reads it: its strings.
+pub type Command = Vec<String>;
+
+/// A scripted cache: what it read, with the connection it came by; answers are written by the test.
+pub struct Cache {
+    pub address: SocketAddr,
+    read: async_channel::Receiver<(Command, Stream)>,
+}
+
+impl Cache {
+    pub fn start(tasks: &Tasks) -> Self {
+        let (listener, address) = listen();
+        let (tell, read) = async_channel::unbounded();
+        let all = tasks.clone();
+        let accept = async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (stream, tell) = (Rc::new(stream), tell.clone());
+                let serve = async move {
+                    while let Some(command) = read_command(&stream).await {
+                        let _ = tell.send((command, stream.clone())).await;
+                    }
+                };
+                all.spawn(serve).detach();
+            }
+        };
+        tasks.spawn(accept).detach();
+        Self { address, read }
+    }
+
+    /// The next command and where its answer goes.
+    pub async fn next(&self) -> (Command, Stream) {
+        self.read.recv().await.unwrap()
+    }
+
+    pub fn nothing_came(&self) -> bool {
+        self.read.is_empty()
+    }
+}
+
+async fn read_command(mut stream: &Async<TcpStream>) -> Option<Command> {
+    let strings = number(&mut stream).await?;
+    let mut command = Vec::new();
+    for _ in 0..strings {
+        let mut bytes = vec![0; number(&mut stream).await? + 2];
+        stream.read_exact(&mut bytes).await.ok()?;
+        bytes.truncate(bytes.len() - 2);
+        command.push(String::from_utf8_lossy(&bytes).into_owned());
+    }
+    Some(command)
+}
+
+async fn number(stream: &mut &Async<TcpStream>) -> Option<usize> {
+    let (mut line, mut byte) = (String::new(), [0]);
+    while byte[0] != b'\n' {
+        stream.read_exact(&mut byte).await.ok()?;
+        line.push(char::from(byte[0]));
+    }
+    line.trim()[1..].parse().ok()
+}
+
+pub async fn reply(mut stream: &Async<TcpStream>, strings: &[&str]) {
+    let strings: Vec<&[u8]> = strings.iter().map(|s| s.as_bytes()).collect();
+    stream.write_all(&silverspindle::resp::command(&strings)).await.unwrap();
+}
+
+/// The value of a field in a command's FIELDS.
+pub fn field<'a>(command: &'a Command, name: &str) -> Option<&'a str> {
+    command[2].split(',').filter_map(|f| f.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
+}
+
+fn text(out: &mut Vec<u8>, text: &[u8]) {
+    out.extend((text.len() as u32).to_be_bytes());
+    out.extend(text);
+}
+
+/// A frame of a client: a call (1) or a oneway (4) with these arguments, stop included.
+pub fn call(kind: u8, name: &str, seq: i32, arguments: &[u8]) -> Vec<u8> {
+    let mut out = vec![0x80, 1, 0, kind];
+    text(&mut out, name.as_bytes());
+    out.extend(seq.to_be_bytes());
+    out.extend(arguments);
+    let mut frame = (out.len() as u32).to_be_bytes().to_vec();
+    frame.append(&mut out);
+    frame
+}
+
+pub fn serve(seq: i32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut out = vec![13, 0, 1, 11, 11];
+    out.extend((fields.len() as u32).to_be_bytes());
+    for (name, value) in fields {
+        text(&mut out, name.as_bytes());
+        text(&mut out, value.as_bytes());
+    }
+    out.extend([11, 0, 2]);
+    text(&mut out, body);
+    out.push(0);
+    call(1, "serve", seq, &out)
+}
+
+pub fn forget(seq: i32) -> Vec<u8> {
+    let mut out = vec![8, 0, 1];
+    out.extend(seq.to_be_bytes());
+    out.push(0);
+    call(4, "forget", 0, &out)
+}
+
+pub fn page(rid: &'static str) -> Vec<(&'static str, &'static str)> {
+    vec![
+        ("method", "page"),
+        ("rid", rid),
+        ("budget", "20000"),
+        ("obj", "7f3a9c21e0b4d655"),
+        ("block", "3"),
+        ("family", "17"),
+        ("mem", "412.5"),
+    ]
+}
+
+/// A client's connection to a router.
+pub struct Client {
+    pub stream: Stream,
+    answers: RefCell<Messages<Async<TcpStream>>>,
+}
+
+impl Client {
+    pub async fn connect(address: SocketAddr) -> Self {
+        let stream = Async::<TcpStream>::connect(address).await.unwrap();
+        let second = Async::new(stream.get_ref().try_clone().unwrap()).unwrap();
+        // Answers are larger than what a router reads from clients.
+        let measure: Measure = |b| match b.first_chunk::<4>() {
+            Some(length) => Ok(4 + u32::from_be_bytes(*length) as usize),
+            None => Ok(4),
+        };
+        Self { stream: Rc::new(stream), answers: RefCell::new(Messages::new(second, measure, 4096)) }
+    }
+
+    pub async fn send(&self, bytes: &[u8]) {
+        (&*self.stream).write_all(bytes).await.unwrap();
+    }
+
+    /// The next answer; none when the router has closed the connection.
+    pub async fn next(&self) -> Option<Bytes> {
+        self.answers.borrow_mut().next().await.ok().flatten()
+    }
+
+    pub async fn well(&self, seq: i32) -> bool {
+        self.send(&call(1, "isWell", seq, &[2, 0, 1, 0, 0])).await;
+        let answer = self.next().await.unwrap();
+        let [yes, no] = [true, false].map(|good| thrift::answer("isWell", seq, 0, &[], good).concat());
+        assert!(answer == yes || answer == no);
+        answer == yes
+    }
+}
+
+pub fn served(seq: i32, body: &[u8]) -> Vec<u8> {
+    let [mut head, tail] = thrift::answer("serve", seq, body.len(), &[], true);
+    head.extend(body);
+    head.extend(tail);
+    head
+}
+
+/// A router before these caches, with an origin that nobody listens for, and its coordinator's listener.
+pub fn router(tasks: &Tasks, caches: &[SocketAddr]) -> (Router, Async<TcpListener>) {
+    let (coordinator, address) = listen();
+    let mut members: Vec<Value> = (1..).zip(caches).map(|(id, at)| entry(id, "box", *at)).collect();
+    members.push(entry(99, "origin", address));
+    (Router::start(config(&configuration(&members, address)).unwrap(), tasks).unwrap(), coordinator)
+}
+
+/// Two futures to their ends.
+pub async fn both<A, B>(a: impl Future<Output = A>, b: impl Future<Output = B>) -> (A, B) {
+    futures_lite::future::zip(a, b).await
+}
--- /dev/null
+++ b/silverspindle/tests/config.rs
@@ -0,0 +1,72 @@
+//! Configuration: defaults, what goes before what, and messages that name the key.
+
+mod common;
+
+use common::*;
+use serde_json::{Value, json};
+use silverspindle::config::Config;
+
+fn file() -> Value {
+    let at = ([127, 0, 0, 1], 6565).into();
+    let mut file = configuration(&[entry(0xc41f7a, "box", at)], at);
+    let updates = file["known"]["updates"].as_array_mut().unwrap();
+    updates.push(json!({"index": 2, "evict": {"ref": "7f3a9c21e0b4d655", "unix_ms": 1764576000123u64}}));
+    updates.push(json!({"index": 3, "evict": {"shard": 17, "unix_ms": 1764576000480u64}}));
+    file["known"]["index"] = json!(3);
+    file
+}
+
+#[test]
+fn a_whole_file_is_read() {
+    let config = config(&file()).unwrap();
+    assert_eq!((config.sockets, config.memory, config.seed), (1024, 192_000_000, 7));
+    assert_eq!((config.known.0, config.known.1.len()), (3, 3));
+    assert_eq!(config.catalogue.classes, ["page", "scan"]);
+}
+
+#[test]
+fn what_is_absent_has_a_default_and_the_environment_goes_first() {
+    let mut file = file();
+    file.as_object_mut().unwrap().remove("limits");
+    file.as_object_mut().unwrap().remove("known");
+    file["settings"]["limits"] = json!({});
+    let environment = |name: &str| (name == "LB_NAME").then(|| "n9".to_owned());
+    let config = Config::parse(&file.to_string(), &environment).unwrap();
+    assert_eq!((config.name.as_str(), config.sockets, config.known.0), ("n9", 1024, 0));
+    let c = config.catalogue;
+    assert_eq!((c.streams_per_conn, c.idle_close, c.settings.connect_timeout), (32, 30_000_000, 400_000));
+}
+
+/// Guards against messages that leave the operator to search: each fault names the key it is in.
+#[test]
+fn each_fault_names_its_key() {
+    for (pointer, value, key) in [
+        ("/name", json!(""), "name"),
+        ("/listen", json!("nowhere"), "listen"),
+        ("/seed", json!("xyz"), "seed"),
+        ("/coordinator", json!(8500), "coordinator"),
+        ("/limits/sockets", json!(3), "limits.sockets"),
+        ("/limits/memory_mb", json!("much"), "limits.memory_mb"),
+        ("/settings", json!([]), "settings"),
+        ("/settings/classes", json!([]), "settings.classes"),
+        ("/settings/classes/1/name", json!(null), "settings.classes[1].name"),
+        ("/settings/classes/0/deadline_ms", json!(0), "settings.classes[0].deadline_ms"),
+        ("/settings/my_zone", json!("moon"), "settings.my_zone"),
+        ("/settings/family_info/root_kind", json!(null), "settings.family_info.root_kind"),
+        ("/known/index", json!("1"), "known.index"),
+        ("/known/updates", json!({}), "known.updates"),
+        ("/known/updates/0/endpoints/members/0/id", json!("x"), "known.updates[0].endpoints.members.id"),
+        (
+            "/known/updates/0/endpoints/members/0/host_port",
+            json!("x"),
+            "known.updates[0].endpoints.members.host_port",
+        ),
+        ("/known/updates/1/evict/ref", json!("short"), "known.updates[1].evict.ref"),
+        ("/known/updates/2/evict/unix_ms", json!(-1), "known.updates[2].evict.unix_ms"),
+    ] {
+        let mut file = file();
+        *file.pointer_mut(pointer).expect(pointer) = value;
+        let problem = config(&file).expect_err(pointer);
+        assert!(problem.starts_with(&format!("configuration: {key}: ")), "{pointer}: {problem}");
+    }
+}
