--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -90,7 +90,7 @@
 }
 
 /// Books the bytes of a write while it is open.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Taken {
     all: Rc<Cell<usize>>,
     own: usize,
@@ -216,7 +216,7 @@
             Ok(())
         };
         let write = self.write(&stream, &replies, &port);
-        let ended = future::or(future::or(self.read(&stream, take, &port), write), cut_off).await;
+        let ended = future::or(cut_off, future::or(self.read(&stream, take, &port), write)).await;
         if let Err(e) = ended.as_ref().map_err(|e| (e.kind(), e)) {
             match e.0 {
                 io::ErrorKind::InvalidData => log::warn!("client {id}: {}; closed", e.1),
--- /dev/null
+++ b/silverspindle/tests/actors.rs
@@ -0,0 +1,228 @@
+//! Single actors: a peer before a scripted cache, and the front with the test as director.
+
+mod common;
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bitternhold::settings::Catalogue;
+use bitternhold::{FillMode, Keep, MemberId, Status};
+use bytes::Bytes;
+use common::*;
+use silverspindle::clock;
+use silverspindle::director::{Call, Message, Verdict};
+use silverspindle::feed::Purged;
+use silverspindle::front::{Front, Taken};
+use silverspindle::upstream::{Attempt, Board, Descriptors, Order, Peer, Shared};
+
+const PEER: MemberId = MemberId(1);
+const SOURCE: MemberId = MemberId(2);
+
+struct World {
+    shared: Rc<Shared>,
+    ends: async_channel::Receiver<Message>,
+    cache: Cache,
+}
+
+impl World {
+    fn new(tasks: &Tasks, descriptors: usize) -> Self {
+        let (director, ends) = async_channel::bounded(1024);
+        let catalogue = Rc::new(Catalogue::read(settings().as_object().unwrap()));
+        let board = Rc::new(Board::default());
+        [PEER, SOURCE].into_iter().for_each(|id| board.set_ready(id, true));
+        let descriptors = Descriptors::new(descriptors);
+        let shared = Rc::new(Shared { catalogue, board, descriptors, director, tasks: tasks.clone() });
+        Self { shared, ends, cache: Cache::start(tasks) }
+    }
+
+    fn peer(&self) -> async_channel::Sender<Order> {
+        Peer::start(PEER, self.cache.address, &self.shared)
+    }
+
+    fn attempt(&self, ticket: u64, rid: &str) -> Rc<Attempt> {
+        let call = Call {
+            rid: rid.to_owned(),
+            class: 0,
+            object: "7f3a9c21e0b4d655".to_owned(),
+            part: 3,
+            group: 17,
+            size_kb: None,
+            token: None,
+            cached: None,
+            deadline: clock::now() + 60_000_000,
+            body: Bytes::new(),
+            taken: Taken::default(),
+        };
+        Rc::new(Attempt {
+            ticket,
+            until: call.deadline,
+            call: Rc::new(call),
+            source: Some(SOURCE),
+            keep: Keep::Middle,
+            max_age: Some(900),
+            mode: FillMode { join: true, held_only: true, parent_pass: true, renew: true },
+            decided: self.shared.board.moment(),
+            written: Cell::new(false),
+            dropped: Cell::new(false),
+        })
+    }
+
+    async fn end(&self) -> (u64, Status) {
+        match self.ends.recv().await.unwrap() {
+            Message::Ended(end) => (end.ticket, end.status),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn orders_for_a_fill_are_spelt_out() {
+    run(async |tasks| {
+        let world = World::new(tasks, 9);
+        world.peer().send(Order::Send(world.attempt(1, "00000000000000a1"))).await.unwrap();
+        let (want, _) = world.cache.next().await;
+        // An age under a millisecond must not become 0, which would mean the fresh time.
+        for (name, value) in [
+            ("fetch", "s-00000002"),
+            ("retain", "2"),
+            ("newer", "1"),
+            ("handle", "coalesce+shallow+transit+freshen"),
+        ] {
+            assert_eq!(field(&want, name), Some(value), "{name}");
+        }
+    });
+}
+
+/// Guards against what waited while its cache or its source was drained or its object purged: at the moment
+/// of writing it ends as never sent, and the cache never sees it.
+#[test]
+fn what_was_overtaken_by_news_is_never_sent() {
+    let news: [fn(&Board); 4] = [
+        |board| board.set_ready(PEER, false),
+        |board| board.set_ready(SOURCE, false),
+        |board| board.purged(clock::now(), Purged::Group(17), 6_000_000),
+        |board| board.purged(clock::now(), Purged::Object(0x7f3a9c21e0b4d655), 6_000_000),
+    ];
+    for tell in news {
+        run(async |tasks| {
+            let world = World::new(tasks, 9);
+            let peer = world.peer();
+            peer.try_send(Order::Send(world.attempt(1, "00000000000000a1"))).unwrap();
+            tell(&world.shared.board);
+            assert_eq!(world.end().await, (1, Status::Moot));
+            [PEER, SOURCE].into_iter().for_each(|id| world.shared.board.set_ready(id, true));
+            // A decision made after the news goes out, as the first thing the cache reads.
+            peer.try_send(Order::Send(world.attempt(2, "00000000000000a2"))).unwrap();
+            assert_eq!(world.cache.next().await.0[1], "00000000000000a2");
+        });
+    }
+}
+
+/// Guards against answers that can't be told apart: an id stands once on a connection, also for a while
+/// after it was given up there.
+#[test]
+fn an_id_stands_once_on_a_connection() {
+    run(async |tasks| {
+        let world = World::new(tasks, 9);
+        let peer = world.peer();
+        let first = world.attempt(1, "00000000000000a1");
+        peer.send(Order::Send(first.clone())).await.unwrap();
+        let (_, one) = world.cache.next().await;
+        peer.send(Order::Send(world.attempt(2, "00000000000000a1"))).await.unwrap();
+        let (_, two) = world.cache.next().await;
+        first.dropped.set(true);
+        peer.send(Order::GiveUp(first, false)).await.unwrap();
+        assert_eq!(world.cache.next().await.0[0], "never_mind");
+        peer.send(Order::Send(world.attempt(3, "00000000000000a1"))).await.unwrap();
+        let (_, three) = world.cache.next().await;
+        let ports: std::collections::BTreeSet<u16> =
+            [&one, &two, &three].iter().map(|s| s.get_ref().peer_addr().unwrap().port()).collect();
+        assert_eq!(ports.len(), 3);
+        // An answer that crossed with its giving up ends nobody else's attempt.
+        reply(&one, &["00000000000000a1", "HIT", "-", "old"]).await;
+        reply(&two, &["00000000000000a1", "SHED", "-", ""]).await;
+        assert_eq!(world.end().await, (2, Status::Full));
+    });
+}
+
+#[test]
+fn a_connection_carries_so_many_streams_and_descriptors_are_kept() {
+    run(async |tasks| {
+        let world = World::new(tasks, 1);
+        let peer = world.peer();
+        for ticket in 0..33 {
+            peer.send(Order::Send(world.attempt(ticket, &format!("{ticket:016x}")))).await.unwrap();
+        }
+        // The one descriptor's connection is full: the last attempt was never sent.
+        assert_eq!(world.end().await, (32, Status::Moot));
+        for _ in 0..32 {
+            world.cache.next().await;
+        }
+    });
+}
+
+#[test]
+fn each_answer_is_its_proof() {
+    run(async |tasks| {
+        let world = World::new(tasks, 9);
+        let peer = world.peer();
+        for (word, status) in [
+            ("HIT", Status::Ok),
+            ("NONE", Status::Miss),
+            ("SHED", Status::Full),
+            ("FAULT", Status::Error),
+            ("LATE", Status::Moot),
+        ] {
+            peer.send(Order::Send(world.attempt(5, "00000000000000a1"))).await.unwrap();
+            let (_, line) = world.cache.next().await;
+            reply(&line, &["00000000000000a1", word, "why=dropped", ""]).await;
+            assert_eq!(world.end().await, (5, status), "{word}");
+        }
+    });
+}
+
+/// Guards the memory against slow readers: who holds most of what waits is cut off, others are not.
+#[test]
+fn a_slow_reader_is_cut_off() {
+    run(async |tasks| {
+        let world = World::new(tasks, 9);
+        let (listener, address) = listen();
+        let front = Front::new(world.shared.catalogue.clone(), world.shared.director.clone(), 3000, 64);
+        tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
+        let (slow, good) = (Client::connect(tasks, address).await, Client::connect(tasks, address).await);
+        slow.send(&serve(1, &page("00000000000000a1"), b"")).await;
+        let Message::Request { port: first, .. } = world.ends.recv().await.unwrap() else { panic!() };
+        good.send(&serve(7, &page("00000000000000a2"), b"")).await;
+        let Message::Request { port, seq, .. } = world.ends.recv().await.unwrap() else { panic!() };
+        port.answer(seq, Verdict::Served(Bytes::from_static(b"small")));
+        first.answer(1, Verdict::Served(Bytes::from(vec![0; 1001])));
+        assert_eq!(good.next().await.unwrap(), served(7, b"small"));
+        assert_eq!(slow.next().await, None);
+        assert!(front.flushed());
+    });
+}
+
+/// Guards against a client that opens more requests than it may: no more are read than may be open.
+#[test]
+fn no_more_requests_are_read_than_may_be_open() {
+    run(async |tasks| {
+        let world = World::new(tasks, 9);
+        let (listener, address) = listen();
+        let front =
+            Front::new(world.shared.catalogue.clone(), world.shared.director.clone(), 192_000_000, 64);
+        tasks.spawn(front.accept(listener, tasks.clone())).detach();
+        let client = Client::connect(tasks, address).await;
+        for seq in 1..=40 {
+            client.send(&serve(seq, &page("00000000000000a1"), b"")).await;
+        }
+        let mut ports = Vec::new();
+        for _ in 0..32 {
+            let Message::Request { port, .. } = world.ends.recv().await.unwrap() else { panic!() };
+            ports.push(port);
+        }
+        assert!(world.ends.is_empty());
+        ports[0].answer(5, Verdict::Failed);
+        let Message::Request { seq, .. } = world.ends.recv().await.unwrap() else { panic!() };
+        assert_eq!(seq, 33);
+    });
+}
--- a/silverspindle/tests/cli.rs
+++ b/silverspindle/tests/cli.rs
@@ -1,6 +1,8 @@
-//! The binary's command line.
+//! The binary: its command line, and its life as a process.
 
-use std::io::Write;
+mod common;
+
+use std::io::{BufRead, BufReader, Write};
 use std::process::{Command, Output, Stdio};
 
 fn run(args: &[&str], config: Option<&str>) -> Output {
@@ -42,3 +44,26 @@
         }
     }
 }
+
+/// Guards against counting as a crash at a planned restart: after SIGTERM the program ends by itself, with 0.
+#[test]
+fn it_ends_by_itself_after_sigterm() {
+    let (_coordinator, address) = common::listen();
+    let file = common::configuration(&[common::entry(1, "box", address)], address);
+    let mut child = Command::new(env!("CARGO_BIN_EXE_silverspindle"))
+        .arg("serve")
+        .env("LB_CONFIG", "/dev/stdin")
+        .env("LB_LISTEN", "127.0.0.1:0")
+        .stdin(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all(file.to_string().as_bytes()).unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let ready = lines.find(|l| l.contains("n0 serves on 127.0.0.1:")).unwrap();
+    let address = ready.split_once("serves on ").and_then(|(_, rest)| rest.split(',').next()).unwrap();
+    std::net::TcpStream::connect(address).unwrap();
+    assert!(Command::new("kill").arg(child.id().to_string()).status().unwrap().success());
+    assert!(lines.any(|l| l.contains("ended: all is answered")));
+    assert!(child.wait().unwrap().success());
+}
--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -1,7 +1,6 @@
 //! The shared helper: messages in random pieces, and a router between scripted parties on loopback.
 #![allow(dead_code)]
 
-use std::cell::RefCell;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -203,20 +202,28 @@
 
 /// A client's connection to a router.
 pub struct Client {
-    pub stream: Stream,
-    answers: RefCell<Messages<Async<TcpStream>>>,
+    stream: Stream,
+    answers: async_channel::Receiver<Bytes>,
 }
 
 impl Client {
-    pub async fn connect(address: SocketAddr) -> Self {
-        let stream = Async::<TcpStream>::connect(address).await.unwrap();
-        let second = Async::new(stream.get_ref().try_clone().unwrap()).unwrap();
+    pub async fn connect(tasks: &Tasks, address: SocketAddr) -> Self {
+        let stream = Rc::new(Async::<TcpStream>::connect(address).await.unwrap());
         // Answers are larger than what a router reads from clients.
         let measure: Measure = |b| match b.first_chunk::<4>() {
             Some(length) => Ok(4 + u32::from_be_bytes(*length) as usize),
             None => Ok(4),
         };
-        Self { stream: Rc::new(stream), answers: RefCell::new(Messages::new(second, measure, 4096)) }
+        let (tell, answers) = async_channel::unbounded();
+        let own = stream.clone();
+        let read = async move {
+            let mut answers = Messages::new(&*own, measure, 4096);
+            while let Ok(Some(answer)) = answers.next().await {
+                let _ = tell.send(answer).await;
+            }
+        };
+        tasks.spawn(read).detach();
+        Self { stream, answers }
     }
 
     pub async fn send(&self, bytes: &[u8]) {
@@ -225,7 +232,7 @@
 
     /// The next answer; none when the router has closed the connection.
     pub async fn next(&self) -> Option<Bytes> {
-        self.answers.borrow_mut().next().await.ok().flatten()
+        self.answers.recv().await.ok()
     }
 
     pub async fn well(&self, seq: i32) -> bool {
@@ -244,6 +251,14 @@
     head
 }
 
+/// The advice of a refusal; none if the answer is something else.
+pub fn advice(answer: &[u8], seq: i32) -> Option<u64> {
+    let text = answer.strip_suffix(&[0, 0])?;
+    let digits = text.iter().rev().take_while(|b| b.is_ascii_digit()).count();
+    let ms = std::str::from_utf8(&text[text.len() - digits..]).ok()?.parse().ok()?;
+    (answer == thrift::throttled(seq, Some(ms))).then_some(ms)
+}
+
 /// A router before these caches, with an origin that nobody listens for, and its coordinator's listener.
 pub fn router(tasks: &Tasks, caches: &[SocketAddr]) -> (Router, Async<TcpListener>) {
     let (coordinator, address) = listen();
--- /dev/null
+++ b/silverspindle/tests/router.rs
@@ -0,0 +1,304 @@
+//! A whole router between scripted clients, caches and a coordinator on loopback sockets.
+
+mod common;
+
+use common::*;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use silverspindle::thrift;
+
+const RID: &str = "9b1f03aa5c7e2d41";
+const OTHER: &str = "00000000000000a2";
+
+#[test]
+fn a_request_passes_unchanged_and_so_does_its_answer() {
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (router, _coordinator) = router(tasks, &[cache.address]);
+        let client = Client::connect(tasks, router.address).await;
+        assert!(client.well(1).await);
+        let mut fields = page(RID);
+        fields.push(("cached", "4be0c1927d55a6f3"));
+        client.send(&serve(2, &fields, b"")).await;
+        let (want, line) = cache.next().await;
+        assert_eq!((want[0].as_str(), want[1].as_str(), want[3].as_str()), ("want", RID, ""));
+        for (name, value) in [
+            ("lane", Some("page")),
+            ("name", Some("7f3a9c21e0b4d655")),
+            ("piece", Some("3")),
+            ("fetch", Some("s-00000063")),
+            ("holds", Some("4be0c1927d55a6f3")),
+            ("newer", None),
+            ("dedupe", None),
+        ] {
+            assert_eq!(field(&want, name), value, "{name}");
+        }
+        assert!((1..=20_000).contains(&field(&want, "ttl").unwrap().parse::<u64>().unwrap()));
+        let body = "x".repeat(240_000);
+        reply(&line, &[RID, "HIT", "version=aa,why=warm", &body]).await;
+        assert_eq!(client.next().await.unwrap(), served(2, body.as_bytes()));
+
+        // The client's copy is the one: an empty body, and `keep`.
+        client.send(&serve(3, &fields, b"")).await;
+        let (_, line) = cache.next().await;
+        reply(&line, &[RID, "VALID", "version=aa,why=warm", ""]).await;
+        let holds = thrift::answer("serve", 3, 0, &[("keep", "1")], true).concat();
+        assert_eq!(client.next().await.unwrap(), holds);
+    });
+}
+
+#[test]
+fn a_write_carries_its_key_and_bytes() {
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (router, _coordinator) = router(tasks, &[cache.address]);
+        let client = Client::connect(tasks, router.address).await;
+        let mut fields = page(RID);
+        fields[0].1 = "scan";
+        fields.push(("token", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
+        client.send(&serve(1, &fields, b"scanned")).await;
+        let (want, line) = cache.next().await;
+        assert_eq!((want[3].as_str(), field(&want, "retain")), ("scanned", None));
+        assert_eq!(field(&want, "dedupe"), Some("5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
+        reply(&line, &[RID, "HIT", "-", "done"]).await;
+        assert_eq!(client.next().await.unwrap(), served(1, b"done"));
+    });
+}
+
+#[test]
+fn answers_come_in_any_order() {
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (router, _coordinator) = router(tasks, &[cache.address]);
+        let client = Client::connect(tasks, router.address).await;
+        client.send(&[serve(1, &page(RID), b""), serve(2, &page(OTHER), b"")].concat()).await;
+        let (first, line) = cache.next().await;
+        let (second, _) = cache.next().await;
+        assert_eq!((first[1].as_str(), second[1].as_str()), (RID, OTHER));
+        reply(&line, &[OTHER, "HIT", "why=fill", "b"]).await;
+        assert_eq!(client.next().await.unwrap(), served(2, b"b"));
+        reply(&line, &[RID, "HIT", "why=fill", "a"]).await;
+        assert_eq!(client.next().await.unwrap(), served(1, b"a"));
+    });
+}
+
+/// Guards against sending what can't be used: the run is void if such a request reaches a cache.
+#[test]
+fn a_bad_field_fails_without_an_attempt() {
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (router, _coordinator) = router(tasks, &[cache.address]);
+        let client = Client::connect(tasks, router.address).await;
+        let bad = [
+            ("method", "dance"),
+            ("rid", "9b1f"),
+            ("budget", "soon"),
+            ("obj", "7f3a9c21e0b4d65z"),
+            ("block", "-1"),
+            ("family", "256"),
+            ("mem", "nan"),
+            ("cached", "a,fetch=s-00000001"),
+            ("token", "a=b"),
+        ];
+        for (seq, (name, value)) in (1..).zip(bad) {
+            let mut fields: Vec<_> = page(RID).into_iter().filter(|(n, _)| *n != name).collect();
+            fields.push((name, value));
+            client.send(&serve(seq, &fields, b"")).await;
+            assert_eq!(client.next().await.unwrap(), thrift::broken(seq), "{name}");
+        }
+        let mut keyless = page(RID);
+        keyless[0].1 = "scan";
+        client.send(&serve(20, &keyless, b"")).await;
+        assert_eq!(client.next().await.unwrap(), thrift::broken(20));
+        assert!(cache.nothing_came());
+    });
+}
+
+/// Guards against one broken client hurting others: its connection alone is closed.
+#[test]
+fn what_is_malformed_closes_its_connection_alone() {
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (router, _coordinator) = router(tasks, &[cache.address]);
+        let good = Client::connect(tasks, router.address).await;
+        good.send(&serve(1, &page(RID), b"")).await;
+        let (_, line) = cache.next().await;
+        for garbage in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0, 0, 0, 4, 1, 2, 3, 4], &[0x7f, 0, 0, 0]] {
+            let bad = Client::connect(tasks, router.address).await;
+            bad.send(garbage).await;
+            assert_eq!(bad.next().await, None);
+        }
+        good.send(&call(1, "dance", 2, &[0])).await;
+        assert_eq!(good.next().await.unwrap(), thrift::unknown_method("dance", 2));
+        reply(&line, &[RID, "HIT", "-", "a"]).await;
+        assert_eq!(good.next().await.unwrap(), served(1, b"a"));
+    });
+}
+
+/// Guards against an answer after `forget`: none is owed, and a second one would lose the request.
+#[test]
+fn nothing_comes_for_what_was_forgotten() {
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (router, _coordinator) = router(tasks, &[cache.address]);
+        let client = Client::connect(tasks, router.address).await;
+        client.send(&serve(1, &page(RID), b"")).await;
+        let (_, line) = cache.next().await;
+        client.send(&forget(1)).await;
+        // Answered behind it, so that the director has read it before the cache answers.
+        assert!(client.well(2).await);
+        reply(&line, &[RID, "HIT", "-", "late"]).await;
+        client.send(&serve(3, &page(OTHER), b"")).await;
+        let (want, line) = cache.next().await;
+        assert_eq!(want[1], OTHER);
+        reply(&line, &[OTHER, "HIT", "-", "b"]).await;
+        assert_eq!(client.next().await.unwrap(), served(3, b"b"));
+    });
+}
+
+/// Guards against a cache that answers nonsense, and one that drops its connection: what was out may have
+/// run, so a safe request is asked of another cache.
+#[test]
+fn nonsense_and_a_reset_end_attempts_and_others_answer() {
+    for nonsense in [
+        Some("*1\r\n$3\r\nwat\r\n"),
+        Some("*4\r\n$16\r\n9b1f03aa5c7e2d41\r\n$5\r\nVALID\r\n$1\r\n-\r\n$0\r\n\r\n"),
+        None,
+    ] {
+        run(async |tasks| {
+            let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+            let (router, _coordinator) = router(tasks, &[one.address, two.address]);
+            let client = Client::connect(tasks, router.address).await;
+            client.send(&serve(1, &page(RID), b"")).await;
+            let next = || futures_lite::future::or(one.next(), two.next());
+            let (_, line) = next().await;
+            match nonsense {
+                Some(bytes) => (&*line).write_all(bytes.as_bytes()).await.unwrap(),
+                None => line.get_ref().shutdown(std::net::Shutdown::Both).unwrap(),
+            }
+            let (again, line) = next().await;
+            assert_eq!(again[1], RID);
+            reply(&line, &[RID, "HIT", "-", "a"]).await;
+            assert_eq!(client.next().await.unwrap(), served(1, b"a"));
+        });
+    }
+}
+
+#[test]
+fn a_refused_connection_is_answered_by_another_cache() {
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (dead, address) = listen();
+        drop(dead);
+        let (router, _coordinator) = router(tasks, &[cache.address, address]);
+        let client = Client::connect(tasks, router.address).await;
+        // Parts of many objects: some belong to the dead cache by their hash.
+        for seq in 1..=8 {
+            let object = format!("{seq:016x}");
+            let mut fields: Vec<(&str, &str)> = page(RID);
+            fields[3].1 = &object;
+            client.send(&serve(seq, &fields, b"")).await;
+            let (_, line) = cache.next().await;
+            reply(&line, &[RID, "HIT", "-", "a"]).await;
+            assert_eq!(client.next().await.unwrap(), served(seq, b"a"));
+        }
+    });
+}
+
+/// Guards against requests that get no answer: a silent cache is timed out at the deadline, told so, and the
+/// client refused with advice.
+#[test]
+fn a_silent_cache_is_given_up_at_the_deadline() {
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (router, _coordinator) = router(tasks, &[cache.address]);
+        let client = Client::connect(tasks, router.address).await;
+        let mut fields = page(RID);
+        fields[2].1 = "1000";
+        client.send(&serve(1, &fields, b"")).await;
+        let (want, _line) = cache.next().await;
+        assert_eq!(want[0], "want");
+        assert!(advice(&client.next().await.unwrap(), 1).is_some_and(|ms| ms > 0));
+        // A second copy may have come in between.
+        while cache.next().await.0 != ["never_mind", RID] {}
+    });
+}
+
+/// Guards against sends to a cache that drains, and against missing news after a break: the feed is followed
+/// anew from the last event, and what comes twice is taken once.
+#[test]
+fn the_list_is_followed_through_a_break() {
+    run(async |tasks| {
+        let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+        let (router, coordinator) = router(tasks, &[one.address, two.address]);
+        let client = Client::connect(tasks, router.address).await;
+        let record = |id: u32, state: u8, cache: &Cache| {
+            let mut r = id.to_be_bytes().to_vec();
+            r.extend([127, 0, 0, 1]);
+            r.extend(cache.address.port().to_be_bytes());
+            r.extend([state, 1, 0, 0, 0]);
+            r.extend(10_000u32.to_be_bytes());
+            r.extend([0; 8]);
+            r
+        };
+        let frame = |index: u64, payload: &[u8]| {
+            let mut out = (9 + payload.len() as u32).to_be_bytes().to_vec();
+            out.extend(index.to_be_bytes());
+            out.push(2);
+            out.extend(payload);
+            out
+        };
+        let drain = frame(2, &record(1, 1, &one));
+        let mut feed = coordinator.accept().await.unwrap().0;
+        let mut last = [0; 8];
+        feed.read_exact(&mut last).await.unwrap();
+        assert_eq!(u64::from_be_bytes(last), 1);
+        feed.write_all(&drain).await.unwrap();
+        // Nonsense ends the connection, as a close does.
+        feed.write_all(&[0, 0, 0, 1, 9]).await.unwrap();
+        let mut feed = coordinator.accept().await.unwrap().0;
+        feed.read_exact(&mut last).await.unwrap();
+        assert_eq!(u64::from_be_bytes(last), 2);
+        // An old event says that the first cache is ready; only the new one, which drains the second, holds.
+        feed.write_all(&frame(1, &record(1, 0, &one))).await.unwrap();
+        feed.write_all(&frame(3, &record(2, 1, &two))).await.unwrap();
+        // With no cache left all is refused, once that is known.
+        for seq in 1.. {
+            client.send(&serve(seq, &page(RID), b"")).await;
+            let answer = async { client.next().await.map(|a| advice(&a, seq).is_some()) };
+            let served = async {
+                let (_, line) = two.next().await;
+                reply(&line, &[RID, "HIT", "-", "a"]).await;
+                client.next().await.map(|a| advice(&a, seq).is_some())
+            };
+            if futures_lite::future::or(answer, served).await.unwrap() {
+                break;
+            }
+        }
+        assert!(one.nothing_came());
+    });
+}
+
+/// Guards against losing what comes around a planned restart: it says that it is not well, serves on, and
+/// ends only when all is answered.
+#[test]
+fn an_end_waits_for_what_is_open_and_still_comes() {
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (router, _coordinator) = router(tasks, &[cache.address]);
+        let client = Client::connect(tasks, router.address).await;
+        client.send(&serve(1, &page(RID), b"")).await;
+        let (_, first) = cache.next().await;
+        let talk = async {
+            let late = Client::connect(tasks, router.address).await;
+            while late.well(1).await {}
+            late.send(&serve(2, &page(OTHER), b"")).await;
+            let (want, line) = cache.next().await;
+            assert_eq!(want[1], OTHER);
+            reply(&line, &[OTHER, "HIT", "-", "b"]).await;
+            assert_eq!(late.next().await.unwrap(), served(2, b"b"));
+            reply(&first, &[RID, "HIT", "-", "a"]).await;
+            assert_eq!(client.next().await.unwrap(), served(1, b"a"));
+        };
+        both(router.end(), talk).await;
+    });
+}
