--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -21,7 +21,7 @@
 use crate::{clock, invariant};
 
 /// Messages that may wait for the director.
-pub const MAILBOX: usize = 1024;
+pub const MAILBOX: usize = 256;
 /// Messages taken in before the timers are looked at again.
 const BATCH: usize = 64;
 /// The module's last word comes with the time-outs at the deadline; so much later one is given without it.
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -235,12 +235,14 @@
         loop {
             let idle = async {
                 Timer::after(IDLE).await;
-                Ok(None)
+                Err(io::ErrorKind::WouldBlock.into())
             };
-            let frame = match future::or(frames.next(), idle).await? {
-                Some(frame) => frame,
-                None if take.is_empty() => return Ok(()),
-                None => continue,
+            let frame = match future::or(frames.next(), idle).await {
+                Ok(Some(frame)) => frame,
+                // The client has closed, also where requests are open: nobody waits for them.
+                Ok(None) => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock && !take.is_empty() => continue,
+                Err(e) => return Err(e),
             };
             let arrived = clock::now();
             let message = thrift::decode(&frame)?;
--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -22,7 +22,7 @@
 use crate::resp::{self, Word};
 
 /// Orders that may wait for an actor; a director that finds it full counts the attempt as never sent.
-pub const MAILBOX: usize = 1024;
+pub const MAILBOX: usize = 256;
 /// Commands that may wait on a connection: its streams and what gives them up.
 const MOST_WAITING: usize = 96;
 /// Given-up ids that a connection remembers, and for how long: an answer may have crossed.
--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -230,6 +230,11 @@
         (&*self.stream).write_all(bytes).await.unwrap();
     }
 
+    /// Writes no more.
+    pub fn hang_up(&self) {
+        self.stream.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+    }
+
     /// The next answer; none when the router has closed the connection.
     pub async fn next(&self) -> Option<Bytes> {
         self.answers.recv().await.ok()
--- a/silverspindle/tests/router.rs
+++ b/silverspindle/tests/router.rs
@@ -155,6 +155,26 @@
     });
 }
 
+/// Guards against a router that spins on a client's close while a request of it is open, and serves nobody.
+#[test]
+fn a_client_that_leaves_hurts_nobody() {
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (router, _coordinator) = router(tasks, &[cache.address]);
+        let client = Client::connect(tasks, router.address).await;
+        client.send(&serve(1, &page(RID), b"")).await;
+        cache.next().await;
+        client.hang_up();
+        assert_eq!(client.next().await, None);
+        let other = Client::connect(tasks, router.address).await;
+        other.send(&serve(1, &page(OTHER), b"")).await;
+        let (want, line) = cache.next().await;
+        assert_eq!(want[1], OTHER);
+        reply(&line, &[OTHER, "HIT", "-", "b"]).await;
+        assert_eq!(other.next().await.unwrap(), served(1, b"b"));
+    });
+}
+
 /// Guards against a cache that answers nonsense, and one that drops its connection: what was out may have
 /// run, so a safe request is asked of another cache.
 #[test]
