--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -251,7 +251,11 @@
                     self.director.send(Message::Forget { port: port.id, seq }).await.map_err(closed)?;
                     continue;
                 }
-                thrift::Message::Unknown { oneway: true, .. } => continue,
+                thrift::Message::Unknown { oneway: true, .. } => {
+                    // Nothing else here waits: a client that sends only these must not keep others out.
+                    future::yield_now().await;
+                    continue;
+                }
                 thrift::Message::Serve { seq, fields, body } => {
                     take.send(()).await.map_err(closed)?;
                     let body = frame.slice_ref(body);
--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -31,7 +31,7 @@
 /// Read at a time.
 const CHUNK: usize = 32 * 1024;
 /// How often idle connections are looked for.
-const SWEEP: Duration = Duration::from_secs(1);
+const SWEEP: Micros = 1_000_000;
 
 /// What was told last of the members and of purges, for a last look at the moment of writing.
 #[derive(Debug, Default)]
@@ -300,18 +300,24 @@
     }
 
     async fn run(mut self) {
+        // By the clock, not by quiet: orders that never cease must not put the sweep off.
+        let mut due = clock::now() + SWEEP;
         loop {
+            let timer = clock::at(due);
             let sweep = async {
-                Timer::after(SWEEP).await;
+                timer.await;
                 None
             };
             let next = match self.lines.is_empty() {
                 true => self.mailbox.recv().await.ok(),
                 false => future::or(async { self.mailbox.recv().await.ok() }, sweep).await,
             };
-            match next {
-                Some(order) => self.order(order).await,
-                None => self.sweep(),
+            if let Some(order) = next {
+                self.order(order).await;
+            }
+            if clock::now() >= due {
+                self.sweep();
+                due = clock::now() + SWEEP;
             }
             if self.retired && self.lines.is_empty() {
                 return;
--- a/silverspindle/tests/actors.rs
+++ b/silverspindle/tests/actors.rs
@@ -26,8 +26,12 @@
 
 impl World {
     fn new(tasks: &Tasks, descriptors: usize) -> Self {
+        Self::with(tasks, descriptors, &settings())
+    }
+
+    fn with(tasks: &Tasks, descriptors: usize, options: &serde_json::Value) -> Self {
         let (director, ends) = async_channel::bounded(1024);
-        let catalogue = Rc::new(Catalogue::read(settings().as_object().unwrap()));
+        let catalogue = Rc::new(Catalogue::read(options.as_object().unwrap()));
         let board = Rc::new(Board::default());
         [PEER, SOURCE].into_iter().for_each(|id| board.set_ready(id, true));
         let descriptors = Descriptors::new(descriptors);
@@ -135,8 +139,7 @@
         assert_eq!(world.cache.next().await.0[0], "never_mind");
         peer.send(Order::Send(world.attempt(3, "00000000000000a1"))).await.unwrap();
         let (_, three) = world.cache.next().await;
-        let ports: std::collections::BTreeSet<u16> =
-            [&one, &two, &three].iter().map(|s| s.get_ref().peer_addr().unwrap().port()).collect();
+        let ports: std::collections::BTreeSet<u16> = [&one, &two, &three].iter().map(|s| port(s)).collect();
         assert_eq!(ports.len(), 3);
         // An answer that crossed with its giving up ends nobody else's attempt.
         reply(&one, &["00000000000000a1", "HIT", "-", "old"]).await;
@@ -161,6 +164,31 @@
     });
 }
 
+/// Guards against traffic that puts off the closing of idle connections for ever.
+#[test]
+fn an_idle_connection_is_closed_beside_a_busy_one() {
+    run(async |tasks| {
+        let mut options = settings();
+        options["limits"]["idle_close_ms"] = serde_json::json!(500.0);
+        let world = World::with(tasks, 9, &options);
+        let peer = world.peer();
+        for ticket in 1..=2 {
+            peer.send(Order::Send(world.attempt(ticket, "00000000000000a1"))).await.unwrap();
+        }
+        let (one, two) = (world.cache.next().await.1, world.cache.next().await.1);
+        for line in [&one, &two] {
+            reply(line, &["00000000000000a1", "NONE", "-", ""]).await;
+            world.end().await;
+        }
+        while world.cache.closed.is_empty() {
+            peer.send(Order::Send(world.attempt(3, "00000000000000a1"))).await.unwrap();
+            let (_, line) = world.cache.next().await;
+            reply(&line, &["00000000000000a1", "NONE", "-", ""]).await;
+            world.end().await;
+        }
+    });
+}
+
 #[test]
 fn each_answer_is_its_proof() {
     run(async |tasks| {
--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -89,26 +89,30 @@
 pub struct Cache {
     pub address: SocketAddr,
     read: async_channel::Receiver<(Command, Stream)>,
+    /// Connections that the router has closed, by its port.
+    pub closed: async_channel::Receiver<u16>,
 }
 
 impl Cache {
     pub fn start(tasks: &Tasks) -> Self {
         let (listener, address) = listen();
         let (tell, read) = async_channel::unbounded();
+        let (close, closed) = async_channel::unbounded();
         let all = tasks.clone();
         let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (stream, tell) = (Rc::new(stream), tell.clone());
+                let (stream, tell, close) = (Rc::new(stream), tell.clone(), close.clone());
                 let serve = async move {
                     while let Some(command) = read_command(&stream).await {
                         let _ = tell.send((command, stream.clone())).await;
                     }
+                    let _ = close.send(port(&stream)).await;
                 };
                 all.spawn(serve).detach();
             }
         };
         tasks.spawn(accept).detach();
-        Self { address, read }
+        Self { address, read, closed }
     }
 
     /// The next command and where its answer goes.
@@ -121,6 +125,10 @@
     }
 }
 
+pub fn port(stream: &Async<TcpStream>) -> u16 {
+    stream.get_ref().peer_addr().map_or(0, |a| a.port())
+}
+
 async fn read_command(mut stream: &Async<TcpStream>) -> Option<Command> {
     let strings = number(&mut stream).await?;
     let mut command = Vec::new();
