Silence counts on a fresh connection too; an attempt's terms are one struct

Cause: coming up set the time last heard, so an attempt that waited for its connection and was then never answered didn't mark the connection silent; the new test hangs on the line that set it. Found by reading. New tests: silence of a cache and of the coordinator, and the bound on writes in memory.

--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -17,7 +17,7 @@
 
 use crate::feed::{Listed, News, Purged, hex};
 use crate::front::{Port, Taken};
-use crate::upstream::{Attempt, End, Order, Peer, Shared};
+use crate::upstream::{Attempt, End, Order, Peer, Shared, Terms};
 use crate::{clock, invariant};
 
 /// Messages that may wait for the director.
@@ -432,11 +432,12 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Look { id, member, until } => {
-                self.send(id, member, until, None, Keep::Pass, None, FillMode::default());
+                let (keep, mode) = (Keep::Pass, FillMode::default());
+                self.send(id, member, until, Terms { source: None, keep, max_age: None, mode });
             }
             Action::Fetch { id, member, until, source, keep, max_age, mode } => {
                 let source = (source != member).then_some(source);
-                self.send(id, member, until, source, keep, max_age, mode);
+                self.send(id, member, until, Terms { source, keep, max_age, mode });
             }
             Action::Cancel { id, attempt } => {
                 let out = self.requests.get(&id).map(|open| open.out.clone()).unwrap_or_default();
@@ -465,17 +466,7 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn send(
-        &mut self,
-        id: RequestId,
-        member: MemberId,
-        until: Micros,
-        source: Option<MemberId>,
-        keep: Keep,
-        max_age: Option<Micros>,
-        mode: FillMode,
-    ) {
+    fn send(&mut self, id: RequestId, member: MemberId, until: Micros, terms: Terms) {
         let now = clock::now();
         let most = self.settings.max_attempts;
         let peer = self.peers.get(&member).cloned();
@@ -491,10 +482,7 @@
         let attempt = Rc::new(Attempt {
             ticket,
             call: open.call.clone(),
-            source,
-            keep,
-            max_age,
-            mode,
+            terms,
             until,
             decided: self.shared.board.moment(),
             written: Cell::new(false),
--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -75,7 +75,7 @@
         let since = |what| purges.get(&what).is_some_and(|(told, _)| *told > attempt.decided);
         clock::now() < attempt.until
             && self.is_ready(to)
-            && attempt.source.is_none_or(|source| self.is_ready(source))
+            && attempt.terms.source.is_none_or(|source| self.is_ready(source))
             && !since(Purged::Group(attempt.call.group))
             && !attempt.call.key().is_some_and(|key| since(Purged::Object(key)))
     }
@@ -107,13 +107,9 @@
     }
 }
 
-/// An attempt on its way.
-#[derive(Debug)]
-pub struct Attempt {
-    /// The director's number for it.
-    pub ticket: u64,
-    /// The request.
-    pub call: Rc<Call>,
+/// What the module decided on an attempt's answer.
+#[derive(Clone, Debug)]
+pub struct Terms {
     /// Where a miss is filled from; none: nowhere.
     pub source: Option<MemberId>,
     /// How the copy is kept.
@@ -122,6 +118,17 @@
     pub max_age: Option<Micros>,
     /// How the fill is done.
     pub mode: FillMode,
+}
+
+/// An attempt on its way.
+#[derive(Debug)]
+pub struct Attempt {
+    /// The director's number for it.
+    pub ticket: u64,
+    /// The request.
+    pub call: Rc<Call>,
+    /// How it is answered.
+    pub terms: Terms,
     /// When the attempt is dropped.
     pub until: Micros,
     /// The board's moment at which it was decided.
@@ -148,16 +155,17 @@
         if let Some(token) = &call.token {
             put("dedupe", token);
         }
-        if let Some(MemberId(source)) = self.source {
+        let Terms { source, keep, max_age, mode } = self.terms.clone();
+        if let Some(MemberId(source)) = source {
             put("fetch", &format!("s-{source:08x}"));
         }
-        if self.keep != Keep::Pass {
-            put("retain", &(self.keep as u8).to_string());
+        if keep != Keep::Pass {
+            put("retain", &(keep as u8).to_string());
         }
-        if let Some(age) = self.max_age {
+        if let Some(age) = max_age {
             put("newer", &(age / 1000).max(1).to_string());
         }
-        let FillMode { join, held_only, parent_pass, renew } = self.mode;
+        let FillMode { join, held_only, parent_pass, renew } = mode;
         let words =
             [(join, "coalesce"), (held_only, "shallow"), (parent_pass, "transit"), (renew, "freshen")];
         let words: Vec<&str> = words.iter().filter(|(on, _)| *on).map(|(_, word)| *word).collect();
@@ -345,7 +353,6 @@
             Order::Up(line) => {
                 if let Some(line) = self.lines.get_mut(&line) {
                     line.up = true;
-                    line.heard = clock::now();
                 }
             }
             Order::Answer(line, frame) => self.answer(line, frame).await,
--- a/silverspindle/tests/actors.rs
+++ b/silverspindle/tests/actors.rs
@@ -13,7 +13,7 @@
 use silverspindle::director::{Call, Message, Verdict};
 use silverspindle::feed::Purged;
 use silverspindle::front::{Front, Taken};
-use silverspindle::upstream::{Attempt, Board, Descriptors, Order, Peer, Shared};
+use silverspindle::upstream::{Attempt, Board, Descriptors, Order, Peer, Shared, Terms};
 
 const PEER: MemberId = MemberId(1);
 const SOURCE: MemberId = MemberId(2);
@@ -61,10 +61,12 @@
             ticket,
             until: call.deadline,
             call: Rc::new(call),
-            source: Some(SOURCE),
-            keep: Keep::Middle,
-            max_age: Some(900),
-            mode: FillMode { join: true, held_only: true, parent_pass: true, renew: true },
+            terms: Terms {
+                source: Some(SOURCE),
+                keep: Keep::Middle,
+                max_age: Some(900),
+                mode: FillMode { join: true, held_only: true, parent_pass: true, renew: true },
+            },
             decided: self.shared.board.moment(),
             written: Cell::new(false),
             dropped: Cell::new(false),
@@ -164,6 +166,25 @@
     });
 }
 
+/// Guards against a machine that is cut off: its connection stays open and silent, so new work takes a new
+/// one, whose failure to come up proves that nothing ran.
+#[test]
+fn after_silence_work_takes_a_new_connection() {
+    run(async |tasks| {
+        let world = World::new(tasks, 9);
+        let peer = world.peer();
+        let first = world.attempt(1, "00000000000000a1");
+        peer.send(Order::Send(first.clone())).await.unwrap();
+        let (_, one) = world.cache.next().await;
+        first.dropped.set(true);
+        peer.send(Order::GiveUp(first, true)).await.unwrap();
+        assert_eq!(world.cache.next().await.0[0], "never_mind");
+        peer.send(Order::Send(world.attempt(2, "00000000000000a2"))).await.unwrap();
+        let (_, two) = world.cache.next().await;
+        assert_ne!(port(&one), port(&two));
+    });
+}
+
 /// Guards against traffic that puts off the closing of idle connections for ever.
 #[test]
 fn an_idle_connection_is_closed_beside_a_busy_one() {
@@ -230,6 +251,32 @@
     });
 }
 
+/// Guards the memory against many writes at once: past the bound one is refused, which harms nothing.
+#[test]
+fn writes_past_the_memory_are_refused() {
+    run(async |tasks| {
+        let world = World::new(tasks, 9);
+        let (listener, address) = listen();
+        let front = Front::new(world.shared.catalogue.clone(), world.shared.director.clone(), 8 * 150, 64);
+        tasks.spawn(front.accept(listener, tasks.clone())).detach();
+        let client = Client::connect(tasks, address).await;
+        let write = |seq| {
+            let mut fields = page("00000000000000a1");
+            fields[0].1 = "scan";
+            fields.push(("token", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
+            serve(seq, &fields, &[7; 100])
+        };
+        client.send(&write(1)).await;
+        let first = world.ends.recv().await.unwrap();
+        client.send(&write(2)).await;
+        assert!(advice(&client.next().await.unwrap(), 2).is_some_and(|ms| ms > 0));
+        assert!(world.ends.is_empty());
+        drop(first);
+        client.send(&write(3)).await;
+        let Message::Request { seq: 3, .. } = world.ends.recv().await.unwrap() else { panic!() };
+    });
+}
+
 /// Guards against a client that opens more requests than it may: no more are read than may be open.
 #[test]
 fn no_more_requests_are_read_than_may_be_open() {
--- a/silverspindle/tests/router.rs
+++ b/silverspindle/tests/router.rs
@@ -298,6 +298,16 @@
     });
 }
 
+/// Guards against a coordinator that is cut off: its connection stays open, but the empty frames cease.
+#[test]
+fn a_silent_coordinator_is_connected_anew() {
+    run(async |tasks| {
+        let (_router, coordinator) = router(tasks, &[]);
+        let _silent = coordinator.accept().await.unwrap();
+        coordinator.accept().await.unwrap();
+    });
+}
+
 /// Guards against losing what comes around a planned restart: it says that it is not well, serves on, and
 /// ends only when all is answered.
 #[test]
