Descriptors: a third and a few for clients, the rest for peers

Half and half left peers 8 of 64. A refused connection in the tests is now on an address no other test listens on, so that the port stays free.

--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -46,6 +46,11 @@
     Unknown(i32, String),
 }
 
+/// Descriptors kept for clients: the third of all that they may hold, and a few for those that come and go.
+pub fn most_clients(sockets: usize) -> usize {
+    sockets / 3 + 8
+}
+
 /// Where answers to a connection's requests go.
 #[derive(Debug)]
 pub struct Port {
@@ -130,7 +135,7 @@
 
 impl Front {
     /// A front that hands its requests to the director. A third of the memory may lie in answers that slow
-    /// clients have not taken, an eighth in writes; half of the descriptors are clients'.
+    /// clients have not taken, an eighth in writes.
     pub fn new(
         catalogue: Rc<Catalogue>,
         director: Sender<Message>,
@@ -146,7 +151,7 @@
             most_held: memory / 3,
             taken: Rc::default(),
             most_taken: memory / 8,
-            most_connections: sockets / 2,
+            most_connections: most_clients(sockets),
             ports: RefCell::default(),
             next: Cell::new(0),
         })
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -14,7 +14,7 @@
 use crate::config::Config;
 use crate::coordinator::Coordinator;
 use crate::director::{self, Director, Owed};
-use crate::front::Front;
+use crate::front::{Front, most_clients};
 use crate::upstream::{Board, Descriptors, Shared};
 use crate::{clock, invariant};
 
@@ -44,7 +44,9 @@
         let shared = Rc::new(Shared {
             catalogue: catalogue.clone(),
             board: Rc::new(Board::default()),
-            descriptors: Descriptors::new(config.sockets / 2 - OTHER_DESCRIPTORS),
+            descriptors: Descriptors::new(
+                config.sockets.saturating_sub(most_clients(config.sockets) + OTHER_DESCRIPTORS),
+            ),
             director: mailbox.clone(),
             tasks: tasks.clone(),
         });
--- a/silverspindle/tests/router.rs
+++ b/silverspindle/tests/router.rs
@@ -207,7 +207,9 @@
 fn a_refused_connection_is_answered_by_another_cache() {
     run(async |tasks| {
         let cache = Cache::start(tasks);
-        let (dead, address) = listen();
+        // An address that no other test listens on, so that the port stays free.
+        let dead = std::net::TcpListener::bind("127.0.0.77:0").unwrap();
+        let address = dead.local_addr().unwrap();
         drop(dead);
         let (router, _coordinator) = router(tasks, &[cache.address, address]);
         let client = Client::connect(tasks, router.address).await;
