The director answers by a Port trait, so that a second front protocol has its place

The director held front's own connection type; now fronts implement Port, and the books on memory (Taken) stand with the Call. No change in what is done.

--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -4,6 +4,7 @@
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::fmt::Debug;
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
@@ -16,7 +17,6 @@
 use futures_lite::future;
 
 use crate::feed::{Listed, News, Purged, hex};
-use crate::front::{Port, Taken};
 use crate::upstream::{Attempt, End, Order, Peer, Shared, Terms};
 use crate::{clock, invariant};
 
@@ -84,13 +84,44 @@
     }
 }
 
+/// Books the bytes of a write while it is open.
+#[derive(Debug, Default)]
+pub struct Taken {
+    all: Rc<Cell<usize>>,
+    own: usize,
+}
+
+impl Taken {
+    /// Books so many on top of what all have taken.
+    pub fn new(all: &Rc<Cell<usize>>, own: usize) -> Self {
+        all.set(all.get() + own);
+        Self { all: all.clone(), own }
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.all.set(self.all.get() - self.own);
+    }
+}
+
+/// Where the answers to a client's requests go: what a front for any protocol gives with each request.
+pub trait Port: Debug {
+    /// Its number; no other port of this director has it.
+    fn id(&self) -> u64;
+    /// Takes the final answer to the request of this number. Must not wait.
+    fn answer(&self, seq: i32, verdict: Verdict);
+    /// The client left or forgot a request: no answer will come.
+    fn drop_request(&self);
+}
+
 /// What the director is told by clients' and peers' actors.
 #[derive(Debug)]
 pub enum Message {
     /// A request came.
     Request {
         /// Where its answer goes.
-        port: Rc<Port>,
+        port: Rc<dyn Port>,
         /// Its number there.
         seq: i32,
         /// The request.
@@ -125,7 +156,7 @@
 
 struct Open {
     call: Rc<Call>,
-    port: Rc<Port>,
+    port: Rc<dyn Port>,
     seq: i32,
     attempts: u32,
     /// Of them, those that are out.
@@ -300,16 +331,16 @@
         }
     }
 
-    fn request(&mut self, port: Rc<Port>, seq: i32, call: Call) {
+    fn request(&mut self, port: Rc<dyn Port>, seq: i32, call: Call) {
         // A number that is open already can't be answered twice: the later one fails.
-        if self.by_client.contains_key(&(port.id, seq)) {
-            log::warn!("client {}: number {seq} is open already", port.id);
+        if self.by_client.contains_key(&(port.id(), seq)) {
+            log::warn!("client {}: number {seq} is open already", port.id());
             return port.answer(seq, Verdict::Failed);
         }
         self.next += 1;
         let id = RequestId(u128::from(self.next));
         let call = Rc::new(call);
-        self.by_client.insert((port.id, seq), id);
+        self.by_client.insert((port.id(), seq), id);
         let (out, closed) = (Vec::new(), false);
         self.requests.insert(id, Open { call: call.clone(), port, seq, attempts: 0, out, closed });
         self.owed.set(self.owed.get() + 1);
@@ -330,7 +361,7 @@
     fn close(&mut self, id: RequestId) -> bool {
         let Some(open) = self.requests.get_mut(&id).filter(|o| !o.closed) else { return false };
         open.closed = true;
-        self.by_client.remove(&(open.port.id, open.seq));
+        self.by_client.remove(&(open.port.id(), open.seq));
         self.owed.set(self.owed.get() - 1);
         if open.out.is_empty() {
             self.requests.remove(&id);
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -16,7 +16,7 @@
 use futures_lite::{AsyncWriteExt, future};
 
 use crate::clock;
-use crate::director::{Call, Message, Verdict};
+use crate::director::{Call, Message, Port, Taken, Verdict};
 use crate::feed::hex;
 use crate::framing::Messages;
 use crate::{invariant, thrift};
@@ -51,11 +51,10 @@
     sockets / 3 + 8
 }
 
-/// Where answers to a connection's requests go.
+/// A connection as the director and the front see it.
 #[derive(Debug)]
-pub struct Port {
-    /// Its number.
-    pub id: u64,
+struct Connection {
+    id: u64,
     out: Sender<Reply>,
     /// A permit is taken for each open request, so that no more are read than may be open.
     permits: Receiver<()>,
@@ -65,9 +64,13 @@
     front: Rc<Front>,
 }
 
-impl Port {
-    /// The final answer to a request. It waits in a queue that the permits bound.
-    pub fn answer(&self, seq: i32, verdict: Verdict) {
+impl Port for Connection {
+    fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// It waits in a queue that the permits bound.
+    fn answer(&self, seq: i32, verdict: Verdict) {
         let bytes = verdict.bytes();
         if self.out.try_send(Reply::Verdict(seq, verdict)).is_ok() {
             self.owe(1, bytes as isize);
@@ -75,11 +78,12 @@
         }
     }
 
-    /// The client left or forgot the request: no answer will come.
-    pub fn drop_request(&self) {
+    fn drop_request(&self) {
         let _ = self.permits.try_recv();
     }
+}
 
+impl Connection {
     /// Books answers that wait to be written, and the bytes of their bodies.
     fn owe(&self, answers: isize, bytes: isize) {
         for (count, change) in [
@@ -94,26 +98,6 @@
     }
 }
 
-/// Books the bytes of a write while it is open.
-#[derive(Debug, Default)]
-pub struct Taken {
-    all: Rc<Cell<usize>>,
-    own: usize,
-}
-
-impl Taken {
-    fn new(all: &Rc<Cell<usize>>, own: usize) -> Self {
-        all.set(all.get() + own);
-        Self { all: all.clone(), own }
-    }
-}
-
-impl Drop for Taken {
-    fn drop(&mut self) {
-        self.all.set(self.all.get() - self.own);
-    }
-}
-
 /// What all connections share.
 #[derive(Debug)]
 pub struct Front {
@@ -129,7 +113,7 @@
     taken: Rc<Cell<usize>>,
     most_taken: usize,
     most_connections: usize,
-    ports: RefCell<BTreeMap<u64, Rc<Port>>>,
+    connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
     next: Cell<u64>,
 }
 
@@ -152,7 +136,7 @@
             taken: Rc::default(),
             most_taken: memory / 8,
             most_connections: most_clients(sockets),
-            ports: RefCell::default(),
+            connections: RefCell::default(),
             next: Cell::new(0),
         })
     }
@@ -172,7 +156,7 @@
         if self.held.get() <= self.most_held {
             return;
         }
-        if let Some(port) = self.ports.borrow().values().max_by_key(|p| p.held.get()) {
+        if let Some(port) = self.connections.borrow().values().max_by_key(|p| p.held.get()) {
             log::warn!("client {}: cut off, {} bytes wait for it", port.id, port.held.get());
             let _ = port.cut.try_send(());
         }
@@ -185,7 +169,7 @@
         tasks: Rc<LocalExecutor<'static>>,
     ) {
         loop {
-            if self.ports.borrow().len() >= self.most_connections {
+            if self.connections.borrow().len() >= self.most_connections {
                 Timer::after(ACCEPT_AGAIN).await;
                 continue;
             }
@@ -206,7 +190,7 @@
         let (out, replies) = async_channel::bounded(MOST_OPEN);
         let (take, permits) = async_channel::bounded(MOST_OPEN);
         let (cut, cuts) = async_channel::bounded(1);
-        let port = Rc::new(Port {
+        let port = Rc::new(Connection {
             id,
             out,
             permits,
@@ -215,7 +199,7 @@
             owed: Cell::new(0),
             front: self.clone(),
         });
-        self.ports.borrow_mut().insert(id, port.clone());
+        self.connections.borrow_mut().insert(id, port.clone());
         let cut_off = async {
             let _ = cuts.recv().await;
             Ok(())
@@ -229,13 +213,18 @@
             }
         }
         // What was not written is not owed any more.
-        self.ports.borrow_mut().remove(&id);
+        self.connections.borrow_mut().remove(&id);
         port.out.close();
         port.owe(-(port.owed.get() as isize), -(port.held.get() as isize));
         let _ = self.director.send(Message::Left { port: id }).await;
     }
 
-    async fn read(&self, stream: &Async<TcpStream>, take: Sender<()>, port: &Rc<Port>) -> io::Result<()> {
+    async fn read(
+        &self,
+        stream: &Async<TcpStream>,
+        take: Sender<()>,
+        port: &Rc<Connection>,
+    ) -> io::Result<()> {
         let mut frames = Messages::new(stream, thrift::measure, CHUNK);
         loop {
             let idle = async {
@@ -339,7 +328,7 @@
         &self,
         stream: &Async<TcpStream>,
         replies: &Receiver<Reply>,
-        port: &Port,
+        port: &Connection,
     ) -> io::Result<()> {
         while let Ok(reply) = replies.recv().await {
             let verdict = matches!(reply, Reply::Verdict(..));
--- a/silverspindle/tests/actors.rs
+++ b/silverspindle/tests/actors.rs
@@ -10,9 +10,9 @@
 use bytes::Bytes;
 use common::*;
 use silverspindle::clock;
-use silverspindle::director::{Call, Message, Verdict};
+use silverspindle::director::{Call, Message, Taken, Verdict};
 use silverspindle::feed::Purged;
-use silverspindle::front::{Front, Taken};
+use silverspindle::front::Front;
 use silverspindle::upstream::{Attempt, Board, Descriptors, Order, Peer, Shared, Terms};
 
 const PEER: MemberId = MemberId(1);
