Front: unused connections make room, silence ends them, a forget is read at once

Excluded: CPU, memory, caches (no error, few time-outs). Wrong: `front::accept` waited at the limit and closed nothing; `front::read` let connections idle 60 s, also silent ones and halves of a message, and took a permit before it read on, so a `forget` behind 32 was unread. Now: at the limit a connection without an open request is closed, those without any message first; idle ones end after 5 s, silent ones and unfinished messages after 2.5 s; past 64 open a request is refused at once.

--- a/silverspindle/src/framing.rs
+++ b/silverspindle/src/framing.rs
@@ -4,9 +4,12 @@
 use std::fmt;
 use std::io;
 
+use bitternhold::Micros;
 use bytes::{Bytes, BytesMut};
 use futures_lite::{AsyncRead, AsyncReadExt};
 
+use crate::clock;
+
 /// Why a message can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
@@ -38,6 +41,8 @@
     buffer: BytesMut,
     /// So much of the buffer was read; what lies behind is room for a read that was dropped half way.
     filled: usize,
+    /// When a message that is not whole yet began to come.
+    begun: Option<Micros>,
     measure: Measure,
     chunk: usize,
 }
@@ -45,7 +50,12 @@
 impl<R: AsyncRead + Unpin> Messages<R> {
     /// Reads at most `chunk` bytes at a time, so that an idle connection holds no more.
     pub fn new(stream: R, measure: Measure, chunk: usize) -> Self {
-        Self { stream, buffer: BytesMut::new(), filled: 0, measure, chunk }
+        Self { stream, buffer: BytesMut::new(), filled: 0, begun: None, measure, chunk }
+    }
+
+    /// When a message that is not whole yet began to come; none if none did.
+    pub fn begun(&self) -> Option<Micros> {
+        self.begun
     }
 
     /// The next message; none at the end of the stream. May be dropped and called again.
@@ -54,12 +64,16 @@
             self.buffer.truncate(self.filled);
             if let Some(message) = split(&mut self.buffer, self.measure)? {
                 self.filled = self.buffer.len();
+                self.begun = (self.filled > 0).then(clock::now);
                 return Ok(Some(message));
             }
             self.buffer.resize(self.filled + self.chunk, 0);
             match self.stream.read(&mut self.buffer[self.filled..]).await? {
                 0 => return Ok(None),
-                read => self.filled += read,
+                read => {
+                    self.filled += read;
+                    self.begun = self.begun.or_else(|| Some(clock::now()));
+                }
             }
         }
     }
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -27,13 +27,22 @@
 const CHUNK: usize = 8 * 1024;
 /// Bodies up to this are copied behind their head, so that one write does.
 const SMALL: usize = 4096;
-/// A client that takes nothing for so long is gone; one without a request for so long is cut off.
+/// A client that takes nothing for so long is gone.
 const STALLED: Duration = Duration::from_secs(10);
-const IDLE: Duration = Duration::from_secs(60);
-/// Wait after a failed accept: out of descriptors, say.
+/// A connection without an open request is closed after so long: usual clients close theirs after 4 s.
+const IDLE: Micros = 5_000_000;
+/// So long may pass to the first message of a connection, and within any: who says nothing, or half of
+/// something, is owed a close within 3 s.
+const SILENT: Micros = 2_500_000;
+/// What was used within this is not closed to make room: a request may be on its way.
+const IN_USE: Micros = 50_000;
+/// Wait for room, or after a failed accept: out of descriptors, say.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// Answers that may wait for a connection's writer: the open requests, and as many that were answered
+/// while an earlier answer was still being written.
+const MOST_ANSWERS: usize = 2 * MOST_OPEN;
 /// Advice to a client that is refused before the module sees it.
-const BACKOFF_MS: u64 = 200;
+const REFUSED: Verdict = Verdict::Refused { backoff: Some(200) };
 /// Longest budget that is believed, and longest text passed on.
 const MOST_BUDGET: Micros = 600_000_000;
 const MOST_TEXT: usize = 128;
@@ -55,9 +64,13 @@
 #[derive(Debug)]
 struct Connection {
     id: u64,
+    /// Answers to requests that were handed on.
     out: Sender<Reply>,
-    /// A permit is taken for each open request, so that no more are read than may be open.
-    permits: Receiver<()>,
+    /// Requests handed on whose answer is not written yet.
+    open: Cell<usize>,
+    /// Any message came; and when it last had something to do.
+    asked: Cell<bool>,
+    used: Cell<Micros>,
     cut: Sender<()>,
     held: Cell<usize>,
     owed: Cell<usize>,
@@ -69,7 +82,7 @@
         self.id
     }
 
-    /// It waits in a queue that the permits bound.
+    /// It waits in a queue that the count of open requests bounds.
     fn answer(&self, seq: i32, verdict: Verdict) {
         let bytes = verdict.bytes();
         if self.out.try_send(Reply::Verdict(seq, verdict)).is_ok() {
@@ -79,11 +92,17 @@
     }
 
     fn drop_request(&self) {
-        let _ = self.permits.try_recv();
+        self.finished();
     }
 }
 
 impl Connection {
+    fn finished(&self) {
+        invariant!(self.open.get() > 0, "more requests finished than taken in");
+        self.open.set(self.open.get().saturating_sub(1));
+        self.used.set(clock::now());
+    }
+
     /// Books answers that wait to be written, and the bytes of their bodies.
     fn owe(&self, answers: isize, bytes: isize) {
         for (count, change) in [
@@ -114,6 +133,8 @@
     most_taken: usize,
     most_connections: usize,
     connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
+    /// A connection ended.
+    freed: (Sender<()>, Receiver<()>),
     next: Cell<u64>,
 }
 
@@ -137,6 +158,7 @@
             most_taken: memory / 8,
             most_connections: most_clients(sockets),
             connections: RefCell::default(),
+            freed: async_channel::bounded(1),
             next: Cell::new(0),
         })
     }
@@ -162,19 +184,38 @@
         }
     }
 
-    /// Accepts clients, for ever. With all descriptors of clients in use, the next wait to be accepted.
+    /// Makes room for a client that waits to be accepted. Guards against connections that are held and not
+    /// used, which would keep all others out: one without any message goes first, else what was unused for
+    /// longest. A connection with an open request stays.
+    fn evict(&self) {
+        let before = clock::now().saturating_sub(IN_USE);
+        let connections = self.connections.borrow();
+        let unused = connections.values().filter(|c| c.open.get() == 0 && c.used.get() < before);
+        if let Some(port) = unused.min_by_key(|c| (c.asked.get(), c.used.get())) {
+            log::debug!("client {}: closed to make room", port.id);
+            let _ = port.cut.try_send(());
+        }
+    }
+
+    /// Accepts clients, for ever. With all descriptors of clients in use, the next wait until one is free.
     pub async fn accept(
         self: Rc<Self>,
         listener: Async<std::net::TcpListener>,
         tasks: Rc<LocalExecutor<'static>>,
     ) {
         loop {
-            if self.connections.borrow().len() >= self.most_connections {
-                Timer::after(ACCEPT_AGAIN).await;
-                continue;
+            let accepted = listener.accept().await;
+            while self.connections.borrow().len() >= self.most_connections {
+                self.evict();
+                let freed = async { self.freed.1.recv().await.is_ok() };
+                let later = async { Timer::after(ACCEPT_AGAIN).await < std::time::Instant::now() };
+                future::or(freed, later).await;
             }
-            match listener.accept().await {
-                Ok((stream, _)) => tasks.spawn(self.clone().connection(stream)).detach(),
+            match accepted {
+                Ok((stream, _)) => {
+                    let (id, cuts, answers) = self.admit();
+                    tasks.spawn(self.clone().connection(stream, id, cuts, answers)).detach();
+                }
                 Err(e) => {
                     log::warn!("accept: {e}");
                     Timer::after(ACCEPT_AGAIN).await;
@@ -183,92 +224,128 @@
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: Async<TcpStream>) {
-        let _ = stream.get_ref().set_nodelay(true);
+    /// Enters a new connection.
+    fn admit(self: &Rc<Self>) -> (Rc<Connection>, Receiver<()>, Receiver<Reply>) {
         let id = self.next.get();
         self.next.set(id + 1);
-        let (out, replies) = async_channel::bounded(MOST_OPEN);
-        let (take, permits) = async_channel::bounded(MOST_OPEN);
+        let (out, answers) = async_channel::bounded(MOST_ANSWERS);
         let (cut, cuts) = async_channel::bounded(1);
         let port = Rc::new(Connection {
             id,
             out,
-            permits,
+            open: Cell::new(0),
+            asked: Cell::new(false),
+            used: Cell::new(clock::now()),
             cut,
             held: Cell::new(0),
             owed: Cell::new(0),
             front: self.clone(),
         });
         self.connections.borrow_mut().insert(id, port.clone());
+        (port, cuts, answers)
+    }
+
+    async fn connection(
+        self: Rc<Self>,
+        stream: Async<TcpStream>,
+        port: Rc<Connection>,
+        cuts: Receiver<()>,
+        answers: Receiver<Reply>,
+    ) {
+        let _ = stream.get_ref().set_nodelay(true);
+        let id = port.id;
+        // What needs no decision is answered by the reader itself, which waits while that is not taken.
+        let (own, direct) = async_channel::bounded(MOST_OPEN);
         let cut_off = async {
             let _ = cuts.recv().await;
             Ok(())
         };
-        let write = self.write(&stream, &replies, &port);
-        let ended = future::or(cut_off, future::or(self.read(&stream, take, &port), write)).await;
+        let write = self.write(&stream, &answers, &direct, &port);
+        let ended = future::or(cut_off, future::or(self.read(&stream, own, &port), write)).await;
         if let Err(e) = ended.as_ref().map_err(|e| (e.kind(), e)) {
             match e.0 {
                 io::ErrorKind::InvalidData => log::warn!("client {id}: {}; closed", e.1),
                 _ => log::debug!("client {id}: {}", e.1),
             }
         }
+        drop(stream);
         // What was not written is not owed any more.
         self.connections.borrow_mut().remove(&id);
+        let _ = self.freed.0.try_send(());
         port.out.close();
         port.owe(-(port.owed.get() as isize), -(port.held.get() as isize));
         let _ = self.director.send(Message::Left { port: id }).await;
     }
 
+    /// When a connection that says no more is closed; none while a request is open.
+    fn patience(port: &Connection, begun: Option<Micros>) -> Option<Micros> {
+        match (port.asked.get(), begun) {
+            (false, _) => Some(port.used.get() + SILENT),
+            (true, Some(begun)) => Some(begun + SILENT),
+            (true, None) => (port.open.get() == 0).then(|| port.used.get() + IDLE),
+        }
+    }
+
     async fn read(
         &self,
         stream: &Async<TcpStream>,
-        take: Sender<()>,
+        own: Sender<Reply>,
         port: &Rc<Connection>,
     ) -> io::Result<()> {
         let mut frames = Messages::new(stream, thrift::measure, CHUNK);
         loop {
-            let idle = async {
-                Timer::after(IDLE).await;
+            let begun = frames.begun();
+            let quiet = async {
+                // Looked at again after IDLE at the latest, as a request may have ended meanwhile.
+                let until = Self::patience(port, begun).unwrap_or(clock::now() + IDLE);
+                clock::at(until).await;
                 Err(io::ErrorKind::WouldBlock.into())
             };
-            let frame = match future::or(frames.next(), idle).await {
+            let frame = match future::or(frames.next(), quiet).await {
                 Ok(Some(frame)) => frame,
                 // The client has closed, also where requests are open: nobody waits for them.
                 Ok(None) => return Ok(()),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock && !take.is_empty() => continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    match Self::patience(port, frames.begun()) {
+                        Some(until) if until <= clock::now() => return Err(io::ErrorKind::TimedOut.into()),
+                        _ => continue,
+                    }
+                }
                 Err(e) => return Err(e),
             };
             let arrived = clock::now();
-            let message = thrift::decode(&frame)?;
-            let reply = match message {
+            port.asked.set(true);
+            port.used.set(arrived);
+            let reply = match thrift::decode(&frame)? {
                 thrift::Message::Forget(seq) => {
                     self.director.send(Message::Forget { port: port.id, seq }).await.map_err(closed)?;
-                    continue;
-                }
-                thrift::Message::Unknown { oneway: true, .. } => {
-                    // Nothing else here waits: a client that sends only these must not keep others out.
-                    future::yield_now().await;
-                    continue;
+                    None
                 }
+                thrift::Message::Unknown { oneway: true, .. } => None,
                 thrift::Message::Serve { seq, fields, body } => {
-                    take.send(()).await.map_err(closed)?;
                     let body = frame.slice_ref(body);
                     match self.call(&fields, body, arrived) {
+                        // Past what may be open: nothing has run, and `forget` must be read behind it.
+                        Ok(_) if port.open.get() >= MOST_ANSWERS => Some(Reply::Verdict(seq, REFUSED)),
                         Ok(call) => {
+                            port.open.set(port.open.get() + 1);
                             let request = Message::Request { port: port.clone(), seq, call };
                             self.director.send(request).await.map_err(closed)?;
+                            None
                         }
-                        Err(verdict) => port.answer(seq, verdict),
+                        Err(verdict) => Some(Reply::Verdict(seq, verdict)),
                     }
-                    continue;
                 }
-                thrift::Message::IsWell(seq) => Reply::Well(seq, self.well.get()),
+                thrift::Message::IsWell(seq) => Some(Reply::Well(seq, self.well.get())),
                 thrift::Message::Unknown { seq, name, .. } => {
-                    Reply::Unknown(seq, String::from_utf8_lossy(name).into_owned())
+                    Some(Reply::Unknown(seq, String::from_utf8_lossy(name).into_owned()))
                 }
             };
-            take.send(()).await.map_err(closed)?;
-            port.out.send(reply).await.map_err(closed)?;
+            if let Some(reply) = reply {
+                own.send(reply).await.map_err(closed)?;
+            }
+            // A client that sends at full speed must not keep others out.
+            future::yield_now().await;
         }
     }
 
@@ -319,7 +396,7 @@
         let call = read().ok_or(Verdict::Failed)?;
         match self.taken.get() > self.most_taken {
             // Guards the memory: nothing has run, so a refusal does no harm.
-            true => Err(Verdict::Refused { backoff: Some(BACKOFF_MS) }),
+            true => Err(REFUSED),
             false => Ok(call),
         }
     }
@@ -327,11 +404,13 @@
     async fn write(
         &self,
         stream: &Async<TcpStream>,
-        replies: &Receiver<Reply>,
+        answers: &Receiver<Reply>,
+        direct: &Receiver<Reply>,
         port: &Connection,
     ) -> io::Result<()> {
-        while let Ok(reply) = replies.recv().await {
-            let verdict = matches!(reply, Reply::Verdict(..));
+        let answer = async || answers.recv().await.map(|reply| (true, reply));
+        let own = async || direct.recv().await.map(|reply| (false, reply));
+        while let Ok((handed_on, reply)) = future::or(answer(), own()).await {
             let (mut head, body, tail) = encode(reply);
             let stalled = async {
                 Timer::after(STALLED).await;
@@ -349,11 +428,11 @@
                 stream.write_all(&tail).await
             };
             let written = future::or(write, stalled).await;
-            if verdict {
+            if handed_on {
                 port.owe(-1, -(body.len() as isize));
+                port.finished();
             }
             written?;
-            let _ = port.permits.try_recv();
         }
         Ok(())
     }
--- a/silverspindle/tests/actors.rs
+++ b/silverspindle/tests/actors.rs
@@ -277,9 +277,10 @@
     });
 }
 
-/// Guards against a client that opens more requests than it may: no more are read than may be open.
+/// Guards against a client that opens more requests than it may: what is too many is refused, and a `forget`
+/// behind them is read all the same.
 #[test]
-fn no_more_requests_are_read_than_may_be_open() {
+fn too_many_requests_are_refused_and_a_forget_behind_them_is_read() {
     run(async |tasks| {
         let world = World::new(tasks, 9);
         let (listener, address) = listen();
@@ -287,17 +288,20 @@
             Front::new(world.shared.catalogue.clone(), world.shared.director.clone(), 192_000_000, 64);
         tasks.spawn(front.accept(listener, tasks.clone())).detach();
         let client = Client::connect(tasks, address).await;
-        for seq in 1..=40 {
+        for seq in 1..=65 {
             client.send(&serve(seq, &page("00000000000000a1"), b"")).await;
         }
+        client.send(&forget(2)).await;
+        assert!(advice(&client.next().await.unwrap(), 65).is_some());
         let mut ports = Vec::new();
-        for _ in 0..32 {
+        for _ in 0..64 {
             let Message::Request { port, .. } = world.ends.recv().await.unwrap() else { panic!() };
             ports.push(port);
         }
-        assert!(world.ends.is_empty());
+        let Message::Forget { seq: 2, .. } = world.ends.recv().await.unwrap() else { panic!() };
         ports[0].answer(5, Verdict::Failed);
-        let Message::Request { seq, .. } = world.ends.recv().await.unwrap() else { panic!() };
-        assert_eq!(seq, 33);
+        assert_eq!(client.next().await.unwrap(), silverspindle::thrift::broken(5));
+        client.send(&serve(66, &page("00000000000000a1"), b"")).await;
+        let Message::Request { seq: 66, .. } = world.ends.recv().await.unwrap() else { panic!() };
     });
 }
--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -4,9 +4,10 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_executor::LocalExecutor;
-use async_io::Async;
+use async_io::{Async, Timer};
 use bytes::{Bytes, BytesMut};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use proptest::test_runner::{Config as Cases, RngSeed};
@@ -16,6 +17,9 @@
 use silverspindle::serve::Router;
 use silverspindle::thrift;
 
+/// Far more than any test takes.
+const HANGS: Duration = Duration::from_secs(60);
+
 pub type Stream = Rc<Async<TcpStream>>;
 pub type Tasks = Rc<LocalExecutor<'static>>;
 
@@ -40,9 +44,14 @@
     Ok(found)
 }
 
+/// Runs a test on an executor; one that hangs fails.
 pub fn run<T>(work: impl AsyncFnOnce(&Tasks) -> T) -> T {
     let tasks: Tasks = Rc::new(LocalExecutor::new());
-    async_io::block_on(tasks.run(work(&tasks)))
+    let hangs = async {
+        Timer::after(HANGS).await;
+        panic!("nothing comes any more")
+    };
+    async_io::block_on(tasks.run(futures_lite::future::or(work(&tasks), hangs)))
 }
 
 pub fn listen() -> (Async<TcpListener>, SocketAddr) {
@@ -274,10 +283,17 @@
 
 /// A router before these caches, with an origin that nobody listens for, and its coordinator's listener.
 pub fn router(tasks: &Tasks, caches: &[SocketAddr]) -> (Router, Async<TcpListener>) {
+    small_router(tasks, caches, 1024)
+}
+
+/// The same with so many descriptors.
+pub fn small_router(tasks: &Tasks, caches: &[SocketAddr], sockets: u64) -> (Router, Async<TcpListener>) {
     let (coordinator, address) = listen();
     let mut members: Vec<Value> = (1..).zip(caches).map(|(id, at)| entry(id, "box", *at)).collect();
     members.push(entry(99, "origin", address));
-    (Router::start(config(&configuration(&members, address)).unwrap(), tasks).unwrap(), coordinator)
+    let mut file = configuration(&members, address);
+    file["limits"]["sockets"] = sockets.into();
+    (Router::start(config(&file).unwrap(), tasks).unwrap(), coordinator)
 }
 
 /// Two futures to their ends.
--- a/silverspindle/tests/router.rs
+++ b/silverspindle/tests/router.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use silverspindle::front::most_clients;
 use silverspindle::thrift;
 
 const RID: &str = "9b1f03aa5c7e2d41";
@@ -334,3 +335,42 @@
         both(router.end(), talk).await;
     });
 }
+
+/// Guards against clients that hold connections and use them no more: they keep nobody out, but those with
+/// an open request stay.
+#[test]
+fn unused_connections_make_room_for_waiting_clients() {
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (router, _coordinator) = small_router(tasks, &[cache.address], 64);
+        let busy = Client::connect(tasks, router.address).await;
+        busy.send(&serve(1, &page(RID), b"")).await;
+        let (_, line) = cache.next().await;
+        let mut held = Vec::new();
+        for _ in 0..3 * most_clients(64) {
+            let client = Client::connect(tasks, router.address).await;
+            assert!(client.well(1).await);
+            held.push(client);
+        }
+        assert_eq!(held[0].next().await, None, "the longest unused is closed");
+        reply(&line, &[RID, "HIT", "-", "a"]).await;
+        assert_eq!(busy.next().await.unwrap(), served(1, b"a"));
+    });
+}
+
+/// Guards against connections that say nothing, or half of something: each is closed, however few there are.
+#[test]
+fn silence_and_half_a_message_end_a_connection() {
+    run(async |tasks| {
+        let (router, _coordinator) = router(tasks, &[]);
+        let silent = Client::connect(tasks, router.address).await;
+        let half = Client::connect(tasks, router.address).await;
+        half.send(&serve(1, &page(RID), b"")[..40]).await;
+        let later = Client::connect(tasks, router.address).await;
+        assert!(later.well(1).await);
+        later.send(&[0, 0]).await;
+        for client in [silent, half, later] {
+            assert_eq!(client.next().await, None);
+        }
+    });
+}
