SIGHUP reads the configuration anew; the list moves to the new coordinator at once

Wrong: `serve` took signals Term and Int only, so that SIGHUP killed it. Now a good file moves the list's actor to the new address from the last number; a faulty one is logged with its key and changes nothing. Read beside it: silence of the coordinator was cut at 3 s and then waited, though told counts 4 s after a stop and 2 s after a break; now cut at 2 s, the first new try comes at once. An event is booked as known only once the director has it, as a move may drop the actor in between.

--- a/silverspindle/src/coordinator.rs
+++ b/silverspindle/src/coordinator.rs
@@ -1,9 +1,10 @@
-//! The list's actor: follows the coordinator's events, from `known` on, and hands them to the director.
+//! The list's actor: follows the coordinator's events, from `known` on, and hands them to the director. It
+//! moves to another coordinator when told to; numbering continues there.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, future};
 use std::io;
@@ -12,11 +13,15 @@
 use crate::feed::{self, Event, News};
 use crate::framing::Messages;
 
-/// An empty frame comes each second: without any for so long the coordinator is cut off.
-const SILENT: Duration = Duration::from_secs(3);
-/// Waits before connecting anew, doubled up to the second.
-const AGAIN: Duration = Duration::from_millis(100);
-const AGAIN_MOST: Duration = Duration::from_secs(1);
+/// An empty frame comes each second: without any for so long the coordinator has stopped, which counts as told
+/// 4 s after, connecting anew included.
+const SILENT: Duration = Duration::from_secs(2);
+/// A connection not up by then has failed.
+const CONNECT: Duration = Duration::from_secs(1);
+/// After a break all counts as told 2 s later: the first try comes at once, further ones after these waits,
+/// doubled from try to try.
+const AGAIN: Duration = Duration::from_millis(50);
+const AGAIN_MOST: Duration = Duration::from_millis(500);
 const CHUNK: usize = 16 * 1024;
 
 /// What the actor needs.
@@ -28,11 +33,13 @@
     pub last: u64,
     /// Where events go.
     pub news: Sender<News>,
+    /// Tells where the coordinator listens from now on.
+    pub moves: Receiver<SocketAddr>,
 }
 
-async fn in_time<T>(work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+async fn within<T>(time: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
     let late = async {
-        Timer::after(SILENT).await;
+        Timer::after(time).await;
         Err(io::Error::new(io::ErrorKind::TimedOut, "silent"))
     };
     future::or(work, late).await
@@ -41,25 +48,50 @@
 impl Coordinator {
     /// Runs until the director is gone.
     pub async fn run(mut self) {
-        let mut wait = AGAIN;
+        let moves = self.moves.clone();
+        while !self.news.is_closed() {
+            // A closed channel tells no more moves, which must not end the following.
+            let moved = async {
+                match moves.recv().await {
+                    Ok(address) => address,
+                    Err(_) => future::pending().await,
+                }
+            };
+            let follow = async {
+                self.follow_on().await;
+                None
+            };
+            match future::or(async { Some(moved.await) }, follow).await {
+                Some(address) => {
+                    log::info!("coordinator {}: moves to {address}", self.address);
+                    self.address = address;
+                }
+                None => return,
+            }
+        }
+    }
+
+    /// Follows one coordinator through breaks, until the director is gone. May be dropped at any point.
+    async fn follow_on(&mut self) {
+        let mut wait = Duration::ZERO;
         while !self.news.is_closed() {
             let before = self.last;
-            let Err(e) = self.follow().await else { break };
+            let Err(e) = self.follow().await else { return };
             log::warn!("coordinator {}: {e}; connecting anew after event {}", self.address, self.last);
-            wait = if self.last > before { AGAIN } else { wait };
+            wait = if self.last > before { Duration::ZERO } else { wait };
             Timer::after(wait).await;
-            wait = (wait * 2).min(AGAIN_MOST);
+            wait = (wait * 2).clamp(AGAIN, AGAIN_MOST);
         }
     }
 
     /// One connection, to its end.
     async fn follow(&mut self) -> io::Result<()> {
-        let stream = in_time(Async::<TcpStream>::connect(self.address)).await?;
-        (&stream).write_all(&self.last.to_be_bytes()).await?;
+        let stream = within(CONNECT, Async::<TcpStream>::connect(self.address)).await?;
+        within(CONNECT, (&stream).write_all(&self.last.to_be_bytes())).await?;
         log::info!("coordinator {}: following from event {}", self.address, self.last);
         let mut frames = Messages::new(&stream, feed::measure, CHUNK);
         loop {
-            let Some(frame) = in_time(frames.next()).await? else {
+            let Some(frame) = within(SILENT, frames.next()).await? else {
                 return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "closed"));
             };
             let Event { index, news } = feed::decode(&frame)?;
@@ -70,10 +102,11 @@
             if index > self.last + 1 {
                 log::warn!("coordinator: events {} to {} are missing", self.last + 1, index - 1);
             }
-            self.last = index;
             if self.news.send(news).await.is_err() {
                 return Ok(());
             }
+            // Only now: dropped before, on a move, the event is asked for again.
+            self.last = index;
         }
     }
 }
--- a/silverspindle/src/main.rs
+++ b/silverspindle/src/main.rs
@@ -10,7 +10,7 @@
 
 usage: silverspindle COMMAND
 
-  serve         serve clients until SIGTERM
+  serve         serve clients until SIGTERM; SIGHUP reads the configuration anew
   check-config  read the configuration, say what is wrong with it, and end
   version       print the version
   help          print this
@@ -42,7 +42,7 @@
         Some("serve") => {
             let config = Config::read(&environment)?;
             logging::start(config.level);
-            serve::serve(config).map_err(|e| e.to_string())?;
+            serve::serve(config, || Config::read(&environment)).map_err(|e| e.to_string())?;
         }
         Some(other) => return Err(format!("unknown command {other:?}; see 'silverspindle help'")),
         None => return Err("no command; see 'silverspindle help'".to_owned()),
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -1,10 +1,12 @@
 //! Starts the actors and ends them: the life of a router from its configuration to its exit.
 
+use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -22,6 +24,8 @@
 const OTHER_DESCRIPTORS: usize = 24;
 /// After a signal to end, clients may still come for so long (0.4 s for connections, 0.2 s for requests).
 const LINGER: Micros = 700_000;
+/// Moves of the coordinator that may wait to be taken in.
+const MOVES: usize = 4;
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
 /// The actors of a router, started.
@@ -29,6 +33,8 @@
 pub struct Router {
     /// Where it listens.
     pub address: SocketAddr,
+    moves: Sender<SocketAddr>,
+    coordinator: Cell<SocketAddr>,
     front: Rc<Front>,
     owed: Rc<Owed>,
 }
@@ -55,12 +61,27 @@
         let (last, known) = config.known;
         known.into_iter().for_each(|event| director.news(event.news, ListKind::Cached));
         tasks.spawn(director.run(news, messages)).detach();
-        tasks.spawn(Coordinator { address: config.coordinator, last, news: tell }.run()).detach();
+        let (moves, moved) = async_channel::bounded(MOVES);
+        let coordinator = Coordinator { address: config.coordinator, last, news: tell, moves: moved };
+        tasks.spawn(coordinator.run()).detach();
         let front = Front::new(catalogue, mailbox, config.memory, config.sockets);
         tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
         front.set_well(true);
         log::info!("{} serves on {address}, list known to event {last}", config.name);
-        Ok(Self { address, front, owed })
+        Ok(Self { address, moves, coordinator: Cell::new(config.coordinator), front, owed })
+    }
+
+    /// Takes a configuration read anew: the coordinator may have moved, all else stays until a restart. A
+    /// faulty one changes nothing.
+    pub async fn reload(&self, config: Result<Config, String>) {
+        match config {
+            Ok(config) if config.coordinator != self.coordinator.get() => {
+                self.coordinator.set(config.coordinator);
+                let _ = self.moves.send(config.coordinator).await;
+            }
+            Ok(_) => log::info!("configuration read anew, coordinator as before"),
+            Err(e) => log::warn!("{e}; the old configuration is kept"),
+        }
     }
 
     /// Says that no more clients should come, serves those that still do, and returns when all is answered.
@@ -73,14 +94,20 @@
     }
 }
 
-/// Serves until a signal to end, then answers what is owed and returns.
-pub fn serve(config: Config) -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+/// Serves until a signal to end, then answers what is owed and returns. On SIGHUP the configuration is read
+/// anew.
+pub fn serve(config: Config, again: impl Fn() -> Result<Config, String>) -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let tasks = Rc::new(LocalExecutor::new());
     let router = Router::start(config, &tasks)?;
     let run = async {
-        let signal = signals.next().await;
-        log::info!("ending on {signal:?}: {} requests open", router.owed.get());
+        while let Some(Ok(signal)) = signals.next().await {
+            if signal != Signal::Hup {
+                log::info!("ending on {signal:?}: {} requests open", router.owed.get());
+                break;
+            }
+            router.reload(again()).await;
+        }
         router.end().await;
         log::info!("ended: all is answered; {} invariants broken", invariant::broken());
     };
--- a/silverspindle/tests/cli.rs
+++ b/silverspindle/tests/cli.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::process::{Command, Output, Stdio};
 
 fn run(args: &[&str], config: Option<&str>) -> Output {
@@ -67,3 +67,40 @@
     assert!(lines.any(|l| l.contains("ended: all is answered")));
     assert!(child.wait().unwrap().success());
 }
+
+/// Guards against ending on SIGHUP, and against a faulty file that undoes a good one: the coordinator that a
+/// good file names is asked, from the last number on; a faulty one is logged with its key.
+#[test]
+fn sighup_reads_the_configuration_anew() {
+    let ((_old, first), (new, second)) = (common::listen(), common::listen());
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("sighup.json");
+    let write = |text: String| std::fs::write(&path, text).unwrap();
+    let file =
+        |coordinator| common::configuration(&[common::entry(1, "box", first)], coordinator).to_string();
+    write(file(first));
+    let mut child = Command::new(env!("CARGO_BIN_EXE_silverspindle"))
+        .arg("serve")
+        .env("LB_CONFIG", &path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let signal = |name: &str| {
+        let id = child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    };
+    assert!(lines.any(|l| l.contains("n0 serves on")));
+    write(r#"{"name": "n0"}"#.to_owned());
+    signal("-HUP");
+    assert!(lines.any(|l| l.contains("configuration: listen: is missing; the old configuration is kept")));
+    write(file(second));
+    signal("-HUP");
+    let new = new.into_inner().unwrap();
+    new.set_nonblocking(false).unwrap();
+    let mut last = [0; 8];
+    new.accept().unwrap().0.read_exact(&mut last).unwrap();
+    assert_eq!(u64::from_be_bytes(last), 1);
+    signal("-TERM");
+    assert!(lines.any(|l| l.contains("ended: all is answered")));
+    assert!(child.wait().unwrap().success());
+}
