Ids come once, numbers count up, figures keep their range; an error needs a counter-proof

Caches were then set aside one after another and good requests refused at once. Excluded: CPU (0.08 s a second at most), descriptors, answers lost. Wrong: `front::call` let any id and any budget through; `choice::judge` blamed the cache for each error, and a request that nobody can use was asked of every cache in turn. Now: an id is taken once, a number must count up, figures keep their range, reads carry no body; an error counts against a member once another one answered that request well, and two errors give the request up.

--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -11,14 +11,14 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use bitternhold::settings::{Catalogue, place};
-use bitternhold::{Effect, Micros};
+use bitternhold::{AgeingFilter, Effect, Micros};
 use bytes::Bytes;
 use futures_lite::{AsyncWriteExt, future};
 
 use crate::clock;
 use crate::director::{Call, Message, Port, Taken, Verdict};
 use crate::feed::hex;
-use crate::framing::Messages;
+use crate::framing::{Malformed, Messages};
 use crate::{invariant, thrift};
 
 /// Requests that may be open on one connection.
@@ -43,9 +43,14 @@
 const MOST_ANSWERS: usize = 2 * MOST_OPEN;
 /// Advice to a client that is refused before the module sees it.
 const REFUSED: Verdict = Verdict::Refused { backoff: Some(200) };
-/// Longest budget that is believed, and longest text passed on.
-const MOST_BUDGET: Micros = 600_000_000;
+/// Longest text passed on, and the highest part of an object that is believed.
 const MOST_TEXT: usize = 128;
+const MOST_PART: u64 = u16::MAX as u64;
+/// A budget over this multiple of the class's deadline is no figure of a client's.
+const OVER_DEADLINE: u64 = 2;
+/// Ids of requests that are remembered: each may come once.
+const RIDS: usize = 8192;
+const RIDS_QUIET: Micros = 30_000_000;
 
 /// What the writer has to write.
 #[derive(Debug)]
@@ -133,6 +138,8 @@
     most_taken: usize,
     most_connections: usize,
     connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
+    /// Ids of requests that came lately.
+    rids: RefCell<AgeingFilter>,
     /// A connection ended.
     freed: (Sender<()>, Receiver<()>),
     next: Cell<u64>,
@@ -158,6 +165,7 @@
             most_taken: memory / 8,
             most_connections: most_clients(sockets),
             connections: RefCell::default(),
+            rids: RefCell::new(AgeingFilter::new(RIDS, RIDS_QUIET)),
             freed: async_channel::bounded(1),
             next: Cell::new(0),
         })
@@ -293,6 +301,7 @@
         port: &Rc<Connection>,
     ) -> io::Result<()> {
         let mut frames = Messages::new(stream, thrift::measure, CHUNK);
+        let mut last_seq = 0;
         loop {
             let begun = frames.begun();
             let quiet = async {
@@ -322,7 +331,12 @@
                     None
                 }
                 thrift::Message::Unknown { oneway: true, .. } => None,
+                thrift::Message::Serve { seq, .. } if seq <= last_seq => {
+                    // Two answers under one number could not be told apart.
+                    return Err(Malformed("a number that does not count up").into());
+                }
                 thrift::Message::Serve { seq, fields, body } => {
+                    last_seq = seq;
                     let body = frame.slice_ref(body);
                     match self.call(&fields, body, arrived) {
                         // Past what may be open: nothing has run, and `forget` must be read behind it.
@@ -366,15 +380,28 @@
             None => Some(None),
         };
         let number = |text: &str| text.parse().ok().filter(|x: &f64| x.is_finite() && *x >= 0.0);
+        // Digits alone: what is passed on must be what the client wrote.
+        let whole = |name: &str, most: u64| match given(name)? {
+            Some(text) if text.bytes().all(|b| b.is_ascii_digit()) => {
+                text.parse().ok().filter(|n: &u64| *n <= most)
+            }
+            Some(_) => None,
+            None => Some(0),
+        };
         let named = |name: &str| given(name)?.filter(|t| hex(t).is_some()).map(str::to_owned);
         let read = || {
             let class = place(&self.catalogue.classes, given("method")?);
-            let keyed = self.catalogue.settings.classes.get(class)?.effect == Effect::Deduplicated;
+            let terms = self.catalogue.settings.classes.get(class)?;
             let token = passed("token")?;
-            if keyed && token.is_none() || body.len() > thrift::MOST_WRITE {
+            if (terms.effect == Effect::Deduplicated && token.is_none())
+                || body.len() > if terms.write { thrift::MOST_WRITE } else { 0 }
+            {
                 return None;
             }
             let budget = (number(given("budget")??)? * 1000.0) as Micros;
+            if budget > OVER_DEADLINE.saturating_mul(terms.deadline) {
+                return None;
+            }
             let size_kb = match given("mem")? {
                 Some(text) => Some(number(text)?).filter(|kb| *kb > 0.0),
                 None => None,
@@ -383,17 +410,22 @@
                 rid: named("rid")?,
                 class,
                 object: named("obj")?,
-                part: given("block")?.unwrap_or("0").parse().ok()?,
-                group: given("family")?.unwrap_or("0").parse().ok().filter(|g| *g < 256)?,
+                part: whole("block", MOST_PART)?,
+                group: whole("family", 255)?,
                 size_kb,
                 token,
                 cached: passed("cached")?,
-                deadline: arrived + budget.min(MOST_BUDGET),
+                deadline: arrived + budget,
                 taken: Taken::new(&self.taken, body.len()),
                 body: body.clone(),
             })
         };
         let call = read().ok_or(Verdict::Failed)?;
+        // An id is new with every request. Guards against answers that can't be told apart, and against floods
+        // of one request: only the first goes on.
+        if hex(&call.rid).is_none_or(|rid| self.rids.borrow_mut().seen(arrived, rid)) {
+            return Err(Verdict::Failed);
+        }
         match self.taken.get() > self.most_taken {
             // Guards the memory: nothing has run, so a refusal does no harm.
             true => Err(REFUSED),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -194,8 +194,9 @@
     attempts: Vec<Attempt>,
     answered: bool,
     look: Look,
-    /// Members at fault for this request.
+    /// Members at fault for this request; of them, those that answered it with an error of their own.
     bad: Vec<MemberId>,
+    erred: Vec<MemberId>,
 }
 
 /// Decides for one director.
@@ -428,7 +429,6 @@
             (_, Some(Note::OriginFailed | Note::SourceLacks | Note::FillsFull)) => {}
             (Status::ConnectFailed, _) => self.fault(now, member, HARD, out),
             (Status::Reset | Status::Timeout, _) => self.fault(now, member, SOFT, out),
-            (Status::Error, _) if told => self.fault(now, member, SOFT, out),
             (Status::Error | Status::Full, _) if !told && source != member => {
                 self.fault(now, source, SOFT, out);
             }
@@ -471,8 +471,8 @@
             *mean += LEARN * (work - *mean);
         }
         let id = request.id;
-        let (attempts, bad, look) = (Vec::new(), Vec::new(), Look::default());
-        self.open.insert(id, Open { request, key, keep, attempts, answered: false, look, bad });
+        let (attempts, bad, erred, look) = (Vec::new(), Vec::new(), Vec::new(), Look::default());
+        self.open.insert(id, Open { request, key, keep, attempts, answered: false, look, bad, erred });
         self.step(now, id, out);
     }
 
@@ -724,6 +724,16 @@
         }
         let late = o.elapsed > self.aim(&open.request);
         self.judge(now, attempt, &o, late, out);
+        // Guards against blaming members for requests that nobody can use: an error counts once another
+        // member has answered the request well, and where two erred it is given up. Harm: an ill member among
+        // ill ones is told late.
+        if o.status == Status::Ok {
+            let erred = std::mem::take(&mut open.erred);
+            erred.into_iter().filter(|m| *m != o.member).for_each(|m| self.fault(now, m, SOFT, out));
+        } else if o.status == Status::Error && o.note.is_none() && self.settings.tells == Tells::All {
+            open.erred.push(o.member);
+        }
+        let attempt = &open.attempts[o.attempt as usize];
         // Where notes don't tell, a refusal or an error speaks against the source first: it is the one that
         // differs from object to object; the cache follows if it comes again.
         let untold = self.settings.tells != Tells::All && matches!(o.status, Status::Full | Status::Error);
@@ -740,6 +750,9 @@
         }
         open.answered |= o.closed;
         let running = open.attempts.iter().any(|a| !a.ended);
+        if !open.answered && !running && open.erred.len() > 1 {
+            self.give_up(&mut open, out);
+        }
         let (id, answered) = (o.id, open.answered);
         if !answered || running {
             self.open.insert(id, open);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -269,6 +269,33 @@
     assert!((0..80).filter(|_| try_once(&mut w, false)).count() > 5);
 }
 
+/// Guards against setting caches aside for requests that nobody can use: they are given up after two errors
+/// and speak against nobody. An error that another cache can answer does.
+#[test]
+fn an_error_counts_only_where_another_member_answers_well() {
+    let answer = |w: &mut World, id: u128, sick: Option<MemberId>| {
+        let mut s = sent(&w.ask(id, &format!("o{id}")));
+        let mut set_aside = false;
+        for n in 0..3 {
+            let errs = sick.is_none_or(|sick| sick == s.member);
+            let out = w.end(id, n, s.member, if errs { Status::Error } else { Status::Ok });
+            set_aside |= out.iter().any(|a| matches!(a, Action::Log(_)));
+            match sends(&out)[..] {
+                [next] => s = next,
+                _ => return (n + 1, refused(&out), set_aside),
+            }
+        }
+        panic!("goes on after two errors");
+    };
+    let mut w = World::new(settings());
+    for id in 0..100 {
+        assert!(!answer(&mut w, id, None).2);
+        assert_eq!(answer(&mut w, 1000 + id, Some(MemberId(99))), (1, false, false));
+    }
+    assert_eq!(answer(&mut w, 5000, None), (2, true, false));
+    assert!((2000..2100).any(|id| answer(&mut w, id, Some(MemberId(1))).2), "an ill one is told");
+}
+
 /// Incident i366bc3: parents that all refused were set aside together, and the origin got their fills.
 #[test]
 fn parents_that_all_fail_alike_are_not_passed_over_for_the_origin() {
