Attempts spread over connections; stalled and nameless answers end theirs early

Whole answers come in within 0.12 ms of their first byte, so one that stops half way is told soon; it held its connection and all on it to their deadlines. HITs of reads always have `version` and `stamp`, those of writes never. Excluded: memory, CPU, time lost in the router. Wrong: `Peer::line_for` filled one connection before the next; `Messages::next` waited for ever on half a message; `resp::decode` took a HIT without its name. Now: what is out together has connections of its own while a third of the peers' descriptors is left, idle ones first; half an answer stalled for 0.3 s (half an event: 0.5 s) ends its connection; a read's HIT or VALID without name is a spoilt one; silence is judged over all connections of a peer.

--- a/silverspindle/src/coordinator.rs
+++ b/silverspindle/src/coordinator.rs
@@ -16,6 +16,8 @@
 /// An empty frame comes each second: without any for so long the coordinator has stopped, which counts as told
 /// 4 s after, connecting anew included.
 const SILENT: Duration = Duration::from_secs(2);
+/// Half an event without the rest for so long is a stop, too.
+const STALL: Duration = Duration::from_millis(500);
 /// A connection not up by then has failed.
 const CONNECT: Duration = Duration::from_secs(1);
 /// After a break all counts as told 2 s later: the first try comes at once, further ones after these waits,
@@ -89,7 +91,7 @@
         let stream = within(CONNECT, Async::<TcpStream>::connect(self.address)).await?;
         within(CONNECT, (&stream).write_all(&self.last.to_be_bytes())).await?;
         log::info!("coordinator {}: following from event {}", self.address, self.last);
-        let mut frames = Messages::new(&stream, feed::measure, CHUNK);
+        let mut frames = Messages::new(&stream, feed::measure, CHUNK).or_stall(STALL);
         loop {
             let Some(frame) = within(SILENT, frames.next()).await? else {
                 return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "closed"));
--- a/silverspindle/src/framing.rs
+++ b/silverspindle/src/framing.rs
@@ -3,10 +3,12 @@
 
 use std::fmt;
 use std::io;
+use std::time::Duration;
 
+use async_io::Timer;
 use bitternhold::Micros;
 use bytes::{Bytes, BytesMut};
-use futures_lite::{AsyncRead, AsyncReadExt};
+use futures_lite::{AsyncRead, AsyncReadExt, future};
 
 use crate::clock;
 
@@ -45,12 +47,19 @@
     begun: Option<Micros>,
     measure: Measure,
     chunk: usize,
+    /// A message that has begun and then stays away for so long ends the stream.
+    stall: Option<Duration>,
 }
 
 impl<R: AsyncRead + Unpin> Messages<R> {
     /// Reads at most `chunk` bytes at a time, so that an idle connection holds no more.
     pub fn new(stream: R, measure: Measure, chunk: usize) -> Self {
-        Self { stream, buffer: BytesMut::new(), filled: 0, begun: None, measure, chunk }
+        Self { stream, buffer: BytesMut::new(), filled: 0, begun: None, measure, chunk, stall: None }
+    }
+
+    /// With an error where a message that has begun gets no further for so long.
+    pub fn or_stall(self, stall: Duration) -> Self {
+        Self { stall: Some(stall), ..self }
     }
 
     /// When a message that is not whole yet began to come; none if none did.
@@ -68,7 +77,15 @@
                 return Ok(Some(message));
             }
             self.buffer.resize(self.filled + self.chunk, 0);
-            match self.stream.read(&mut self.buffer[self.filled..]).await? {
+            let stall = self.stall.filter(|_| self.filled > 0);
+            let late = async {
+                match stall {
+                    Some(stall) => Timer::after(stall).await,
+                    None => Timer::never().await,
+                };
+                Err(io::Error::new(io::ErrorKind::TimedOut, "half a message, then nothing"))
+            };
+            match future::or(self.stream.read(&mut self.buffer[self.filled..]), late).await? {
                 0 => return Ok(None),
                 read => {
                     self.filled += read;
--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -30,6 +30,9 @@
 const CROSSING: Micros = 10_000_000;
 /// Read at a time.
 const CHUNK: usize = 32 * 1024;
+/// An answer that has begun comes whole in a few milliseconds; one that gets no further for so long is cut
+/// off, and its connection is of no more use.
+const STALL: Duration = Duration::from_millis(300);
 /// How often idle connections are looked for.
 const SWEEP: Micros = 1_000_000;
 
@@ -83,16 +86,24 @@
 
 /// Descriptors that peers' connections may take.
 #[derive(Debug)]
-pub struct Descriptors(Cell<usize>);
+pub struct Descriptors {
+    all: usize,
+    left: Cell<usize>,
+}
 
 impl Descriptors {
     /// So many.
     pub fn new(n: usize) -> Rc<Self> {
-        Rc::new(Self(Cell::new(n)))
+        Rc::new(Self { all: n, left: Cell::new(n) })
+    }
+
+    /// There are enough for connections that could be done without.
+    fn are_plenty(&self) -> bool {
+        self.left.get() > self.all / 3
     }
 
     fn take(self: &Rc<Self>) -> Option<Descriptor> {
-        self.0.set(self.0.get().checked_sub(1)?);
+        self.left.set(self.left.get().checked_sub(1)?);
         Some(Descriptor(self.clone()))
     }
 }
@@ -103,7 +114,7 @@
 
 impl Drop for Descriptor {
     fn drop(&mut self) {
-        self.0.0.set(self.0.0.get() + 1);
+        self.0.left.set(self.0.left.get() + 1);
     }
 }
 
@@ -243,8 +254,7 @@
     /// Given-up ids: an answer may still come, so they are not used again here for a while.
     crossing: HashMap<Bytes, Micros>,
     last_used: Micros,
-    heard: Micros,
-    /// An attempt timed out with nothing heard since it was given to the connection.
+    /// An attempt timed out with nothing heard from the peer since it was given to a connection.
     silent: bool,
     /// It gets nothing new and is closed when what it has is done.
     closing: bool,
@@ -285,6 +295,8 @@
     lines: BTreeMap<u64, Line>,
     next_line: u64,
     next_probe: u64,
+    /// When anything was last heard, by any connection.
+    heard: Micros,
     retired: bool,
 }
 
@@ -301,6 +313,7 @@
             lines: BTreeMap::new(),
             next_line: 0,
             next_probe: 0,
+            heard: 0,
             retired: false,
         };
         shared.tasks.spawn(peer.run()).detach();
@@ -371,8 +384,9 @@
         let _ = self.shared.director.send(Message::Ended(end)).await;
     }
 
-    /// A connection that can take this id: one that is up and has room, else one that comes up, else a new
-    /// one. An id stands once on a connection at most, as its answers can't be told apart.
+    /// A connection that can take this id: an idle one, else a new one while descriptors are plenty, else the
+    /// least used. Guards against one spoilt answer or reset that ends all that shares its connection. An id
+    /// stands once on a connection at most, as its answers can't be told apart.
     fn line_for(&mut self, id: &[u8]) -> Option<u64> {
         let streams = self.shared.catalogue.streams_per_conn;
         let takes = |l: &Line| {
@@ -384,13 +398,18 @@
                 && l.crossing.len() < MOST_CROSSING
                 && l.commands.len() < MOST_WAITING - 1
         };
-        let found = self.lines.iter().filter(|(_, l)| takes(l)).max_by_key(|(n, l)| (l.up, u64::MAX - **n));
-        if let Some((n, _)) = found {
-            return Some(*n);
+        let able = self.lines.iter().filter(|(_, l)| takes(l));
+        let found = able.min_by_key(|(n, l)| (l.streams.len(), !l.up, **n));
+        let found = found.map(|(n, l)| (*n, l.streams.is_empty()));
+        match found {
+            Some((n, idle)) if idle || !self.shared.descriptors.are_plenty() => return Some(n),
+            _ => {}
         }
         let Some(descriptor) = self.shared.descriptors.take() else {
-            log::warn!("peer s-{:08x}: no descriptor left for another connection", self.id.0);
-            return None;
+            if found.is_none() {
+                log::warn!("peer s-{:08x}: no descriptor left for another connection", self.id.0);
+            }
+            return found.map(|(n, _)| n);
         };
         let (commands, waiting) = async_channel::bounded(MOST_WAITING);
         let (alive, ended) = async_channel::bounded(1);
@@ -403,7 +422,6 @@
             streams: HashMap::new(),
             crossing: HashMap::new(),
             last_used: now,
-            heard: now,
             silent: false,
             closing: false,
             _descriptor: descriptor,
@@ -457,28 +475,35 @@
 
     fn give_up(&mut self, attempt: &Rc<Attempt>, timed_out: bool) {
         let id = attempt.call.rid.as_bytes();
-        let now = clock::now();
-        for line in self.lines.values_mut() {
-            let Some(Stream::Attempt(out, since)) = line.streams.get(id) else { continue };
-            if out.ticket != attempt.ticket {
-                continue;
-            }
-            // Guards against a machine that is cut off: its connections stay open and say nothing. New work
-            // goes over a new connection, whose failure to come up proves more than silence.
-            line.silent |= timed_out && line.heard <= *since;
-            line.streams.remove(id);
-            if attempt.written.get() {
-                let _ = line.commands.try_send(Command::Plain(resp::command(&[b"never_mind", id])));
-                line.crossing.insert(Bytes::copy_from_slice(id), now);
-            }
+        let own = |s: Option<&Stream>| match s {
+            Some(Stream::Attempt(out, since)) if out.ticket == attempt.ticket => Some(*since),
+            _ => None,
+        };
+        let Some((line, since)) = self
+            .lines
+            .values_mut()
+            .find_map(|l| Some((own(l.streams.get(id))?, l)))
+            .map(|(since, line)| (line, since))
+        else {
             return;
+        };
+        line.streams.remove(id);
+        if attempt.written.get() {
+            let _ = line.commands.try_send(Command::Plain(resp::command(&[b"never_mind", id])));
+            line.crossing.insert(Bytes::copy_from_slice(id), clock::now());
+        }
+        // Guards against a machine that is cut off: its connections stay open and say nothing. New work
+        // goes over a new connection, whose failure to come up proves more than silence.
+        if timed_out && self.heard <= since {
+            self.lines.values_mut().for_each(|line| line.silent = true);
         }
     }
 
     async fn answer(&mut self, number: u64, frame: Bytes) {
         let Some(line) = self.lines.get_mut(&number) else { return };
         let now = clock::now();
-        (line.last_used, line.heard, line.silent) = (now, now, false);
+        (line.last_used, line.silent) = (now, false);
+        self.heard = now;
         let answer = match resp::decode(&frame) {
             Ok(answer) => answer,
             Err(e) => return self.down(number, &e.into()).await,
@@ -494,10 +519,13 @@
                 self.probed(answer.word.status(), elapsed, answer.load).await;
             }
             Stream::Attempt(attempt, _) => {
+                // A write's answer is no copy and has no name.
+                let classes = &self.shared.catalogue.settings.classes;
+                let whole = answer.named || classes.get(attempt.call.class).is_some_and(|c| c.write);
                 let body = match answer.word {
-                    Word::Hit => Some(frame.slice_ref(answer.body)),
-                    Word::Valid if attempt.call.cached.is_some() => None,
-                    Word::Valid | Word::Pong | Word::Sick => {
+                    Word::Hit if whole => Some(frame.slice_ref(answer.body)),
+                    Word::Valid if whole && attempt.call.cached.is_some() => None,
+                    Word::Hit | Word::Valid | Word::Pong | Word::Sick => {
                         self.end(End::bare(attempt.ticket, Status::Reset)).await;
                         let e = io::Error::new(io::ErrorKind::InvalidData, "an answer that fits no request");
                         return self.down(number, &e).await;
@@ -574,7 +602,7 @@
         let _ = stream.get_ref().set_nodelay(true);
         self.actor.send(Order::Up(self.line)).await.map_err(gone)?;
         let read = async {
-            let mut answers = Messages::new(&stream, resp::measure, CHUNK);
+            let mut answers = Messages::new(&stream, resp::measure, CHUNK).or_stall(STALL);
             while let Some(frame) = answers.next().await? {
                 self.actor.send(Order::Answer(self.line, frame)).await.map_err(gone)?;
             }
--- a/silverspindle/tests/actors.rs
+++ b/silverspindle/tests/actors.rs
@@ -9,6 +9,7 @@
 use bitternhold::{FillMode, Keep, MemberId, Status};
 use bytes::Bytes;
 use common::*;
+use futures_lite::AsyncWriteExt;
 use silverspindle::clock;
 use silverspindle::director::{Call, Message, Taken, Verdict};
 use silverspindle::feed::Purged;
@@ -144,12 +145,35 @@
         let ports: std::collections::BTreeSet<u16> = [&one, &two, &three].iter().map(|s| port(s)).collect();
         assert_eq!(ports.len(), 3);
         // An answer that crossed with its giving up ends nobody else's attempt.
-        reply(&one, &["00000000000000a1", "HIT", "-", "old"]).await;
+        reply(&one, &["00000000000000a1", "HIT", NAMED, "old"]).await;
         reply(&two, &["00000000000000a1", "SHED", "-", ""]).await;
         assert_eq!(world.end().await, (2, Status::Full));
     });
 }
 
+/// Guards against one spoilt answer that ends all that is out: while descriptors are plenty, what is out at a
+/// time has connections of its own, and idle ones are used again.
+#[test]
+fn what_is_out_together_is_spread_over_connections() {
+    run(async |tasks| {
+        let world = World::new(tasks, 9);
+        let peer = world.peer();
+        let mut lines = Vec::new();
+        for ticket in 1..=3 {
+            peer.send(Order::Send(world.attempt(ticket, &format!("{ticket:016x}")))).await.unwrap();
+            lines.push(world.cache.next().await.1);
+        }
+        (&*lines[1]).write_all(b"noise\r\n").await.unwrap();
+        assert_eq!(world.end().await, (2, Status::Reset));
+        reply(&lines[0], &[&format!("{:016x}", 1), "NONE", "-", ""]).await;
+        assert_eq!(world.end().await, (1, Status::Miss));
+        peer.send(Order::Send(world.attempt(4, &format!("{:016x}", 4)))).await.unwrap();
+        assert_eq!(port(&world.cache.next().await.1), port(&lines[0]));
+        reply(&lines[2], &[&format!("{:016x}", 3), "NONE", "-", ""]).await;
+        assert_eq!(world.end().await, (3, Status::Miss));
+    });
+}
+
 #[test]
 fn a_connection_carries_so_many_streams_and_descriptors_are_kept() {
     run(async |tasks| {
@@ -166,7 +190,7 @@
     });
 }
 
-/// Guards against a machine that is cut off: its connection stays open and silent, so new work takes a new
+/// Guards against a machine that is cut off: its connections stay open and silent, so new work takes a new
 /// one, whose failure to come up proves that nothing ran.
 #[test]
 fn after_silence_work_takes_a_new_connection() {
@@ -176,12 +200,18 @@
         let first = world.attempt(1, "00000000000000a1");
         peer.send(Order::Send(first.clone())).await.unwrap();
         let (_, one) = world.cache.next().await;
+        let other = world.attempt(9, "00000000000000a9");
+        peer.send(Order::Send(other.clone())).await.unwrap();
+        let (_, idle) = world.cache.next().await;
+        other.dropped.set(true);
+        peer.send(Order::GiveUp(other, false)).await.unwrap();
+        assert_eq!(world.cache.next().await.0[0], "never_mind");
         first.dropped.set(true);
         peer.send(Order::GiveUp(first, true)).await.unwrap();
         assert_eq!(world.cache.next().await.0[0], "never_mind");
         peer.send(Order::Send(world.attempt(2, "00000000000000a2"))).await.unwrap();
         let (_, two) = world.cache.next().await;
-        assert_ne!(port(&one), port(&two));
+        assert!(![port(&one), port(&idle)].contains(&port(&two)));
     });
 }
 
@@ -224,7 +254,7 @@
         ] {
             peer.send(Order::Send(world.attempt(5, "00000000000000a1"))).await.unwrap();
             let (_, line) = world.cache.next().await;
-            reply(&line, &["00000000000000a1", word, "why=dropped", ""]).await;
+            reply(&line, &["00000000000000a1", word, &format!("why=dropped,{NAMED}"), ""]).await;
             assert_eq!(world.end().await, (5, status), "{word}");
         }
     });
--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -91,6 +91,9 @@
     Config::parse(&file.to_string(), &|_| None)
 }
 
+/// The fields of a copy: its tag and when the origin gave it out.
+pub const NAMED: &str = "version=4be0c1927d55a6f3,stamp=1764576000123,why=warm";
+
 /// A command as a cache reads it: its strings.
 pub type Command = Vec<String>;
 
--- a/silverspindle/tests/router.rs
+++ b/silverspindle/tests/router.rs
@@ -35,14 +35,14 @@
         }
         assert!((1..=20_000).contains(&field(&want, "ttl").unwrap().parse::<u64>().unwrap()));
         let body = "x".repeat(240_000);
-        reply(&line, &[RID, "HIT", "version=aa,why=warm", &body]).await;
+        reply(&line, &[RID, "HIT", NAMED, &body]).await;
         assert_eq!(client.next().await.unwrap(), served(2, body.as_bytes()));
 
         // The client's copy is the one: an empty body, and `keep`.
         fields[1].1 = OTHER;
         client.send(&serve(3, &fields, b"")).await;
         let (_, line) = cache.next().await;
-        reply(&line, &[OTHER, "VALID", "version=aa,why=warm", ""]).await;
+        reply(&line, &[OTHER, "VALID", NAMED, ""]).await;
         let holds = thrift::answer("serve", 3, 0, &[("keep", "1")], true).concat();
         assert_eq!(client.next().await.unwrap(), holds);
     });
@@ -61,7 +61,7 @@
         let (want, line) = cache.next().await;
         assert_eq!((want[3].as_str(), field(&want, "retain")), ("scanned", None));
         assert_eq!(field(&want, "dedupe"), Some("5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
-        reply(&line, &[RID, "HIT", "-", "done"]).await;
+        reply(&line, &[RID, "HIT", "why=deep_fill", "done"]).await;
         assert_eq!(client.next().await.unwrap(), served(1, b"done"));
     });
 }
@@ -74,11 +74,11 @@
         let client = Client::connect(tasks, router.address).await;
         client.send(&[serve(1, &page(RID), b""), serve(2, &page(OTHER), b"")].concat()).await;
         let (first, line) = cache.next().await;
-        let (second, _) = cache.next().await;
+        let (second, other) = cache.next().await;
         assert_eq!((first[1].as_str(), second[1].as_str()), (RID, OTHER));
-        reply(&line, &[OTHER, "HIT", "why=fill", "b"]).await;
+        reply(&other, &[OTHER, "HIT", NAMED, "b"]).await;
         assert_eq!(client.next().await.unwrap(), served(2, b"b"));
-        reply(&line, &[RID, "HIT", "why=fill", "a"]).await;
+        reply(&line, &[RID, "HIT", NAMED, "a"]).await;
         assert_eq!(client.next().await.unwrap(), served(1, b"a"));
     });
 }
@@ -137,7 +137,7 @@
         }
         good.send(&call(1, "dance", 2, &[0])).await;
         assert_eq!(good.next().await.unwrap(), thrift::unknown_method("dance", 2));
-        reply(&line, &[RID, "HIT", "-", "a"]).await;
+        reply(&line, &[RID, "HIT", NAMED, "a"]).await;
         assert_eq!(good.next().await.unwrap(), served(1, b"a"));
     });
 }
@@ -154,11 +154,11 @@
         client.send(&forget(1)).await;
         // Answered behind it, so that the director has read it before the cache answers.
         assert!(client.well(2).await);
-        reply(&line, &[RID, "HIT", "-", "late"]).await;
+        reply(&line, &[RID, "HIT", NAMED, "late"]).await;
         client.send(&serve(3, &page(OTHER), b"")).await;
         let (want, line) = cache.next().await;
         assert_eq!(want[1], OTHER);
-        reply(&line, &[OTHER, "HIT", "-", "b"]).await;
+        reply(&line, &[OTHER, "HIT", NAMED, "b"]).await;
         assert_eq!(client.next().await.unwrap(), served(3, b"b"));
     });
 }
@@ -178,7 +178,7 @@
         other.send(&serve(1, &page(OTHER), b"")).await;
         let (want, line) = cache.next().await;
         assert_eq!(want[1], OTHER);
-        reply(&line, &[OTHER, "HIT", "-", "b"]).await;
+        reply(&line, &[OTHER, "HIT", NAMED, "b"]).await;
         assert_eq!(other.next().await.unwrap(), served(1, b"b"));
     });
 }
@@ -190,13 +190,22 @@
     for nonsense in [
         Some("*1\r\n$3\r\nwat\r\n"),
         Some("*4\r\n$16\r\n9b1f03aa5c7e2d41\r\n$5\r\nVALID\r\n$1\r\n-\r\n$0\r\n\r\n"),
+        // No tag and no time; too short for its bytes; cut off, with the connection left open; 3 GB.
+        Some("*4\r\n$16\r\n9b1f03aa5c7e2d41\r\n$3\r\nHIT\r\n$8\r\nwhy=warm\r\n$1\r\nx\r\n"),
+        Some("*4\r\n$16\r\n9b1f03aa5c7e2d41\r\n$3\r\nHIT\r\n$18\r\nversion=aa,stamp=1\r\n$1\r\nxy\r\n"),
+        Some("*4\r\n$16\r\n9b1f03aa5c7e2d41\r\n$3\r\nHIT\r\n$18\r\nversion=aa,stamp=1\r\n$9\r\nxy"),
+        Some("*4\r\n$16\r\n9b1f03aa5c7e2d41\r\n$3\r\nHIT\r\n$18\r\nversion=aa,stamp=1\r\n$3000000000\r\nx"),
         None,
     ] {
         run(async |tasks| {
             let (one, two) = (Cache::start(tasks), Cache::start(tasks));
             let (router, _coordinator) = router(tasks, &[one.address, two.address]);
             let client = Client::connect(tasks, router.address).await;
-            client.send(&serve(1, &page(RID), b"")).await;
+            let mut patient = page(RID);
+            // The first attempt is far from overdue when its answer stalls.
+            patient.retain(|(name, _)| *name != "mem");
+            patient.push(("mem", "50000"));
+            client.send(&serve(1, &patient, b"")).await;
             let next = || futures_lite::future::or(one.next(), two.next());
             let (_, line) = next().await;
             match nonsense {
@@ -205,7 +214,7 @@
             }
             let (again, line) = next().await;
             assert_eq!(again[1], RID);
-            reply(&line, &[RID, "HIT", "-", "a"]).await;
+            reply(&line, &[RID, "HIT", NAMED, "a"]).await;
             assert_eq!(client.next().await.unwrap(), served(1, b"a"));
         });
     }
@@ -228,7 +237,7 @@
             (fields[1].1, fields[3].1) = (&object, &object);
             client.send(&serve(seq, &fields, b"")).await;
             let (_, line) = cache.next().await;
-            reply(&line, &[&object, "HIT", "-", "a"]).await;
+            reply(&line, &[&object, "HIT", NAMED, "a"]).await;
             assert_eq!(client.next().await.unwrap(), served(seq, b"a"));
         }
     });
@@ -300,7 +309,7 @@
             let answer = async { client.next().await.map(|a| advice(&a, seq).is_some()) };
             let served = async {
                 let (_, line) = two.next().await;
-                reply(&line, &[&rid, "HIT", "-", "a"]).await;
+                reply(&line, &[&rid, "HIT", NAMED, "a"]).await;
                 client.next().await.map(|a| advice(&a, seq).is_some())
             };
             if futures_lite::future::or(answer, served).await.unwrap() {
@@ -337,9 +346,9 @@
             late.send(&serve(2, &page(OTHER), b"")).await;
             let (want, line) = cache.next().await;
             assert_eq!(want[1], OTHER);
-            reply(&line, &[OTHER, "HIT", "-", "b"]).await;
+            reply(&line, &[OTHER, "HIT", NAMED, "b"]).await;
             assert_eq!(late.next().await.unwrap(), served(2, b"b"));
-            reply(&first, &[RID, "HIT", "-", "a"]).await;
+            reply(&first, &[RID, "HIT", NAMED, "a"]).await;
             assert_eq!(client.next().await.unwrap(), served(1, b"a"));
         };
         both(router.end(), talk).await;
@@ -363,7 +372,7 @@
             held.push(client);
         }
         assert_eq!(held[0].next().await, None, "the longest unused is closed");
-        reply(&line, &[RID, "HIT", "-", "a"]).await;
+        reply(&line, &[RID, "HIT", NAMED, "a"]).await;
         assert_eq!(busy.next().await.unwrap(), served(1, b"a"));
     });
 }
@@ -403,7 +412,7 @@
         bad.send(&serve(7, &page(OTHER), b"")).await;
         assert_eq!(bad.next().await, None);
         assert!(cache.nothing_came());
-        reply(&line, &[RID, "HIT", "-", "a"]).await;
+        reply(&line, &[RID, "HIT", NAMED, "a"]).await;
         assert_eq!(good.next().await.unwrap(), served(1, b"a"));
     });
 }
