Copies of the router's own: what caches were not seen to hold lately comes from memory

Answers of reads are now kept in an eighth of the memory (12 MB at most), least used last out; purges drop them at once and keep later old answers out. The module decides: a fresh copy goes before the caches while its way over the router's link takes no more than half the aim beyond its own sending time (0.05 where a cache answered with it within 5 s), and rather than refuse an ageing one is served.

--- a/silverspindle/src/config.rs
+++ b/silverspindle/src/config.rs
@@ -31,6 +31,10 @@
     pub sockets: usize,
     /// Bytes of memory that it may take.
     pub memory: usize,
+    /// Bytes a second of one transfer of the router's own copies, and of all; 0: it serves none.
+    pub flow: f64,
+    /// See `flow`.
+    pub link: f64,
     /// The settings.
     pub catalogue: Catalogue,
     /// The number of the last event in `known`, and the events.
@@ -61,6 +65,16 @@
     }
 }
 
+fn rate(file: &Value, key: &str) -> Result<f64, String> {
+    match &file[key] {
+        Value::Null => Ok(0.0),
+        v => match v.as_f64().filter(|x| *x >= 0.0) {
+            Some(x) => Ok(x),
+            None => fault(key, "must be a number of at least 0"),
+        },
+    }
+}
+
 impl Config {
     /// Reads the environment and the file that it names.
     pub fn read(environment: Environment) -> Result<Self, String> {
@@ -132,6 +146,8 @@
             coordinator: address("coordinator", file["coordinator"].as_str())?,
             sockets: limit(&file, "sockets", SOCKETS as f64, LEAST_SOCKETS as f64)? as usize,
             memory: (limit(&file, "memory_mb", MEMORY_MB, LEAST_MEMORY_MB)? * 1e6) as usize,
+            flow: rate(&file, "flow_bytes_per_s")?,
+            link: rate(&file, "link_bytes_per_s")?,
             catalogue,
             known,
             level,
--- /dev/null
+++ b/silverspindle/src/copies.rs
@@ -0,0 +1,146 @@
+//! Copies of the router's own: answers of caches that are kept in memory, as far as purges, ages and memory
+//! allow, and the time that their bytes take on the router's link. What is served from here the module
+//! decides.
+
+use std::collections::BTreeMap;
+
+use bitternhold::Micros;
+use bytes::Bytes;
+
+use crate::feed::Purged;
+
+/// A purge is held against answers that were under way for so long after it was told.
+const PURGE_KEPT: Micros = 30_000_000;
+/// Memory booked for each copy besides its bytes.
+const ENTRY: usize = 256;
+/// Telling a client that its copy holds costs this part of its bytes' time.
+const HOLDS_PART: usize = 20;
+
+/// A part of an object, as a class asks for it.
+pub type Key = (u64, u64, usize);
+
+/// A copy.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    /// Its bytes.
+    pub body: Bytes,
+    /// Its tag.
+    pub tag: Bytes,
+    /// When the origin gave it out.
+    pub stamp: Micros,
+    /// When a cache last answered with it.
+    pub seen: Micros,
+    group: u64,
+    used: u64,
+}
+
+impl Copy {
+    /// Bytes on the link for an answer from it; a client that holds it is told so alone.
+    pub fn bytes(&self, holds: bool) -> usize {
+        if holds { self.body.len() / HOLDS_PART } else { self.body.len() }
+    }
+}
+
+/// The copies, and the link.
+#[derive(Debug, Default)]
+pub struct Copies {
+    room: usize,
+    held: usize,
+    copies: BTreeMap<Key, Copy>,
+    /// By last use, the oldest first.
+    order: BTreeMap<u64, Key>,
+    uses: u64,
+    purges: BTreeMap<Purged, (Micros, Micros)>,
+    /// Bytes a second of one transfer and of all together; when the link has sent what it has.
+    flow: f64,
+    link: f64,
+    free: Micros,
+}
+
+impl Copies {
+    /// Copies in so much memory, on a link of so many bytes a second for one transfer and for all. Without
+    /// these figures none are kept.
+    pub fn new(room: usize, flow: f64, link: f64) -> Self {
+        let room = if flow > 0.0 && link > 0.0 { room } else { 0 };
+        Self { room, flow, link, ..Self::default() }
+    }
+
+    /// Keeps an answer's copy. The bytes are copied: a slice would hold the whole buffer it was read into.
+    pub fn keep(&mut self, now: Micros, key: Key, group: u64, tag: &[u8], stamp: Micros, body: &[u8]) {
+        let size = body.len() + tag.len() + ENTRY;
+        let old = self.copies.get(&key).is_some_and(|c| c.stamp > stamp);
+        let purged = [Purged::Object(key.0), Purged::Group(group)];
+        let purged = purged.iter().filter_map(|what| self.purges.get(what)).any(|(at, _)| stamp <= *at);
+        if size > self.room || old || purged {
+            return;
+        }
+        self.remove(&key);
+        while self.held + size > self.room {
+            let Some(oldest) = self.order.values().next().copied() else { return };
+            self.remove(&oldest);
+        }
+        self.held += size;
+        self.uses += 1;
+        self.order.insert(self.uses, key);
+        let [body, tag] = [body, tag].map(Bytes::copy_from_slice);
+        self.copies.insert(key, Copy { body, tag, stamp, seen: now, group, used: self.uses });
+    }
+
+    /// A cache said that this copy is the one still.
+    pub fn confirm(&mut self, now: Micros, key: Key, tag: &[u8]) {
+        if let Some(copy) = self.copies.get_mut(&key).filter(|c| c.tag == tag) {
+            copy.seen = now;
+        }
+    }
+
+    /// The copy of a part.
+    pub fn get(&self, key: &Key) -> Option<&Copy> {
+        self.copies.get(key)
+    }
+
+    /// Notes a use of it, so that it stays.
+    pub fn touch(&mut self, key: &Key) {
+        if let Some(copy) = self.copies.get_mut(key) {
+            self.uses += 1;
+            self.order.remove(&copy.used);
+            copy.used = self.uses;
+            self.order.insert(self.uses, *key);
+        }
+    }
+
+    /// Drops what is older than a purge, now and when it comes in late.
+    pub fn purge(&mut self, now: Micros, what: Purged, at: Micros) {
+        self.purges.retain(|_, (_, told)| now.saturating_sub(*told) < PURGE_KEPT);
+        let slot = self.purges.entry(what).or_insert((at, now));
+        *slot = (at.max(slot.0), now);
+        let gone: Vec<Key> = match what {
+            Purged::Object(object) => {
+                let parts = (object, 0, 0)..=(object, u64::MAX, usize::MAX);
+                self.copies.range(parts).filter(|(_, c)| c.stamp <= at).map(|(key, _)| *key).collect()
+            }
+            Purged::Group(group) => {
+                let old = |c: &Copy| c.group == group && c.stamp <= at;
+                self.copies.iter().filter(|(_, c)| old(c)).map(|(key, _)| *key).collect()
+            }
+        };
+        gone.iter().for_each(|key| self.remove(key));
+    }
+
+    /// How long so many bytes would take now, behind those that are on the link.
+    pub fn wait(&self, now: Micros, bytes: usize) -> Micros {
+        let micros = |rate: f64| (bytes as f64 / rate * 1e6) as Micros;
+        micros(self.flow).max(self.free.saturating_sub(now) + micros(self.link))
+    }
+
+    /// Books bytes that go out on the link.
+    pub fn send(&mut self, now: Micros, bytes: usize) {
+        self.free = self.free.max(now) + (bytes as f64 / self.link * 1e6) as Micros;
+    }
+
+    fn remove(&mut self, key: &Key) {
+        if let Some(copy) = self.copies.remove(key) {
+            self.order.remove(&copy.used);
+            self.held -= copy.body.len() + copy.tag.len() + ENTRY;
+        }
+    }
+}
--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -10,12 +10,13 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use bitternhold::{
-    Action, Event, FillMode, Keep, Lifecycle, ListKind, Load, Member, MemberId, Micros, Outcome, Request,
-    RequestId, Settings, Status,
+    Action, Event, FillMode, Keep, Lifecycle, ListKind, Load, Member, MemberId, Micros, Outcome, Own,
+    Request, RequestId, Settings, Status,
 };
 use bytes::Bytes;
 use futures_lite::future;
 
+use crate::copies::{self, Copies};
 use crate::feed::{Listed, News, Purged, hex};
 use crate::upstream::{Attempt, End, Order, Peer, Shared, Terms};
 use crate::{clock, invariant};
@@ -59,6 +60,16 @@
     pub fn key(&self) -> Option<u64> {
         hex(&self.object)
     }
+
+    /// What a copy for it is kept under.
+    fn copy(&self) -> Option<copies::Key> {
+        Some((self.key()?, self.part, self.class))
+    }
+
+    /// The client holds the copy of this tag.
+    fn holds(&self, tag: &[u8]) -> bool {
+        self.cached.as_ref().is_some_and(|own| own.as_bytes() == tag)
+    }
 }
 
 /// The final answer to a request.
@@ -197,12 +208,14 @@
     /// Events that came of carrying out actions.
     backlog: VecDeque<Event>,
     actions: Vec<Action>,
+    /// Copies of the router's own.
+    copies: Copies,
     next: u64,
 }
 
 impl Director {
     /// A director for a module with this seed.
-    pub fn new(seed: u64, shared: Rc<Shared>, owed: Rc<Owed>) -> Self {
+    pub fn new(seed: u64, shared: Rc<Shared>, owed: Rc<Owed>, copies: Copies) -> Self {
         let settings = shared.catalogue.settings.clone();
         Self {
             module: bitternhold::Director::new(seed, settings.clone()),
@@ -216,6 +229,7 @@
             due: BTreeMap::new(),
             backlog: VecDeque::new(),
             actions: Vec::new(),
+            copies,
             next: 0,
         }
     }
@@ -275,6 +289,7 @@
                 let now = clock::now();
                 let keep = self.settings.purge_done + self.settings.purge_grace;
                 self.shared.board.purged(now, what, keep);
+                self.copies.purge(now, what, at);
                 let (object, group) = match what {
                     Purged::Object(key) => (Some(format!("{key:016x}")), 0),
                     Purged::Group(group) => (None, group),
@@ -345,7 +360,16 @@
         self.requests.insert(id, Open { call: call.clone(), port, seq, attempts: 0, out, closed });
         self.owed.set(self.owed.get() + 1);
         self.wake(call.deadline + LAST_WORD, Due::Request(id));
+        let own = call.copy().and_then(|key| self.copies.get(&key)).map(|copy| {
+            let now = clock::now();
+            Own {
+                age: now.saturating_sub(copy.stamp),
+                unseen: now.saturating_sub(copy.seen),
+                wait: self.copies.wait(now, copy.bytes(call.holds(&copy.tag))),
+            }
+        });
         self.event(Event::Request(Request {
+            own,
             id,
             class: call.class,
             object: call.object.to_ascii_lowercase(),
@@ -388,6 +412,7 @@
     fn ended(&mut self, end: End) {
         let Some(out) = self.attempts.remove(&end.ticket) else { return };
         if end.status == Status::Ok {
+            self.copy(&out.attempt.call, &end);
             let verdict = end.body.map_or(Verdict::Holds, Verdict::Served);
             self.answer(out.id, verdict);
         }
@@ -406,6 +431,33 @@
         }));
     }
 
+    /// Keeps the copy that an answer brought, or notes that a cache still has it.
+    fn copy(&mut self, call: &Call, end: &End) {
+        let write = self.settings.classes.get(call.class).is_none_or(|c| c.write);
+        let Some((key, (tag, stamp))) = call.copy().zip(end.name.as_ref()).filter(|_| !write) else { return };
+        match &end.body {
+            Some(body) => self.copies.keep(clock::now(), key, call.group, tag, *stamp, body),
+            None => self.copies.confirm(clock::now(), key, tag),
+        }
+    }
+
+    /// Answers from the router's own copy; a last look, as a purge may have dropped it since it was offered.
+    fn own(&mut self, id: RequestId) {
+        let Some(call) = self.requests.get(&id).map(|open| open.call.clone()) else { return };
+        let (Some(key), now) = (call.copy(), clock::now()) else { return };
+        let terms = self.settings.classes.get(call.class).filter(|c| !c.write);
+        let young = |stamp: Micros| {
+            terms.is_some_and(|c| c.fresh == 0 || now.saturating_sub(stamp) < c.fresh + c.stale)
+        };
+        let Some(copy) = self.copies.get(&key).filter(|copy| young(copy.stamp)).cloned() else {
+            return self.answer(id, Verdict::Refused { backoff: None });
+        };
+        let holds = call.holds(&copy.tag);
+        self.copies.send(now, copy.bytes(holds));
+        self.copies.touch(&key);
+        self.answer(id, if holds { Verdict::Holds } else { Verdict::Served(copy.body) });
+    }
+
     /// An attempt is out no more; whether its request is finished.
     fn let_go(&mut self, id: RequestId, ticket: u64) -> bool {
         let Some(open) = self.requests.get_mut(&id) else { return true };
@@ -482,6 +534,7 @@
                 let backoff = (wait > 0).then(|| wait.div_ceil(1000));
                 self.answer(id, Verdict::Refused { backoff });
             }
+            Action::Own { id } => self.own(id),
             Action::Fail { id } => self.answer(id, Verdict::Failed),
             Action::Timer { delay, token } => self.wake(clock::now() + delay, Due::Module(token)),
             Action::Probe { member } => {
--- a/silverspindle/src/feed.rs
+++ b/silverspindle/src/feed.rs
@@ -43,7 +43,7 @@
 }
 
 /// What a purge names.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Purged {
     /// An object.
     Object(u64),
--- a/silverspindle/src/lib.rs
+++ b/silverspindle/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod config;
 pub mod coordinator;
+pub mod copies;
 pub mod director;
 pub mod feed;
 pub mod framing;
--- a/silverspindle/src/resp.rs
+++ b/silverspindle/src/resp.rs
@@ -82,8 +82,8 @@
     pub waited: Option<Micros>,
     /// The load report.
     pub load: Option<Load>,
-    /// It names its copy: the tag, and when the origin gave it out.
-    pub named: bool,
+    /// The tag of its copy, and when the origin gave it out.
+    pub name: Option<(&'a [u8], Micros)>,
     /// The bytes.
     pub body: &'a [u8],
 }
@@ -141,20 +141,20 @@
     }
     let [id, word, fields, body] = strings;
     let word = WORDS.iter().find(|(w, _)| *w == word).ok_or(Malformed("unknown word"))?.1;
-    let mut answer = Answer { id, word, note: None, waited: None, load: None, named: false, body };
-    let (mut tag, mut stamp) = (false, false);
+    let mut answer = Answer { id, word, note: None, waited: None, load: None, name: None, body };
+    let (mut tag, mut stamp) = (None, None);
     let fields = std::str::from_utf8(fields).map_err(|_| Malformed("fields are no text"))?;
     for (name, value) in fields.split(',').filter_map(|f| f.split_once('=')) {
         match name {
             "why" => answer.note = NOTES.iter().find(|(n, _)| *n == value).map(|(_, note)| *note),
             "took" => answer.waited = number(value).map(|ms| (ms * 1000.0) as Micros),
-            "version" => tag = !value.is_empty(),
-            "stamp" => stamp = value.parse::<u64>().is_ok(),
+            "version" => tag = Some(value.as_bytes()).filter(|tag| !tag.is_empty()),
+            "stamp" => stamp = value.parse().ok().and_then(|ms: u64| ms.checked_mul(1000)),
             "rep" => answer.load = Some(load(value)),
             _ => {}
         }
     }
-    answer.named = tag && stamp;
+    answer.name = tag.zip(stamp);
     Ok(answer)
 }
 
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -15,6 +15,7 @@
 
 use crate::config::Config;
 use crate::coordinator::Coordinator;
+use crate::copies::Copies;
 use crate::director::{self, Director, Owed};
 use crate::front::{Front, most_clients};
 use crate::upstream::{Board, Descriptors, Shared};
@@ -24,6 +25,9 @@
 const OTHER_DESCRIPTORS: usize = 24;
 /// After a signal to end, clients may still come for so long (0.4 s for connections, 0.2 s for requests).
 const LINGER: Micros = 700_000;
+/// Own copies take this part of the memory, and so many bytes at most.
+const COPIES_PART: usize = 8;
+const MOST_COPIES: usize = 12_000_000;
 /// Moves of the coordinator that may wait to be taken in.
 const MOVES: usize = 4;
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
@@ -57,7 +61,8 @@
             tasks: tasks.clone(),
         });
         let owed = Rc::new(Owed::default());
-        let mut director = Director::new(config.seed, shared, owed.clone());
+        let copies = Copies::new((config.memory / COPIES_PART).min(MOST_COPIES), config.flow, config.link);
+        let mut director = Director::new(config.seed, shared, owed.clone(), copies);
         let (last, known) = config.known;
         known.into_iter().for_each(|event| director.news(event.news, ListKind::Cached));
         tasks.spawn(director.run(news, messages)).detach();
--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -228,12 +228,14 @@
     pub load: Option<Load>,
     /// The bytes, if it was served; none where the client's copy is the one.
     pub body: Option<Bytes>,
+    /// The copy's tag and when the origin gave it out, where it has these.
+    pub name: Option<(Bytes, Micros)>,
 }
 
 impl End {
     /// An end of which nothing else is known.
     pub fn bare(ticket: u64, status: Status) -> Self {
-        Self { ticket, status, note: None, waited: None, load: None, body: None }
+        Self { ticket, status, note: None, waited: None, load: None, body: None, name: None }
     }
 }
 
@@ -521,7 +523,7 @@
             Stream::Attempt(attempt, _) => {
                 // A write's answer is no copy and has no name.
                 let classes = &self.shared.catalogue.settings.classes;
-                let whole = answer.named || classes.get(attempt.call.class).is_some_and(|c| c.write);
+                let whole = answer.name.is_some() || classes.get(attempt.call.class).is_some_and(|c| c.write);
                 let body = match answer.word {
                     Word::Hit if whole => Some(frame.slice_ref(answer.body)),
                     Word::Valid if whole && attempt.call.cached.is_some() => None,
@@ -534,7 +536,8 @@
                 };
                 let (status, note) = (answer.word.status(), answer.note);
                 let (waited, load) = (answer.waited, answer.load);
-                self.end(End { ticket: attempt.ticket, status, note, waited, load, body }).await;
+                let name = answer.name.map(|(tag, stamp)| (frame.slice_ref(tag), stamp));
+                self.end(End { ticket: attempt.ticket, status, note, waited, load, body, name }).await;
             }
         }
     }
--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -83,7 +83,8 @@
 
 pub fn configuration(members: &[Value], coordinator: SocketAddr) -> Value {
     json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7", "coordinator": coordinator.to_string(),
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings(),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "flow_bytes_per_s": 310000,
+        "link_bytes_per_s": 1240000, "settings": settings(),
         "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"revision": 1, "complete": true, "members": members}}]}})
 }
 
@@ -220,6 +221,15 @@
     ]
 }
 
+/// An event of the coordinator.
+pub fn event(index: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
+    let mut out = (9 + payload.len() as u32).to_be_bytes().to_vec();
+    out.extend(index.to_be_bytes());
+    out.push(kind);
+    out.extend(payload);
+    out
+}
+
 /// A client's connection to a router.
 pub struct Client {
     stream: Stream,
--- a/silverspindle/tests/router.rs
+++ b/silverspindle/tests/router.rs
@@ -39,7 +39,7 @@
         assert_eq!(client.next().await.unwrap(), served(2, body.as_bytes()));
 
         // The client's copy is the one: an empty body, and `keep`.
-        fields[1].1 = OTHER;
+        (fields[1].1, fields[4].1) = (OTHER, "4");
         client.send(&serve(3, &fields, b"")).await;
         let (_, line) = cache.next().await;
         reply(&line, &[OTHER, "VALID", NAMED, ""]).await;
@@ -279,13 +279,7 @@
             r.extend([0; 8]);
             r
         };
-        let frame = |index: u64, payload: &[u8]| {
-            let mut out = (9 + payload.len() as u32).to_be_bytes().to_vec();
-            out.extend(index.to_be_bytes());
-            out.push(2);
-            out.extend(payload);
-            out
-        };
+        let frame = |index, payload: &[u8]| event(index, 2, payload);
         let drain = frame(2, &record(1, 1, &one));
         let mut feed = coordinator.accept().await.unwrap().0;
         let mut last = [0; 8];
@@ -416,3 +410,42 @@
         assert_eq!(good.next().await.unwrap(), served(1, b"a"));
     });
 }
+
+/// Guards against asking a cache again for what the router holds, and against serving it once it is purged.
+#[test]
+fn an_own_copy_is_served_until_it_is_purged() {
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (router, coordinator) = router(tasks, &[cache.address]);
+        let client = Client::connect(tasks, router.address).await;
+        client.send(&serve(1, &page(RID), b"")).await;
+        let (_, line) = cache.next().await;
+        reply(&line, &[RID, "HIT", NAMED, "a"]).await;
+        assert_eq!(client.next().await.unwrap(), served(1, b"a"));
+        client.send(&serve(2, &page(OTHER), b"")).await;
+        assert_eq!(client.next().await.unwrap(), served(2, b"a"));
+        let mut holder = page("00000000000000a3");
+        holder.push(("cached", "4be0c1927d55a6f3"));
+        client.send(&serve(3, &holder, b"")).await;
+        let holds = thrift::answer("serve", 3, 0, &[("keep", "1")], true).concat();
+        assert_eq!(client.next().await.unwrap(), holds);
+        assert!(cache.nothing_came());
+
+        let mut feed = coordinator.accept().await.unwrap().0;
+        let purge = [17u16.to_be_bytes().as_slice(), &1_764_576_000_123u64.to_be_bytes()].concat();
+        feed.write_all(&event(2, 4, &purge)).await.unwrap();
+        for seq in 4.. {
+            let rid = format!("{seq:016x}");
+            let mut fields: Vec<(&str, &str)> = page(RID);
+            fields[1].1 = &rid;
+            client.send(&serve(seq, &fields, b"")).await;
+            let asked = async { Some(cache.next().await) };
+            let own = async { client.next().await.and(None) };
+            if let Some((_, line)) = futures_lite::future::or(asked, own).await {
+                reply(&line, &[&rid, "HIT", "version=bb,stamp=1764576000124", "b"]).await;
+                assert_eq!(client.next().await.unwrap(), served(seq, b"b"));
+                break;
+            }
+        }
+    });
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -50,6 +50,14 @@
 /// Weight of a new reading in a running mean; of a rise in what members serve, which capacity bounds anyway.
 const LEARN: f64 = 0.05;
 const RATE_UP: f64 = 0.3;
+/// A copy of the director's own goes before the caches while its way out takes no more of the aim than this
+/// beyond its own sending time: more for one that no cache was seen to hold for so long, as that would be a
+/// fill.
+const OWN_UNSEEN: Micros = 5_000_000;
+const OWN_FILL: f64 = 0.5;
+const OWN_HIT: f64 = 0.05;
+/// Clocks and the way to the client, taken off the age that a copy may have.
+const OWN_MARGIN: Micros = 150_000;
 /// Notes that speak against the source of a fill; the sorts of members.
 const SOURCE_FAULTS: [Option<Note>; 3] =
     [Some(Note::SourceRefused), Some(Note::SourceUnreachable), Some(Note::OriginFailed)];
@@ -471,11 +479,36 @@
             *mean += LEARN * (work - *mean);
         }
         let id = request.id;
+        if self.own_first(now, &request, key) {
+            out.push(Action::Own { id });
+            return;
+        }
         let (attempts, bad, erred, look) = (Vec::new(), Vec::new(), Vec::new(), Look::default());
         self.open.insert(id, Open { request, key, keep, attempts, answered: false, look, bad, erred });
         self.step(now, id, out);
     }
 
+    /// Whether the director's own copy will do: no write, no older than this limit, not purged.
+    fn own_holds(&self, now: Micros, request: &Request, key: u64, limit: Option<Micros>) -> bool {
+        let purged = self.purge_age(now, key, request.group);
+        request.own.is_some_and(|own| {
+            let old = |limit: Micros| own.age + OWN_MARGIN >= limit;
+            !request.write && !limit.is_some_and(old) && !purged.is_some_and(old)
+        })
+    }
+
+    /// Whether it goes before the caches: fresh, and soon enough on the link. Spares fills of what the caches
+    /// have dropped, and the caches where the link has nothing to do. Harm: takes the link from others.
+    fn own_first(&self, now: Micros, request: &Request, key: u64) -> bool {
+        let fresh = Some(self.class(request.class).fresh).filter(|fresh| *fresh > 0);
+        let Some(own) = request.own.filter(|_| self.own_holds(now, request, key, fresh)) else {
+            return false;
+        };
+        let room = if own.unseen >= OWN_UNSEEN { OWN_FILL } else { OWN_HIT };
+        let spare = room * self.aim(request) as f64 + self.work_of(request) * 1e6;
+        own.wait as f64 <= spare && now + own.wait < request.valid_until
+    }
+
     /// The paper's test: seen lately, then kept at the middle rank; else passed through. A director that is
     /// one of several at its location sees only its part of the requests there: what it sees first others
     /// have seen with about the chance of their part. Then the copy is kept on trial, at the lowest rank,
@@ -510,7 +543,7 @@
         if self.retry_tokens >= tokens && self.send(now, &mut open, false, out) {
             self.retry_tokens -= tokens;
         } else {
-            self.give_up(&mut open, out);
+            self.give_up(now, &mut open, out);
         }
         if !open.answered || open.attempts.iter().any(|a| !a.ended) {
             self.open.insert(id, open);
@@ -751,7 +784,7 @@
         open.answered |= o.closed;
         let running = open.attempts.iter().any(|a| !a.ended);
         if !open.answered && !running && open.erred.len() > 1 {
-            self.give_up(&mut open, out);
+            self.give_up(now, &mut open, out);
         }
         let (id, answered) = (o.id, open.answered);
         if !answered || running {
@@ -794,10 +827,16 @@
         }
     }
 
-    fn give_up(&mut self, open: &mut Open, out: &mut Vec<Action>) {
+    fn give_up(&mut self, now: Micros, open: &mut Open, out: &mut Vec<Action>) {
         open.answered = true;
         let id = open.request.id;
-        if self.may_refuse(open) {
+        // Rather than nothing: the director's own copy, past its fresh time too.
+        let class = self.class(open.request.class);
+        let limit = Some(class.fresh + class.stale).filter(|_| class.fresh > 0);
+        let soon = open.request.own.is_some_and(|own| now + own.wait < open.request.valid_until);
+        if soon && self.own_holds(now, &open.request, open.key, limit) {
+            out.push(Action::Own { id });
+        } else if self.may_refuse(open) {
             // Soon, so that the next try can still be in time; spread, so that they don't come together.
             let span = (self.class(open.request.class).aim / 4).max(1);
             let wait = (span + self.draw(span)).min(self.settings.max_retry_after);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -252,6 +252,19 @@
     pub write: bool,
     /// When the client gives this try up.
     pub valid_until: Micros,
+    /// The copy that the director itself holds, if it does.
+    pub own: Option<Own>,
+}
+
+/// A copy in the director's own memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Own {
+    /// Time since the origin gave it out.
+    pub age: Micros,
+    /// Time since a cache last answered with it.
+    pub unseen: Micros,
+    /// Until its bytes would be with the client, behind those on the director's link.
+    pub wait: Micros,
 }
 
 /// How an attempt ended.
@@ -453,6 +466,11 @@
         /// Number of the attempt.
         attempt: u32,
     },
+    /// Final answer: the director's own copy.
+    Own {
+        /// The request.
+        id: RequestId,
+    },
     /// Final answer: refused, a further try does no harm.
     Refuse {
         /// The request.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 //!         size_kb: Some(640.0),
 //!         write: false,
 //!         valid_until: 900_000,
+//!         own: None,
 //!     }),
 //!     &mut actions,
 //! );
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -65,6 +65,7 @@
         size_kb: Some(500.0),
         write: false,
         valid_until: now + 3 * S,
+        own: None,
     }
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -613,3 +613,30 @@
     }
     assert!(sizes[599] < sizes[100] * 3 / 2, "{} {}", sizes[100], sizes[599]);
 }
+
+// ---- Copies of its own ----
+
+/// Guards against copies that are purged or too old, against a jam on the director's own link, and against
+/// answering a write from memory; rather than refuse, an ageing copy is served.
+#[test]
+fn an_own_copy_is_served_while_it_holds_and_comes_soon() {
+    let class = Class { fresh: 5 * S, stale: 30 * S, ..class() };
+    let settings = || Settings { classes: vec![class.clone()], ..settings() };
+    let ask = |w: &mut World, id: u128, own: Own, write: bool| {
+        let request = Request { own: Some(own), write, ..request(id, "a", w.now) };
+        w.tell(Event::Request(request))
+    };
+    let served = |out: &[Action]| matches!(out[..], [Action::Own { .. }]);
+    let good = Own { age: S, unseen: 6 * S, wait: 200 * MS };
+    let mut w = World::new(settings());
+    assert!(served(&ask(&mut w, 1, good, false)));
+    assert!(!served(&ask(&mut w, 2, good, true)));
+    assert!(!served(&ask(&mut w, 3, Own { age: 6 * S, ..good }, false)));
+    assert!(!served(&ask(&mut w, 4, Own { wait: 2 * S, ..good }, false)));
+    assert!(!served(&ask(&mut w, 5, Own { unseen: 0, ..good }, false)), "the caches have it");
+    w.tell(Event::Purged { object: Some("a".to_owned()), group: 0, age: S / 2 });
+    assert!(!served(&ask(&mut w, 6, good, false)));
+    let mut nobody = World::with(settings(), Vec::new());
+    assert!(served(&ask(&mut nobody, 1, Own { age: 20 * S, ..good }, false)));
+    assert!(refused(&ask(&mut nobody, 2, Own { age: 40 * S, ..good }, false)));
+}
--- a/wirehost/src/codec.rs
+++ b/wirehost/src/codec.rs
@@ -197,6 +197,7 @@
                 size_kb: msg.optional("length_kb", Value::as_f64)?.filter(|kb| *kb > 0.0),
                 write: msg.flag("write")?,
                 valid_until: msg.micros("valid_until_ms")?,
+                own: None,
             }),
             "ended" => Event::Outcome(Outcome {
                 id: msg.ticket()?,
@@ -289,7 +290,10 @@
         Action::Refuse { id, wait } => {
             write!(out, r#"{{"m":"busy","ticket":"{}","wait_ms":{}}}"#, ticket_text(*id), ms(*wait))
         }
-        Action::Fail { id } => write!(out, r#"{{"m":"fail","ticket":"{}"}}"#, ticket_text(*id)),
+        // The simulator's directors hold no copies, so none is ever asked for.
+        Action::Own { id } | Action::Fail { id } => {
+            write!(out, r#"{{"m":"fail","ticket":"{}"}}"#, ticket_text(*id))
+        }
         Action::Timer { delay, token } => {
             write!(out, r#"{{"m":"schedule","in_ms":{},"key_back":{token}}}"#, ms(*delay))
         }
