Attempts of clients that left are cancelled; an own copy in place of a refusal must be in time

Wrong: `choice::handle` closed the request on ClientGone and left its attempts out. A fill that has begun runs on at the cache by itself, so nothing is lost by cancelling. Read beside it: an own copy given rather than refuse could come after the aim and hold the link up.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -265,7 +265,15 @@
             Event::Members { kind, members } => self.members(now, kind, members, out),
             Event::Request(request) => self.request(now, request, out),
             Event::Outcome(outcome) => self.outcome(now, outcome, out),
-            Event::Streaming { id, .. } | Event::ClientGone { id } => self.close(id),
+            Event::Streaming { id, .. } => self.close(id),
+            Event::ClientGone { id } => {
+                // Nobody waits for what still runs.
+                let running = self.open.get(&id).map_or(&[][..], |open| &open.attempts);
+                for (n, _) in running.iter().enumerate().filter(|(_, a)| !a.ended && self.settings.cancel) {
+                    out.push(Action::Cancel { id, attempt: n as u32 });
+                }
+                self.close(id);
+            }
             Event::Purged { object, group, age } => self.purged(now, object, group, age),
             Event::Probed { .. } => {}
             Event::Timer { token: ASK_TOKEN } => out.push(Action::Watch),
@@ -833,7 +841,8 @@
         // Rather than nothing: the director's own copy, past its fresh time too.
         let class = self.class(open.request.class);
         let limit = Some(class.fresh + class.stale).filter(|_| class.fresh > 0);
-        let soon = open.request.own.is_some_and(|own| now + own.wait < open.request.valid_until);
+        let due = open.attempts.first().map_or(now, |a| a.at) + self.aim(&open.request);
+        let soon = open.request.own.is_some_and(|own| now + own.wait < due.min(open.request.valid_until));
         if soon && self.own_holds(now, &open.request, open.key, limit) {
             out.push(Action::Own { id });
         } else if self.may_refuse(open) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -32,6 +32,16 @@
     assert!(sends(&out).is_empty() && !refused(&out) && !failed(&out));
 }
 
+/// Guards against work that nobody waits for: what is out for a client that left is cancelled, where allowed.
+#[test]
+fn what_is_out_for_a_client_that_left_is_cancelled() {
+    let mut w = World::new(Settings { cancel: true, ..settings() });
+    let s = sent(&w.ask(1, "a"));
+    sent(&w.end(1, 0, s.member, Status::Reset));
+    let out = w.tell(Event::ClientGone { id: RequestId(1) });
+    assert_eq!(out, [Action::Cancel { id: RequestId(1), attempt: 1 }]);
+}
+
 #[test]
 fn tries_end_and_retries_have_a_budget() {
     let mut w = World::new(Settings { max_attempts: 3, ..settings() });
@@ -639,4 +649,6 @@
     let mut nobody = World::with(settings(), Vec::new());
     assert!(served(&ask(&mut nobody, 1, Own { age: 20 * S, ..good }, false)));
     assert!(refused(&ask(&mut nobody, 2, Own { age: 40 * S, ..good }, false)));
+    // Late on the own link it would keep others waiting and earn next to nothing.
+    assert!(refused(&ask(&mut nobody, 3, Own { age: 20 * S, wait: 2 * S, ..good }, false)));
 }
