--- a/silverspindle/tests/router.rs
+++ b/silverspindle/tests/router.rs
@@ -154,6 +154,7 @@
         client.send(&forget(1)).await;
         // Answered behind it, so that the director has read it before the cache answers.
         assert!(client.well(2).await);
+        assert_eq!(cache.next().await.0, ["never_mind", RID]);
         reply(&line, &[RID, "HIT", NAMED, "late"]).await;
         client.send(&serve(3, &page(OTHER), b"")).await;
         let (want, line) = cache.next().await;
@@ -174,6 +175,7 @@
         cache.next().await;
         client.hang_up();
         assert_eq!(client.next().await, None);
+        assert_eq!(cache.next().await.0, ["never_mind", RID]);
         let other = Client::connect(tasks, router.address).await;
         other.send(&serve(1, &page(OTHER), b"")).await;
         let (want, line) = cache.next().await;
