Limits that were never cut rise by one for each answer in time, as in slow start

Excluded: overload (nothing late), retry budget (10 saved), set-aside members, silent answers. Wrong: `Pace::tell` raised a limit by 2 over itself for each answer from its first guess of 30 on, also while it had never been found too high; a router with 475 requests a second refused 5 to 10 % for 20 s.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -148,7 +148,9 @@
             self.limit = (self.limit.min(f64::from(out)) * LIMIT_CUT.powf(stands_for)).max(LIMIT_LEAST);
             self.fell = now;
         } else if !late && f64::from(out) >= 0.7 * self.limit {
-            self.limit += (LIMIT_RISE / self.limit).min(self.limit / 2.0);
+            // Until its first cut a limit is a guess, and doubles in the time of an answer (slow start).
+            let rise = if self.fell == 0 { 1.0 } else { LIMIT_RISE / self.limit };
+            self.limit += rise.min(self.limit / 2.0);
         }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -652,3 +652,23 @@
     // Late on the own link it would keep others waiting and earn next to nothing.
     assert!(refused(&ask(&mut nobody, 3, Own { age: 20 * S, wait: 2 * S, ..good }, false)));
 }
+
+/// Guards against refusals at a high rate while nothing is late: a limit that was never cut soon follows.
+#[test]
+fn limits_follow_a_rising_rate_while_answers_come_in_time() {
+    let mut w = World::new(settings());
+    let mut fills = Vec::new();
+    for round in 0..10u128 {
+        let ids = (round * 1000)..(round * 1000 + 300);
+        let out: Vec<_> =
+            ids.filter_map(|id| Some((id, *sends(&w.ask(id, &format!("o{id}"))).first()?))).collect();
+        fills.push(out.iter().filter(|(_, s)| s.source != s.member).count());
+        w.now += 100 * MS;
+        for (id, s) in out {
+            let filled = if id % 2 == 0 { Note::Filled } else { Note::FilledByOrigin };
+            let note = if s.source == s.member { Note::Hit } else { filled };
+            w.tell(Event::Outcome(Outcome { note: Some(note), ..outcome(id, 0, s.member, Status::Ok) }));
+        }
+    }
+    assert!(fills[0] <= 31 && fills[9] > 60, "{fills:?}");
+}
