--- a/src/choice.rs
+++ b/src/choice.rs
@@ -446,6 +446,8 @@
             (_, Some(Note::SourceRefused | Note::SourceUnreachable)) => self.fault(now, source, SOFT, out),
             (_, Some(Note::OriginFailed | Note::SourceLacks | Note::FillsFull)) => {}
             (Status::ConnectFailed, _) => self.fault(now, member, HARD, out),
+            // At the end of a client's short patience nothing was overdue yet.
+            (Status::Timeout, _) if !late => {}
             (Status::Reset | Status::Timeout, _) => self.fault(now, member, SOFT, out),
             (Status::Error | Status::Full, _) if !told && source != member => {
                 self.fault(now, source, SOFT, out);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -476,6 +476,25 @@
 }
 
 /// visayas-shops-later big-1: caches that grow slower and slower.
+/// Guards against blaming members for clients of little patience: a time-out before the aim says nothing.
+#[test]
+fn a_time_out_before_the_aim_sets_nobody_aside() {
+    for (elapsed, aside) in [(50 * MS, false), (2 * S, true)] {
+        let mut w = World::new(settings());
+        let mut logged = false;
+        for id in 0..100 {
+            let s = sent(&w.ask(id, &format!("o{id}")));
+            let status = if s.member == MemberId(1) { Status::Timeout } else { Status::Ok };
+            let out = w.tell(Event::Outcome(Outcome { elapsed, ..outcome(id, 0, s.member, status) }));
+            logged |= out.iter().any(|a| matches!(a, Action::Log(_)));
+            if status == Status::Timeout {
+                w.tell(Event::ClientGone { id: RequestId(id) });
+            }
+        }
+        assert_eq!(logged, aside, "{elapsed}");
+    }
+}
+
 #[test]
 fn a_cache_whose_hits_come_late_is_passed_over_if_it_stands_out() {
     let mut w = World::new(settings());
