--- a/src/choice.rs
+++ b/src/choice.rs
@@ -703,7 +703,9 @@
     /// used up, parents give only what they hold; while the first is, caches do. On a miss there a fill is
     /// sent or joined if there is room, else refused. Harm: a look costs a round trip.
     fn pace(&mut self, now: Micros, open: &Open, attempt: &Attempt, o: &Outcome) {
-        let late = o.elapsed > self.aim(&open.request);
+        let aim = self.aim(&open.request);
+        // A time-out counts where the attempt had time: clients of little patience say nothing of a jam.
+        let late = o.elapsed > if o.status == Status::Timeout { 2 * aim } else { aim };
         // An answer stands for those of the location's other directors, which aren't seen here.
         let stands_for = f64::from(self.together()).clamp(1.0, STANDS_FOR_MOST);
         let many = if open.request.size_kb.is_some() { LATE_MANY } else { LATE_UNSIZED };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -495,6 +495,23 @@
     }
 }
 
+/// Guards against taking clients of little patience for a jam: a time-out soon after the aim cuts no limit.
+#[test]
+fn a_time_out_counts_as_late_only_where_the_attempt_had_time() {
+    let fills = |elapsed| {
+        let mut w = World::new(settings());
+        for id in 0..100 {
+            let Some(s) = sends(&w.ask(id, &format!("o{id}"))).first().copied() else { continue };
+            w.now += 100 * MS;
+            w.tell(Event::Outcome(Outcome { elapsed, ..outcome(id, 0, s.member, Status::Timeout) }));
+            w.tell(Event::ClientGone { id: RequestId(id) });
+        }
+        let open = (1000..1030).flat_map(|id| sends(&w.ask(id, &format!("o{id}"))));
+        open.filter(|s| s.source != s.member && !s.mode.held_only).count()
+    };
+    assert!(fills(S) >= 20 && fills(3 * S) < 10, "{} {}", fills(S), fills(3 * S));
+}
+
 #[test]
 fn a_cache_whose_hits_come_late_is_passed_over_if_it_stands_out() {
     let mut w = World::new(settings());
