--- a/silverspindle/tests/config.rs
+++ b/silverspindle/tests/config.rs
@@ -70,3 +70,13 @@
         assert!(problem.starts_with(&format!("configuration: {key}: ")), "{pointer}: {problem}");
     }
 }
+
+/// Guards disk and processor against lines that bad clients cause: some go out each second, the rest is counted.
+#[test]
+fn some_lines_a_second_go_out_and_the_rest_is_counted() {
+    let mut sieve = silverspindle::logging::Sieve::default();
+    let passed = (0..1000).filter(|i| sieve.passes(5_000_000 + i).is_some()).count();
+    assert_eq!(passed, 20);
+    assert_eq!(sieve.passes(6_000_000), Some(980));
+    assert_eq!(sieve.passes(6_000_001), Some(0));
+}
