Each parent has a limit of its own; limits recover fast once nothing is late

The limits of all fills fell from 50 to 9 and refused 11 % at three routers; with a late share of 0.00 from second 11.9 on they still refused at 14 to 27 fills until second 18. Excluded: caches (late share 0.00, no limit reached), cold budgets, retry budget, SIGHUP and the list (no event missing). Wrong: Director::pace knew one limit for all sources, Director::source passed a parent over only when it failed or held twice its share; Pace::tell raised a cut limit by 2 over itself for good, however calm.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,6 +43,7 @@
 /// sizes aren't told, as the aim can't follow them then. And the weight of a new answer in that share.
 const LATE_MANY: f64 = 0.3;
 const LATE_UNSIZED: f64 = 0.4;
+const LATE_FEW: f64 = 0.02;
 const LATE_LEARN: f64 = 0.1;
 /// With several directors at a location, each sees few answers: one counts for so many at most (measured:
 /// 2 was less, 4 too jumpy where sizes aren't told).
@@ -148,8 +149,10 @@
             self.limit = (self.limit.min(f64::from(out)) * LIMIT_CUT.powf(stands_for)).max(LIMIT_LEAST);
             self.fell = now;
         } else if !late && f64::from(out) >= 0.7 * self.limit {
-            // Until its first cut a limit is a guess, and doubles in the time of an answer (slow start).
-            let rise = if self.fell == 0 { 1.0 } else { LIMIT_RISE / self.limit };
+            // Until its first cut a limit is a guess, and doubles in the time of an answer (slow start). So
+            // it does again while next to nothing is late: a jam that passed is not refused for long.
+            let calm = self.fell == 0 || self.lateness < LATE_FEW;
+            let rise = if calm { 1.0 } else { LIMIT_RISE / self.limit };
             self.limit += rise.min(self.limit / 2.0);
         }
     }
@@ -634,7 +637,7 @@
         let able = |p: &Peer| self.may_send(now, open, p, &class) && p.pace.room(p.open, chance);
         let target = self.pick(now, &caches, &open.bad, |p| p.open, able).map(|(id, _)| id);
         let Some(member) = target else { return false };
-        let mut source = self.source(now, open, write).unwrap_or(member);
+        let mut source = self.source(now, open, write, chance).unwrap_or(member);
         let mut held = false;
         if look && !write {
             source = member;
@@ -685,12 +688,14 @@
     }
 
     /// Where a miss is filled from: the object's parent, the next ones, then the origin.
-    fn source(&self, now: Micros, open: &Open, write: bool) -> Option<MemberId> {
+    fn source(&self, now: Micros, open: &Open, write: bool, chance: f64) -> Option<MemberId> {
         let parents = self.ranked(now, open.key, PARENTS);
         let work = self.work_of(&open.request);
         let origin = self.ready[ORIGIN].first().copied();
         let able = |p: &Peer| self.within_cold_budget(now, p, work);
-        let parent = self.pick(now, &parents, &open.bad, |p| p.fills, able);
+        let has_room = |p: &Peer| able(p) && p.pace.room(p.fills, chance);
+        let parent = self.pick(now, &parents, &open.bad, |p| p.fills, has_room);
+        let parent = parent.or_else(|| self.pick(now, &parents, &open.bad, |p| p.fills, able));
         let parent = parent.filter(|(_, standing)| *standing > 0).map(|(id, _)| id);
         if write { origin.or(parent) } else { parent.or(origin) }
     }
@@ -734,6 +739,12 @@
             Status::Full | Status::Error if !told || SOURCE_FAULTS.contains(&o.note) => true,
             _ => return,
         };
+        // A parent whose link is full makes the fills through it late, and no others': its own limit falls,
+        // and what is over it goes by the next one. What it held itself tells, as the origin may be late.
+        let by_its_copy = told && (attempt.held || o.note == Some(Note::Filled));
+        if let Some(p) = attempt.source.and_then(|id| self.peers.get_mut(&id)).filter(|_| by_its_copy) {
+            p.pace.tell(now, p.fills, late, many, 1.0);
+        }
         // Where notes don't tell by which way a fill came, the first limit holds for all.
         match !told || attempt.held || o.note == Some(Note::Filled) {
             true => self.fill_pace.tell(now, self.fills_out, late, many, stands_for),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -708,3 +708,44 @@
     }
     assert!(fills[0] <= 31 && fills[9] > 60, "{fills:?}");
 }
+
+/// Guards against refusing on after a jam has passed: while nothing is late any more, a cut limit soon follows.
+#[test]
+fn limits_recover_soon_after_a_jam_has_passed() {
+    let mut w = World::new(settings());
+    let mut fills = Vec::new();
+    for round in 0..20u128 {
+        let ids = (round * 1000)..(round * 1000 + 100);
+        let out: Vec<_> =
+            ids.filter_map(|id| Some((id, *sends(&w.ask(id, &format!("o{id}"))).first()?))).collect();
+        fills.push(out.iter().filter(|(_, s)| s.source != s.member).count());
+        for (id, s) in out {
+            // Cuts count once in a while; spread over the rounds of the jam they bring the limit down.
+            w.now += if round < 5 { 50 * MS } else { MS };
+            let note = Some(if s.source == s.member { Note::Hit } else { Note::Filled });
+            let late = round < 5 && s.source != s.member;
+            let elapsed = if late { 2 * S } else { 100 * MS };
+            w.tell(Event::Outcome(Outcome { elapsed, note, ..outcome(id, 0, s.member, Status::Ok) }));
+        }
+    }
+    assert!(fills[5] <= 12 && fills[19] >= 25, "{fills:?}");
+}
+
+/// Guards against one parent whose link is full: what it holds comes late, others' fills don't. Its part goes
+/// by the other one, and nobody else is held back for it.
+#[test]
+fn a_parent_whose_own_copies_come_late_gets_fewer_fills() {
+    let mut w = World::new(settings());
+    let mut sources = Vec::new();
+    for id in 0..400 {
+        w.now += 100 * MS;
+        for s in sends(&w.ask(id, &format!("o{id}"))) {
+            let elapsed = if s.source == MemberId(11) { 2 * S } else { 100 * MS };
+            let note = Some(if s.source == s.member { Note::Hit } else { Note::Filled });
+            w.tell(Event::Outcome(Outcome { elapsed, note, ..outcome(id, 0, s.member, Status::Ok) }));
+            sources.extend((id >= 200).then_some(s.source.0));
+        }
+    }
+    let of = |source| sources.iter().filter(|s| **s == source).count();
+    assert!(of(11) < 40 && of(12) > 140, "{} {}", of(11), of(12));
+}
