Ageing copies will do while fills come late; a slow origin alone is no jam

Pages (aim 145 ms) came late, videos (aim 344 ms and up) in time; the late pages cut the limit of fills by the origin from 30 to 4, and 20 % of all reads were refused, videos too. Excluded: cold budgets, the link in, caches. Wrong: Director::pace took lateness by the request's own aim for a jam of the origin; Director::send never asked for more than the fresh time. Now lateness at the origin counts by the longest aim of the reads; where a class's running share of late fills costs more than an ageing copy, or no fill has room, such a copy will do and is renewed behind. Purges go before, as ever.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -238,6 +238,8 @@
     /// Those of them for which the origin may be asked.
     full_out: u32,
     origin_pace: Pace,
+    /// By class: running share of fills that came late.
+    slow: Vec<f64>,
     /// By class: mean sending time as far as sizes or answers told it, in seconds.
     work: Vec<f64>,
     /// Sending time a second that a warm cache, a warm parent was seen to serve for this director.
@@ -258,6 +260,7 @@
             pace_deviation: 0.25,
             copies_won: 0.5,
             next_token: ASK_TOKEN + 1,
+            slow: vec![0.0; settings.classes.len()],
             work: settings.classes.iter().map(|c| c.aim as f64 / 2e6).collect(),
             settings,
             ..Self::default()
@@ -503,6 +506,15 @@
         self.step(now, id, out);
     }
 
+    /// The oldest copy that will do where there is a fresh time. An ageing one earns less, but more than a
+    /// fill does where so many come late, or a refusal where there is no room for one.
+    fn oldest(&self, class: usize, room: bool) -> Option<Micros> {
+        let c = self.class(class);
+        let late = self.slow.get(class).copied().unwrap_or(0.0) * (1.0 - c.late_worth);
+        let ageing = !room || late > 1.0 - c.stale_worth;
+        (c.fresh > 0).then_some(c.fresh + if ageing { c.stale } else { 0 })
+    }
+
     /// Whether the director's own copy will do: no write, no older than this limit, not purged.
     fn own_holds(&self, now: Micros, request: &Request, key: u64, limit: Option<Micros>) -> bool {
         let purged = self.purge_age(now, key, request.group);
@@ -515,8 +527,8 @@
     /// Whether it goes before the caches: fresh, and soon enough on the link. Spares fills of what the caches
     /// have dropped, and the caches where the link has nothing to do. Harm: takes the link from others.
     fn own_first(&self, now: Micros, request: &Request, key: u64) -> bool {
-        let fresh = Some(self.class(request.class).fresh).filter(|fresh| *fresh > 0);
-        let Some(own) = request.own.filter(|_| self.own_holds(now, request, key, fresh)) else {
+        let oldest = self.oldest(request.class, true);
+        let Some(own) = request.own.filter(|_| self.own_holds(now, request, key, oldest)) else {
             return false;
         };
         let room = if own.unseen >= OWN_UNSEEN { OWN_FILL } else { OWN_HIT };
@@ -638,13 +650,14 @@
         let target = self.pick(now, &caches, &open.bad, |p| p.open, able).map(|(id, _)| id);
         let Some(member) = target else { return false };
         let mut source = self.source(now, open, write, chance).unwrap_or(member);
-        let mut held = false;
+        let (mut held, mut room) = (false, true);
         if look && !write {
             source = member;
         } else if !(write || open.look.joinable && self.settings.joins) {
             let parent = self.peers.get(&source).is_some_and(|p| self.sort(&p.entry) == Some(PARENTS));
             let fills = self.fill_pace.room(self.fills_out, chance);
-            if !fills || !self.origin_pace.room(self.full_out, chance) {
+            room = fills && self.origin_pace.room(self.full_out, chance);
+            if !room {
                 held = fills && parent && !open.look.held_missed;
                 match (held, open.look.missed || open.look.held_missed) {
                     (true, _) => {}
@@ -657,9 +670,11 @@
         // To the client's end: earlier time-outs threw away transfers of large objects that were under way.
         let until = open.request.valid_until;
         let age = self.purge_age(now, open.key, open.request.group);
-        let max_age = age.map(|age| if class.fresh > 0 { age.min(class.fresh) } else { age });
+        let oldest = self.oldest(open.request.class, room);
+        let renew = oldest.is_some_and(|oldest| oldest > class.fresh);
+        let max_age = age.into_iter().chain(oldest.filter(|_| renew || age.is_some())).min();
         let join = self.settings.joins && age.is_none() && !write;
-        let mode = FillMode { held_only: held, join, ..FillMode::default() };
+        let mode = FillMode { held_only: held, join, renew, ..FillMode::default() };
         let id = open.request.id;
         out.push(Action::Fetch { id, member, until, source, keep: open.keep, max_age, mode });
         let delay = self.patience(open);
@@ -745,10 +760,19 @@
         if let Some(p) = attempt.source.and_then(|id| self.peers.get_mut(&id)).filter(|_| by_its_copy) {
             p.pace.tell(now, p.fills, late, many, 1.0);
         }
+        if let Some(slow) = self.slow.get_mut(open.request.class) {
+            *slow += LATE_LEARN * (f64::from(late) - *slow);
+        }
         // Where notes don't tell by which way a fill came, the first limit holds for all.
         match !told || attempt.held || o.note == Some(Note::Filled) {
             true => self.fill_pace.tell(now, self.fills_out, late, many, stands_for),
-            false => self.origin_pace.tell(now, self.full_out, late, many, stands_for),
+            // A slow origin misses short aims however little it is asked; a jam makes long ones late, too.
+            false => {
+                let longest = self.settings.classes.iter().filter(|c| !c.write).map(|c| c.aim).max();
+                let spare = longest.map_or(0, |l| l.saturating_sub(self.class(open.request.class).aim));
+                let late = late && (o.status != Status::Ok || o.elapsed > aim + spare);
+                self.origin_pace.tell(now, self.full_out, late, many, stands_for);
+            }
         }
     }
 
@@ -856,8 +880,7 @@
         open.answered = true;
         let id = open.request.id;
         // Rather than nothing: the director's own copy, past its fresh time too.
-        let class = self.class(open.request.class);
-        let limit = Some(class.fresh + class.stale).filter(|_| class.fresh > 0);
+        let limit = self.oldest(open.request.class, false);
         let due = open.attempts.first().map_or(now, |a| a.at) + self.aim(&open.request);
         let soon = open.request.own.is_some_and(|own| now + own.wait < due.min(open.request.valid_until));
         if soon && self.own_holds(now, &open.request, open.key, limit) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -749,3 +749,49 @@
     let of = |source| sources.iter().filter(|s| **s == source).count();
     assert!(of(11) < 40 && of(12) > 140, "{} {}", of(11), of(12));
 }
+
+/// Guards against waiting for a slow origin where an ageing copy earns more: while most fills come late, or where
+/// none has room, copies past their fresh time will do, and are renewed behind their answers.
+#[test]
+fn ageing_copies_will_do_while_fills_come_late() {
+    let terms = Class { fresh: 5 * S, stale: 30 * S, stale_worth: 0.7, ..class() };
+    let asked = |late: bool| {
+        let mut w = World::new(Settings { classes: vec![terms.clone()], ..settings() });
+        for id in 0..60 {
+            w.now += 50 * MS;
+            for s in sends(&w.ask(id, &format!("o{id}"))) {
+                let (note, elapsed) = (Some(Note::FilledByOrigin), if late { 2 * S } else { 100 * MS });
+                let filled = Outcome { elapsed, note, ..outcome(id, 0, s.member, Status::Ok) };
+                let miss = outcome(id, 0, s.member, Status::Miss);
+                w.tell(Event::Outcome(if s.source == s.member || s.mode.held_only { miss } else { filled }));
+            }
+        }
+        w.tell(Event::Purged { object: Some("purged".to_owned()), group: 9, age: 2 * S });
+        (sent(&w.ask(1_000, "n")), sent(&w.ask(1_001, "purged")))
+    };
+    let (calm, purged) = asked(false);
+    assert!(calm.max_age.is_none() && !calm.mode.renew && purged.max_age.is_some_and(|age| age < 3 * S));
+    let (slow, purged) = asked(true);
+    assert!(slow.max_age == Some(35 * S) && slow.mode.renew, "{slow:?}");
+    assert!(purged.max_age.is_some_and(|age| age < 3 * S), "a purge goes before: {purged:?}");
+}
+
+/// Guards against refusing the classes that can wait for those that can't: a slow origin makes short aims late
+/// however little it is asked.
+#[test]
+fn a_slow_origin_is_no_jam_while_long_aims_are_met() {
+    let classes = vec![Class { aim: 100 * MS, aim_stretch: 0.0, ..class() }, class()];
+    let mut w = World::new(Settings { classes, ..settings() });
+    for id in 0..200 {
+        w.now += 50 * MS;
+        for s in sends(&w.ask(id, &format!("o{id}"))) {
+            let o = Outcome { elapsed: 300 * MS, ..outcome(id, 0, s.member, Status::Ok) };
+            w.tell(Event::Outcome(Outcome { note: Some(Note::FilledByOrigin), ..o }));
+        }
+    }
+    let fills = (1_000..1_020).filter(|id| {
+        let s = sent(&w.ask(*id, &format!("n{id}")));
+        s.source != s.member && !s.mode.held_only
+    });
+    assert_eq!(fills.count(), 20);
+}
