A size that no client could wait for fails at the front, unsent

Seen by reading: front::call held budgets, parts and groups to their ranges but let any finite size through; one of 1e15 KB would make Director::work, the mean sending time by which cold members are spared, too large to send them anything for some thousand requests, and Director::aim overflow.

--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -402,7 +402,12 @@
             if budget > OVER_DEADLINE.saturating_mul(terms.deadline) {
                 return None;
             }
+            // What takes longer to send than any client waits is no size either: one such would be believed in
+            // the class's mean sending time, by which just-started caches are spared, for a thousand requests.
+            let flow = self.catalogue.settings.flow_kb_per_s;
+            let most_kb = OVER_DEADLINE as f64 * terms.deadline as f64 / 1e6 * flow;
             let size_kb = match given("mem")? {
+                Some(text) if number(text)? > most_kb && flow > 0.0 => return None,
                 Some(text) => Some(number(text)?).filter(|kb| *kb > 0.0),
                 None => None,
             };
--- a/silverspindle/tests/router.rs
+++ b/silverspindle/tests/router.rs
@@ -102,6 +102,7 @@
             ("family", "256"),
             ("family", ""),
             ("mem", "nan"),
+            ("mem", "1e15"),
             ("cached", "a,fetch=s-00000001"),
             ("token", "a=b"),
         ];
