Lost answers of fills are no late ones, so that second copies go on

Excluded: resets, errors, slow sources (first bytes as ever), retry budget. Wrong: Director::pace took each lost fill for a late one, unlike a cache's lost hits, which count only while answers come late as well.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -596,8 +596,7 @@
         let Some(mut open) = self.open.remove(&id) else { return };
         if let Some(a) = open.attempts.get_mut(attempt).filter(|a| !a.ended) {
             let (member, source) = (a.member, a.source);
-            let calm = self.fill_pace.lateness.max(self.origin_pace.lateness) < LATE_MANY / 2.0;
-            if calm || self.copies_won > MOSTLY_WON {
+            if self.calm() || self.copies_won > MOSTLY_WON {
                 self.release(a);
             }
             source.into_iter().for_each(|source| self.fault(now, source, SOFT, out));
@@ -605,15 +604,21 @@
             let class = self.class(open.request.class);
             let arrival = now + (self.pace_mean * self.aim(&open.request) as f64) as Micros;
             let kept = class.effect != Effect::Deduplicated || arrival < open.attempts[0].at + class.window;
-            let useful = self.settings.second_copies && calm && kept && arrival < open.request.valid_until;
+            let kept = kept && arrival < open.request.valid_until;
+            let useful = self.settings.second_copies && self.calm() && kept && !open.answered;
             let look = !open.bad.contains(&member);
-            if useful && !open.answered && self.retry_tokens >= 1.0 && self.send(now, &mut open, look, out) {
+            if useful && self.retry_tokens >= 1.0 && self.send(now, &mut open, look, out) {
                 self.retry_tokens -= 1.0;
             }
         }
         self.open.insert(id, open);
     }
 
+    /// Fills come in time.
+    fn calm(&self) -> bool {
+        self.fill_pace.lateness.max(self.origin_pace.lateness) < LATE_MANY / 2.0
+    }
+
     /// The attempt takes no place any more among those out.
     fn release(&mut self, a: &mut Attempt) {
         if std::mem::replace(&mut a.released, true) {
@@ -629,8 +634,8 @@
         }
     }
 
-    /// After a lost answer the member itself is the best to ask again, as it has the copy by now; but not
-    /// one that loses or delays much, nor a second time for the same request.
+    /// After a lost answer the member itself is asked again, as it has the copy by now; but not twice, nor
+    /// one that loses or delays much.
     fn suspect(&self, open: &mut Open, member: MemberId) {
         let again = open.attempts.iter().filter(|a| a.member == member).count() > 1;
         if again || self.peers.get(&member).is_none_or(|p| p.ill > ILL || p.pace.lateness > LATE_MANY) {
@@ -647,8 +652,7 @@
         let spread = if class.segmented { mix(open.key ^ mix(open.request.part + 1)) } else { open.key };
         let caches = self.ranked(now, spread, CACHES);
         let able = |p: &Peer| self.may_send(now, open, p, &class) && p.pace.room(p.open, chance);
-        let target = self.pick(now, &caches, &open.bad, |p| p.open, able).map(|(id, _)| id);
-        let Some(member) = target else { return false };
+        let Some((member, _)) = self.pick(now, &caches, &open.bad, |p| p.open, able) else { return false };
         let mut source = self.source(now, open, write, chance).unwrap_or(member);
         let (mut held, mut room) = (false, true);
         if look && !write {
@@ -666,7 +670,6 @@
                 }
             }
         }
-        let work = self.work_of(&open.request);
         // To the client's end: earlier time-outs threw away transfers of large objects that were under way.
         let until = open.request.valid_until;
         let age = self.purge_age(now, open.key, open.request.group);
@@ -691,7 +694,7 @@
         if let Some(s) = source {
             self.fills_out += 1;
             self.full_out += u32::from(!held);
-            self.spend(now, s, work);
+            self.spend(now, s, self.work_of(&open.request));
             if let Some(p) = self.peers.get_mut(&s) {
                 p.fills += 1;
             }
@@ -705,9 +708,8 @@
     /// Where a miss is filled from: the object's parent, the next ones, then the origin.
     fn source(&self, now: Micros, open: &Open, write: bool, chance: f64) -> Option<MemberId> {
         let parents = self.ranked(now, open.key, PARENTS);
-        let work = self.work_of(&open.request);
         let origin = self.ready[ORIGIN].first().copied();
-        let able = |p: &Peer| self.within_cold_budget(now, p, work);
+        let able = |p: &Peer| self.within_cold_budget(now, p, self.work_of(&open.request));
         let has_room = |p: &Peer| able(p) && p.pace.room(p.fills, chance);
         let parent = self.pick(now, &parents, &open.bad, |p| p.fills, has_room);
         let parent = parent.or_else(|| self.pick(now, &parents, &open.bad, |p| p.fills, able));
@@ -750,7 +752,8 @@
         }
         let late = match o.status {
             Status::Ok => late,
-            Status::Timeout if late => true,
+            // A lost answer is no late one here either: it would stop the second copies that make up for it.
+            Status::Timeout if late && !self.calm() => true,
             Status::Full | Status::Error if !told || SOURCE_FAULTS.contains(&o.note) => true,
             _ => return,
         };
