Codecs in a crate, traffic's terms below director and peers, and the operators' file

Cause: the test answers_come_in_any_order expected two requests in order that go by connections of their own, and failed in 15 of 200 runs; two runs of the SIGHUP test shared one file. director and upstream imported each other. The next subsystems need settings that the platform's JSON does not carry.

Change: the test sorts what the cache read; the file has the process's id. wire/ holds the codecs, the message reader and the clock; silverspindle::traffic holds what director, peers and front say to each other, and the circle is gone. conf/ reads the operators' line-based file: all faults at once with line, key and suggestion, units, cross-checks, shown text that reads back; deploy/silverspindle.conf is written from its table and a test holds them equal.

Behaviour of the router unchanged: types moved, nothing else.

--- /dev/null
+++ b/conf/src/lib.rs
@@ -0,0 +1,49 @@
+//! The operators' file: a directive a line, in the manner of classic daemons.
+//!
+//! ```
+//! let conf = silverspindle_conf::read("snapshot-directory /var/lib/silverspindle # lasting disk\n").unwrap();
+//! assert_eq!(conf.snapshot.unwrap().every, 5_000_000);
+//! let faults = silverspindle_conf::read("snapshot-evry 5s\nsnapshot-every 5 parsecs").unwrap_err();
+//! assert_eq!(faults.len(), 2);
+//! assert_eq!(faults[0].to_string(), "1: snapshot-evry: is no directive; did you mean snapshot-every?");
+//! ```
+
+pub mod grammar;
+pub mod keys;
+mod settings;
+
+use std::fmt;
+
+pub use settings::*;
+
+/// Microseconds.
+pub type Micros = u64;
+
+/// What is wrong with a line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The line, from 1.
+    pub line: usize,
+    /// The directive.
+    pub key: String,
+    /// What is wrong, for a person.
+    pub problem: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}: {}: {}", self.line, self.key, self.problem)
+    }
+}
+
+/// Reads a file's text. All faults come together, in the order of their lines.
+pub fn read(text: &str) -> Result<Conf, Vec<Fault>> {
+    let (directives, mut faults) = grammar::directives(text);
+    let given = keys::check(&directives, &mut faults);
+    let conf = settings::settle(&given, &mut faults);
+    if faults.is_empty() {
+        return Ok(conf);
+    }
+    faults.sort_by_key(|fault| fault.line);
+    Err(faults)
+}
--- /dev/null
+++ b/conf/src/settings.rs
@@ -0,0 +1,186 @@
+//! The settings that the file comes to, and what the directives must be together.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use crate::keys::{self, Given, PARTS, Value};
+use crate::{Fault, Micros};
+
+/// All that the file says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Conf {
+    /// The exchange between routers; none: off.
+    pub exchange: Option<Exchange>,
+    /// Snapshots; none: off.
+    pub snapshot: Option<Snapshot>,
+    /// How fast another's word loses weight.
+    pub half_lives: HalfLives,
+    given: Given,
+}
+
+impl Default for Conf {
+    /// An empty file: all off.
+    fn default() -> Self {
+        settle(&Given::new(), &mut Vec::new())
+    }
+}
+
+/// The exchange between routers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Exchange {
+    /// Where this one gives; none: it only asks.
+    pub listen: Option<SocketAddr>,
+    /// PEM files.
+    pub files: Files,
+    /// Whom it asks, by the name in their certificates; none: it only gives.
+    pub donors: Vec<(String, SocketAddr)>,
+    /// So many at a time.
+    pub at_once: usize,
+    /// For so long after its start.
+    pub ask_for: Micros,
+    /// Bytes a second that it gives to all.
+    pub give_rate: u64,
+    /// Newcomers that it serves at a time.
+    pub newcomers: usize,
+}
+
+/// The PEM files of one router.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Files {
+    /// The authority's certificate.
+    pub authority: PathBuf,
+    /// The router's certificate.
+    pub certificate: PathBuf,
+    /// Its key.
+    pub key: PathBuf,
+}
+
+/// Snapshots on a lasting disk.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Snapshot {
+    /// Where.
+    pub directory: PathBuf,
+    /// Time from one to the next.
+    pub every: Micros,
+    /// The largest, in bytes.
+    pub most: u64,
+}
+
+/// After so long another's word counts half, by what it is about; microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HalfLives {
+    /// Faults and stalls.
+    pub health: Micros,
+    /// Limits.
+    pub pace: Micros,
+    /// What warm members take.
+    pub rates: Micros,
+    /// Objects asked for lately.
+    pub filter: Micros,
+}
+
+pub(crate) fn settle(given: &Given, faults: &mut Vec<Fault>) -> Conf {
+    let one = |name: &str| given.get(name).and_then(|all| all.first());
+    let number = |name: &str| match (one(name), keys::named(name).and_then(keys::default)) {
+        (Some((_, Value::Number(n))), _) => *n,
+        (None, Some(Value::Number(n))) => n,
+        _ => 0,
+    };
+    let address = |name: &str| match one(name) {
+        Some((_, Value::Address(a))) => Some(*a),
+        _ => None,
+    };
+    let path = |name: &str| match one(name) {
+        Some((_, Value::Path(p))) => Some(p.clone()),
+        _ => None,
+    };
+    let peers = given.get("donor").map_or(&[][..], Vec::as_slice);
+    let mut donors: Vec<(String, SocketAddr)> = Vec::new();
+    for (line, value) in peers {
+        let Value::Peer(name, at) = value else { continue };
+        if donors.iter().any(|(other, _)| other == name) {
+            let problem = format!("{name} stands there already");
+            faults.push(Fault { line: *line, key: "donor".to_owned(), problem });
+        }
+        donors.push((name.clone(), *at));
+    }
+    let asked_for = one("exchange-listen").or(peers.first());
+    let needs = asked_for.filter(|_| address("exchange-listen").is_some() || !donors.is_empty());
+    let files = ["exchange-authority", "exchange-certificate", "exchange-key"];
+    if let Some((line, _)) = needs {
+        for missing in files.iter().filter(|name| path(name).is_none()) {
+            let problem = format!("is missing: the exchange on line {line} needs it");
+            faults.push(Fault { line: *line, key: (*missing).to_owned(), problem });
+        }
+    }
+    let [authority, certificate, key] = files.map(|name| path(name).unwrap_or_default());
+    Conf {
+        exchange: needs.map(|_| Exchange {
+            listen: address("exchange-listen"),
+            files: Files { authority, certificate, key },
+            donors,
+            at_once: number("donors-at-once") as usize,
+            ask_for: number("ask-for"),
+            give_rate: number("give-rate"),
+            newcomers: number("give-newcomers") as usize,
+        }),
+        snapshot: path("snapshot-directory").map(|directory| Snapshot {
+            directory,
+            every: number("snapshot-every"),
+            most: number("snapshot-size"),
+        }),
+        half_lives: HalfLives {
+            health: number("half-life-health"),
+            pace: number("half-life-pace"),
+            rates: number("half-life-rates"),
+            filter: number("half-life-filter"),
+        },
+        given: given.iter().filter(|(_, v)| !v.is_empty()).map(|(k, v)| (*k, v.clone())).collect(),
+    }
+}
+
+impl Conf {
+    /// The file in effect, defaults filled in; read back it comes to the same settings.
+    pub fn show(&self) -> String {
+        let mut out = String::new();
+        for key in keys::all() {
+            let default = keys::default(key).map(|value| (0, value));
+            let values = self.given.get(key.name).cloned().unwrap_or_else(|| default.into_iter().collect());
+            if values.is_empty() {
+                let _ = writeln!(out, "# {}: not set", key.name);
+            }
+            for (_, value) in values {
+                let _ = writeln!(out, "{} {}", key.name, keys::words(key.kind, &value));
+            }
+        }
+        out
+    }
+
+    /// Directives that differ in the other file and need a restart to take effect.
+    pub fn need_restart(&self, other: &Conf) -> Vec<&'static str> {
+        let values = |conf: &Conf, name: &str| -> Vec<Value> {
+            conf.given.get(name).map_or_else(Vec::new, |all| all.iter().map(|(_, v)| v.clone()).collect())
+        };
+        let differs = |name: &str| values(self, name) != values(other, name);
+        keys::all().filter(|key| key.restart && differs(key.name)).map(|key| key.name).collect()
+    }
+}
+
+/// The file as shipped: every directive documented and commented out.
+pub fn shipped() -> String {
+    let mut out =
+        "# The operators' file of silverspindle. Named by --conf FILE or LB_CONF; what is absent is off.\n\
+         # A directive a line; '#' begins a comment; quotes as in a shell; units as in 200ms, 5s, 64MB.\n\
+         # Check it: silverspindle check-conf FILE. See what holds: silverspindle show-conf FILE.\n"
+            .to_owned();
+    for (about, keys) in PARTS {
+        let _ = write!(out, "\n# ---- {}\n", about.replace('\n', "\n#      "));
+        for key in keys {
+            let default = key.default.map_or("Off without.".to_owned(), |d| format!("Without it: {d}."));
+            let restart = if key.restart { " A change needs a restart." } else { "" };
+            let _ = write!(out, "\n# {} {default}{restart}\n#{} {}\n", key.about, key.name, key.example);
+        }
+    }
+    out
+}
--- /dev/null
+++ b/conf/tests/conf.rs
@@ -0,0 +1,136 @@
+//! The operators' file: what is read, what is refused, and that what is shown reads back.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config as Cases, RngSeed};
+use silverspindle_conf::*;
+
+const FULL: &str = "\
+exchange-listen 127.0.0.1:7465   # where others ask
+exchange-authority /etc/a.pem
+exchange-certificate '/etc/with space.pem'
+exchange-key /etc/k
+donor n2 127.0.0.2:7465
+donor n3 [::1]:7465
+donors-at-once 3
+ask-for 1m
+give-rate 1500kB
+snapshot-directory /var/lib/s
+snapshot-every 250ms
+half-life-health 1500ms
+";
+
+fn faults(text: &str) -> Vec<String> {
+    read(text).unwrap_err().iter().map(Fault::to_string).collect()
+}
+
+#[test]
+fn an_empty_file_turns_nothing_on() {
+    for text in ["", "\n\n# a remark\n   \t# another\n"] {
+        let conf = read(text).unwrap();
+        assert_eq!((&conf.exchange, &conf.snapshot), (&None, &None));
+        assert_eq!(conf, Conf::default());
+    }
+}
+
+#[test]
+fn units_quotes_and_repeated_lines_are_read() {
+    let conf = read(FULL).unwrap();
+    let exchange = conf.exchange.unwrap();
+    assert_eq!(exchange.files.certificate.to_str(), Some("/etc/with space.pem"));
+    assert_eq!(exchange.donors.len(), 2);
+    assert_eq!((exchange.at_once, exchange.ask_for, exchange.give_rate), (3, 60_000_000, 1_500_000));
+    assert_eq!(conf.snapshot.unwrap().every, 250_000);
+    assert_eq!((conf.half_lives.health, conf.half_lives.pace), (1_500_000, 10_000_000));
+}
+
+#[test]
+fn all_faults_come_at_once_with_line_and_key() {
+    let found = faults(
+        "exchange-listen localhost\ndonr n2 127.0.0.2:1\nsnapshot-every 5 s\nsnapshot-every 0ms\n\
+         give-newcomers many\ngive-newcomers 0\nask-for 'x\nsnapshot-size 12 MB\nsnapshot-size\n\
+         donor n/2 127.0.0.1:1\ndonors-at-once 2\ndonors-at-once 3\nquux 1\n",
+    );
+    let expected = [
+        "1: exchange-listen: \"localhost\" is no address and port, as in 127.0.0.1:7465",
+        "2: donr: is no directive; did you mean donor?",
+        "3: snapshot-every: takes a duration and nothing else",
+        "4: snapshot-every: must lie between 100ms and 1h",
+        "5: give-newcomers: \"many\" is no whole number",
+        "6: give-newcomers: must lie between 1 and 64",
+        "7: ask-for: a quote is opened and not closed",
+        "8: snapshot-size: takes a size and nothing else",
+        "9: snapshot-size: lacks a size",
+        "10: donor: \"n/2\" is no name: letters, digits, '-', '_', '.', 63 at most",
+        "12: donors-at-once: stands on line 11 already",
+        "13: quux: is no directive",
+    ];
+    assert_eq!(found, expected);
+}
+
+/// Guards against an exchange without its keys, which would be plain text or nothing.
+#[test]
+fn an_exchange_needs_its_three_files() {
+    let found = faults("exchange-authority /a\ndonor n2 127.0.0.1:1\ndonor n2 127.0.0.1:2");
+    assert_eq!(
+        found,
+        [
+            "2: exchange-certificate: is missing: the exchange on line 2 needs it",
+            "2: exchange-key: is missing: the exchange on line 2 needs it",
+            "3: donor: n2 stands there already",
+        ]
+    );
+}
+
+#[test]
+fn what_is_shown_reads_back_to_the_same() {
+    for text in ["", FULL] {
+        let conf = read(text).unwrap();
+        let again = read(&conf.show()).unwrap();
+        assert_eq!(
+            (again.exchange.clone(), again.snapshot.clone(), again.half_lives),
+            (conf.exchange.clone(), conf.snapshot.clone(), conf.half_lives)
+        );
+        assert_eq!(again.show(), conf.show());
+        assert!(conf.need_restart(&again).is_empty());
+    }
+    let moved = read(&FULL.replace("7465   #", "7466   #")).unwrap();
+    assert_eq!(read(FULL).unwrap().need_restart(&moved), ["exchange-listen"]);
+}
+
+/// The shipped file documents every directive, turns nothing on, and holds good examples.
+#[test]
+fn the_shipped_file_is_written_from_the_table() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/silverspindle.conf");
+    assert_eq!(std::fs::read_to_string(path).unwrap(), shipped());
+    assert_eq!(read(&shipped()).unwrap(), Conf::default());
+    let on: String = shipped()
+        .lines()
+        .filter_map(|l| l.strip_prefix('#'))
+        .filter(|l| keys::named(l.split(' ').next().unwrap_or_default()).is_some())
+        .map(|l| format!("{l}\n"))
+        .collect();
+    assert_eq!(on.lines().count(), keys::all().count());
+    read(&on).unwrap();
+}
+
+proptest! {
+    #![proptest_config(Cases { failure_persistence: None, rng_seed: RngSeed::Fixed(8), ..Cases::default() })]
+
+    /// Guards against a panic on any text; and against a fault without its line.
+    #[test]
+    fn any_text_is_read_or_refused(text in "(([a-z-]{1,12}|donor|snapshot-every|'|\"|#|\\\\| |[0-9]{1,22}(ms|s|MB|h)?|\\PC|\n){0,40})") {
+        if let Err(faults) = read(&text) {
+            prop_assert!(!faults.is_empty());
+            prop_assert!(faults.iter().all(|f| f.line >= 1 && f.line <= text.lines().count().max(1)));
+        }
+    }
+
+    /// Any duration and size within the bounds is shown exactly.
+    #[test]
+    fn durations_and_sizes_are_exact(every in 100_000u64..3_600_000_000, most in 10_000u64..1 << 30) {
+        let text = format!("snapshot-directory /d\nsnapshot-every {every}us\nsnapshot-size {most}");
+        let conf = read(&text).unwrap();
+        prop_assert_eq!(conf.snapshot.clone().unwrap().every, every);
+        prop_assert_eq!(read(&conf.show()).unwrap().snapshot, conf.snapshot);
+    }
+}
--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -4,21 +4,20 @@
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::fmt::Debug;
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use bitternhold::{
-    Action, Event, FillMode, Keep, Lifecycle, ListKind, Load, Member, MemberId, Micros, Outcome, Own,
-    Request, RequestId, Settings, Status,
+    Action, Event, FillMode, Keep, Lifecycle, ListKind, Member, MemberId, Micros, Outcome, Own, Request,
+    RequestId, Settings, Status,
 };
-use bytes::Bytes;
 use futures_lite::future;
 
-use crate::copies::{self, Copies};
-use crate::feed::{Listed, News, Purged, hex};
-use crate::upstream::{Attempt, End, Order, Peer, Shared, Terms};
+use crate::copies::Copies;
+use crate::feed::{Listed, News, Purged};
+use crate::traffic::{Attempt, Call, End, Message, Port, Shared, Terms, Verdict};
+use crate::upstream::{Order, Peer};
 use crate::{clock, invariant};
 
 /// Messages that may wait for the director.
@@ -28,143 +27,6 @@
 /// The module's last word comes with the time-outs at the deadline; so much later one is given without it.
 const LAST_WORD: Micros = 5_000;
 
-/// A request, whatever protocol it came by.
-#[derive(Debug)]
-pub struct Call {
-    /// The client's id for it, passed on unchanged.
-    pub rid: String,
-    /// Place of its class in the settings.
-    pub class: usize,
-    /// The object, sixteen hex digits.
-    pub object: String,
-    /// The part of it.
-    pub part: u64,
-    /// The object's group.
-    pub group: u64,
-    /// Size, where told.
-    pub size_kb: Option<f64>,
-    /// The idempotency key.
-    pub token: Option<String>,
-    /// The tag of the copy that the client holds.
-    pub cached: Option<String>,
-    /// When the client gives up.
-    pub deadline: Micros,
-    /// What a write carries.
-    pub body: Bytes,
-    /// Books the body's memory.
-    pub taken: Taken,
-}
-
-impl Call {
-    /// The object as a purge names it.
-    pub fn key(&self) -> Option<u64> {
-        hex(&self.object)
-    }
-
-    /// What a copy for it is kept under.
-    fn copy(&self) -> Option<copies::Key> {
-        Some((self.key()?, self.part, self.class))
-    }
-
-    /// The client holds the copy of this tag.
-    fn holds(&self, tag: &[u8]) -> bool {
-        self.cached.as_ref().is_some_and(|own| own.as_bytes() == tag)
-    }
-}
-
-/// The final answer to a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// Served, with the bytes.
-    Served(Bytes),
-    /// Served: the client's copy is the one.
-    Holds,
-    /// Refused: trying again is harmless, after so many milliseconds where there is advice.
-    Refused {
-        /// The advice.
-        backoff: Option<u64>,
-    },
-    /// Failed.
-    Failed,
-}
-
-impl Verdict {
-    /// Bytes of its body.
-    pub fn bytes(&self) -> usize {
-        if let Verdict::Served(body) = self { body.len() } else { 0 }
-    }
-}
-
-/// Books the bytes of a write while it is open.
-#[derive(Debug, Default)]
-pub struct Taken {
-    all: Rc<Cell<usize>>,
-    own: usize,
-}
-
-impl Taken {
-    /// Books so many on top of what all have taken.
-    pub fn new(all: &Rc<Cell<usize>>, own: usize) -> Self {
-        all.set(all.get() + own);
-        Self { all: all.clone(), own }
-    }
-}
-
-impl Drop for Taken {
-    fn drop(&mut self) {
-        self.all.set(self.all.get() - self.own);
-    }
-}
-
-/// Where the answers to a client's requests go: what a front for any protocol gives with each request.
-pub trait Port: Debug {
-    /// Its number; no other port of this director has it.
-    fn id(&self) -> u64;
-    /// Takes the final answer to the request of this number. Must not wait.
-    fn answer(&self, seq: i32, verdict: Verdict);
-    /// The client left or forgot a request: no answer will come.
-    fn drop_request(&self);
-}
-
-/// What the director is told by clients' and peers' actors.
-#[derive(Debug)]
-pub enum Message {
-    /// A request came.
-    Request {
-        /// Where its answer goes.
-        port: Rc<dyn Port>,
-        /// Its number there.
-        seq: i32,
-        /// The request.
-        call: Call,
-    },
-    /// The client has stopped waiting.
-    Forget {
-        /// Its connection.
-        port: u64,
-        /// The request's number there.
-        seq: i32,
-    },
-    /// A client's connection ended.
-    Left {
-        /// The connection.
-        port: u64,
-    },
-    /// An attempt ended.
-    Ended(End),
-    /// A probe ended.
-    Probed {
-        /// Where it went.
-        member: MemberId,
-        /// How.
-        status: Status,
-        /// Time since the send.
-        elapsed: Micros,
-        /// The load report.
-        load: Option<Load>,
-    },
-}
-
 struct Open {
     call: Rc<Call>,
     port: Rc<dyn Port>,
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -16,9 +16,9 @@
 use futures_lite::{AsyncWriteExt, future};
 
 use crate::clock;
-use crate::director::{Call, Message, Port, Taken, Verdict};
 use crate::feed::hex;
 use crate::framing::{Malformed, Messages};
+use crate::traffic::{Call, Message, Port, Taken, Verdict};
 use crate::{invariant, thrift};
 
 /// Requests that may be open on one connection.
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -18,7 +18,7 @@
 use crate::copies::Copies;
 use crate::director::{self, Director, Owed};
 use crate::front::{Front, most_clients};
-use crate::upstream::{Board, Descriptors, Shared};
+use crate::traffic::{Board, Descriptors, Shared};
 use crate::{clock, invariant};
 
 /// Descriptors kept for all else: the listener, the coordinator, signals, the reactor.
--- /dev/null
+++ b/silverspindle/src/traffic.rs
@@ -0,0 +1,350 @@
+//! What the router's actors say to each other: requests and their answers, attempts and their ends, and the
+//! last news that an attempt is held against when it is written. Below the director and the peers, which
+//! both speak in these terms.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::fmt::Debug;
+use std::rc::Rc;
+
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use bitternhold::settings::Catalogue;
+use bitternhold::{FillMode, Keep, Load, MemberId, Micros, Note, Status};
+use bytes::Bytes;
+
+use crate::copies;
+use crate::feed::{Purged, hex};
+use crate::{clock, resp};
+
+/// A request, whatever protocol it came by.
+#[derive(Debug)]
+pub struct Call {
+    /// The client's id for it, passed on unchanged.
+    pub rid: String,
+    /// Place of its class in the settings.
+    pub class: usize,
+    /// The object, sixteen hex digits.
+    pub object: String,
+    /// The part of it.
+    pub part: u64,
+    /// The object's group.
+    pub group: u64,
+    /// Size, where told.
+    pub size_kb: Option<f64>,
+    /// The idempotency key.
+    pub token: Option<String>,
+    /// The tag of the copy that the client holds.
+    pub cached: Option<String>,
+    /// When the client gives up.
+    pub deadline: Micros,
+    /// What a write carries.
+    pub body: Bytes,
+    /// Books the body's memory.
+    pub taken: Taken,
+}
+
+impl Call {
+    /// The object as a purge names it.
+    pub fn key(&self) -> Option<u64> {
+        hex(&self.object)
+    }
+
+    /// What a copy for it is kept under.
+    pub(crate) fn copy(&self) -> Option<copies::Key> {
+        Some((self.key()?, self.part, self.class))
+    }
+
+    /// The client holds the copy of this tag.
+    pub(crate) fn holds(&self, tag: &[u8]) -> bool {
+        self.cached.as_ref().is_some_and(|own| own.as_bytes() == tag)
+    }
+}
+
+/// The final answer to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Served, with the bytes.
+    Served(Bytes),
+    /// Served: the client's copy is the one.
+    Holds,
+    /// Refused: trying again is harmless, after so many milliseconds where there is advice.
+    Refused {
+        /// The advice.
+        backoff: Option<u64>,
+    },
+    /// Failed.
+    Failed,
+}
+
+impl Verdict {
+    /// Bytes of its body.
+    pub fn bytes(&self) -> usize {
+        if let Verdict::Served(body) = self { body.len() } else { 0 }
+    }
+}
+
+/// Books the bytes of a write while it is open.
+#[derive(Debug, Default)]
+pub struct Taken {
+    all: Rc<Cell<usize>>,
+    own: usize,
+}
+
+impl Taken {
+    /// Books so many on top of what all have taken.
+    pub fn new(all: &Rc<Cell<usize>>, own: usize) -> Self {
+        all.set(all.get() + own);
+        Self { all: all.clone(), own }
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.all.set(self.all.get() - self.own);
+    }
+}
+
+/// Where the answers to a client's requests go: what a front for any protocol gives with each request.
+pub trait Port: Debug {
+    /// Its number; no other port of this director has it.
+    fn id(&self) -> u64;
+    /// Takes the final answer to the request of this number. Must not wait.
+    fn answer(&self, seq: i32, verdict: Verdict);
+    /// The client left or forgot a request: no answer will come.
+    fn drop_request(&self);
+}
+
+/// What the director is told by clients' and peers' actors.
+#[derive(Debug)]
+pub enum Message {
+    /// A request came.
+    Request {
+        /// Where its answer goes.
+        port: Rc<dyn Port>,
+        /// Its number there.
+        seq: i32,
+        /// The request.
+        call: Call,
+    },
+    /// The client has stopped waiting.
+    Forget {
+        /// Its connection.
+        port: u64,
+        /// The request's number there.
+        seq: i32,
+    },
+    /// A client's connection ended.
+    Left {
+        /// The connection.
+        port: u64,
+    },
+    /// An attempt ended.
+    Ended(End),
+    /// A probe ended.
+    Probed {
+        /// Where it went.
+        member: MemberId,
+        /// How.
+        status: Status,
+        /// Time since the send.
+        elapsed: Micros,
+        /// The load report.
+        load: Option<Load>,
+    },
+}
+
+/// What was told last of the members and of purges, for a last look at the moment of writing.
+#[derive(Debug, Default)]
+pub struct Board {
+    ready: RefCell<BTreeSet<MemberId>>,
+    purges: RefCell<HashMap<Purged, (u64, Micros)>>,
+    told: Cell<u64>,
+}
+
+impl Board {
+    /// A member takes work or does not.
+    pub fn set_ready(&self, id: MemberId, ready: bool) {
+        match ready {
+            true => self.ready.borrow_mut().insert(id),
+            false => self.ready.borrow_mut().remove(&id),
+        };
+    }
+
+    /// Whether a member takes work.
+    pub fn is_ready(&self, id: MemberId) -> bool {
+        self.ready.borrow().contains(&id)
+    }
+
+    /// Notes a purge; those told longer ago than `keep` concern nothing that still waits.
+    pub fn purged(&self, now: Micros, what: Purged, keep: Micros) {
+        self.told.set(self.told.get() + 1);
+        let mut purges = self.purges.borrow_mut();
+        purges.retain(|_, (_, at)| now.saturating_sub(*at) <= keep);
+        purges.insert(what, (self.told.get(), now));
+    }
+
+    /// The moment of a decision, to be compared with what is told later.
+    pub fn moment(&self) -> u64 {
+        self.told.get()
+    }
+
+    /// Whether an attempt may still be written. Guards against what waited (for a connection, or behind a
+    /// full socket) while its cache or its source was drained or its object purged.
+    pub(crate) fn allows(&self, attempt: &Attempt, to: MemberId) -> bool {
+        let purges = self.purges.borrow();
+        let since = |what| purges.get(&what).is_some_and(|(told, _)| *told > attempt.decided);
+        clock::now() < attempt.until
+            && self.is_ready(to)
+            && attempt.terms.source.is_none_or(|source| self.is_ready(source))
+            && !since(Purged::Group(attempt.call.group))
+            && !attempt.call.key().is_some_and(|key| since(Purged::Object(key)))
+    }
+}
+
+/// Descriptors that peers' connections may take.
+#[derive(Debug)]
+pub struct Descriptors {
+    all: usize,
+    left: Cell<usize>,
+}
+
+impl Descriptors {
+    /// So many.
+    pub fn new(n: usize) -> Rc<Self> {
+        Rc::new(Self { all: n, left: Cell::new(n) })
+    }
+
+    /// There are enough for connections that could be done without.
+    pub(crate) fn are_plenty(&self) -> bool {
+        self.left.get() > self.all / 3
+    }
+
+    pub(crate) fn take(self: &Rc<Self>) -> Option<Descriptor> {
+        self.left.set(self.left.get().checked_sub(1)?);
+        Some(Descriptor(self.clone()))
+    }
+}
+
+/// One of them, given back when dropped.
+#[derive(Debug)]
+pub(crate) struct Descriptor(Rc<Descriptors>);
+
+impl Drop for Descriptor {
+    fn drop(&mut self) {
+        self.0.left.set(self.0.left.get() + 1);
+    }
+}
+
+/// What the module decided on an attempt's answer.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// Where a miss is filled from; none: nowhere.
+    pub source: Option<MemberId>,
+    /// How the copy is kept.
+    pub keep: Keep,
+    /// The oldest copy that will do; none: the class's fresh time.
+    pub max_age: Option<Micros>,
+    /// How the fill is done.
+    pub mode: FillMode,
+}
+
+/// An attempt on its way.
+#[derive(Debug)]
+pub struct Attempt {
+    /// The director's number for it.
+    pub ticket: u64,
+    /// The request.
+    pub call: Rc<Call>,
+    /// How it is answered.
+    pub terms: Terms,
+    /// When the attempt is dropped.
+    pub until: Micros,
+    /// The board's moment at which it was decided.
+    pub decided: u64,
+    /// Its first byte was written: from then on it may have run.
+    pub written: Cell<bool>,
+    /// Nobody waits for it any more.
+    pub dropped: Cell<bool>,
+}
+
+impl Attempt {
+    pub(crate) fn command(&self, names: &Catalogue) -> Vec<u8> {
+        let call = &*self.call;
+        let class = names.classes.get(call.class).map_or("", String::as_str);
+        // Rounded to the safe side: a shorter wait, a younger copy; 0 would mean the fresh time.
+        let ttl = (self.until.saturating_sub(clock::now()) / 1000).max(1);
+        let mut fields = format!("lane={class},name={},piece={},ttl={ttl}", call.object, call.part);
+        let mut put = |name: &str, value: &str| {
+            fields.push(',');
+            fields.push_str(name);
+            fields.push('=');
+            fields.push_str(value);
+        };
+        if let Some(token) = &call.token {
+            put("dedupe", token);
+        }
+        let Terms { source, keep, max_age, mode } = self.terms.clone();
+        if let Some(MemberId(source)) = source {
+            put("fetch", &format!("s-{source:08x}"));
+        }
+        if keep != Keep::Pass {
+            put("retain", &(keep as u8).to_string());
+        }
+        if let Some(age) = max_age {
+            put("newer", &(age / 1000).max(1).to_string());
+        }
+        let FillMode { join, held_only, parent_pass, renew } = mode;
+        let words =
+            [(join, "coalesce"), (held_only, "shallow"), (parent_pass, "transit"), (renew, "freshen")];
+        let words: Vec<&str> = words.iter().filter(|(on, _)| *on).map(|(_, word)| *word).collect();
+        if !words.is_empty() {
+            put("handle", &words.join("+"));
+        }
+        if let Some(tag) = &call.cached {
+            put("holds", tag);
+        }
+        resp::command(&[b"want", call.rid.as_bytes(), fields.as_bytes(), &call.body])
+    }
+}
+
+/// How an attempt ended, and what came with it.
+#[derive(Debug)]
+pub struct End {
+    /// The director's number for it.
+    pub ticket: u64,
+    /// How.
+    pub status: Status,
+    /// How it came about.
+    pub note: Option<Note>,
+    /// Time spent waiting for the source.
+    pub waited: Option<Micros>,
+    /// The load report.
+    pub load: Option<Load>,
+    /// The bytes, if it was served; none where the client's copy is the one.
+    pub body: Option<Bytes>,
+    /// The copy's tag and when the origin gave it out, where it has these.
+    pub name: Option<(Bytes, Micros)>,
+}
+
+impl End {
+    /// An end of which nothing else is known.
+    pub fn bare(ticket: u64, status: Status) -> Self {
+        Self { ticket, status, note: None, waited: None, load: None, body: None, name: None }
+    }
+}
+
+/// What all peers share.
+#[derive(Debug)]
+pub struct Shared {
+    /// The settings.
+    pub catalogue: Rc<Catalogue>,
+    /// What was told last.
+    pub board: Rc<Board>,
+    /// Descriptors left.
+    pub descriptors: Rc<Descriptors>,
+    /// The director's mailbox.
+    pub director: Sender<Message>,
+    /// Where tasks run.
+    pub tasks: Rc<LocalExecutor<'static>>,
+}
--- a/silverspindle/tests/actors.rs
+++ b/silverspindle/tests/actors.rs
@@ -11,10 +11,10 @@
 use common::*;
 use futures_lite::AsyncWriteExt;
 use silverspindle::clock;
-use silverspindle::director::{Call, Message, Taken, Verdict};
 use silverspindle::feed::Purged;
 use silverspindle::front::Front;
-use silverspindle::upstream::{Attempt, Board, Descriptors, Order, Peer, Shared, Terms};
+use silverspindle::traffic::{Attempt, Board, Call, Descriptors, Message, Shared, Taken, Terms, Verdict};
+use silverspindle::upstream::{Order, Peer};
 
 const PEER: MemberId = MemberId(1);
 const SOURCE: MemberId = MemberId(2);
--- a/silverspindle/tests/cli.rs
+++ b/silverspindle/tests/cli.rs
@@ -73,7 +73,8 @@
 #[test]
 fn sighup_reads_the_configuration_anew() {
     let ((_old, first), (new, second)) = (common::listen(), common::listen());
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("sighup.json");
+    let path =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("sighup-{}.json", std::process::id()));
     let write = |text: String| std::fs::write(&path, text).unwrap();
     let file =
         |coordinator| common::configuration(&[common::entry(1, "box", first)], coordinator).to_string();
--- a/silverspindle/tests/router.rs
+++ b/silverspindle/tests/router.rs
@@ -73,8 +73,10 @@
         let (router, _coordinator) = router(tasks, &[cache.address]);
         let client = Client::connect(tasks, router.address).await;
         client.send(&[serve(1, &page(RID), b""), serve(2, &page(OTHER), b"")].concat()).await;
-        let (first, line) = cache.next().await;
-        let (second, other) = cache.next().await;
+        // They go by connections of their own, which a cache reads in any order.
+        let mut read = [cache.next().await, cache.next().await];
+        read.sort_by(|a, b| b.0[1].cmp(&a.0[1]));
+        let [(first, line), (second, other)] = read;
         assert_eq!((first[1].as_str(), second[1].as_str()), (RID, OTHER));
         reply(&other, &[OTHER, "HIT", NAMED, "b"]).await;
         assert_eq!(client.next().await.unwrap(), served(2, b"b"));
