Command line on clap, log lines on tracing, the operators' file read and reloaded

Need: the next subsystems bring sub-commands with arguments and an operators' file, and their lines must be read by programs. Given up for it: pico-args and the logger of our own, after the house style.

--- a/silverspindle/src/config.rs
+++ b/silverspindle/src/config.rs
@@ -1,10 +1,12 @@
 //! The one place where configuration is read, checked and given defaults. A message names the faulty key.
 
 use std::net::SocketAddr;
+use std::path::Path;
 
 use bitternhold::settings::Catalogue;
-use log::LevelFilter;
 use serde_json::Value;
+use silverspindle_conf::Conf;
+use tracing::level_filters::LevelFilter;
 
 use crate::feed;
 
@@ -41,6 +43,8 @@
     pub known: (u64, Vec<feed::Event>),
     /// Which log lines are written.
     pub level: LevelFilter,
+    /// They are JSON.
+    pub json_logs: bool,
 }
 
 fn fault<T>(key: &str, problem: &str) -> Result<T, String> {
@@ -75,6 +79,15 @@
     }
 }
 
+/// Reads the operators' file; none: all that it turns on is off. Each fault is a line `FILE:LINE: KEY: PROBLEM`.
+pub fn read_conf(path: Option<&Path>) -> Result<Conf, Vec<String>> {
+    let Some(path) = path else { return Ok(Conf::default()) };
+    let name = path.display();
+    let text =
+        std::fs::read_to_string(path).map_err(|e| vec![format!("{name}:0: file: can't be read: {e}")])?;
+    silverspindle_conf::read(&text).map_err(|all| all.iter().map(|fault| format!("{name}:{fault}")).collect())
+}
+
 impl Config {
     /// Reads the environment and the file that it names.
     pub fn read(environment: Environment) -> Result<Self, String> {
@@ -101,12 +114,17 @@
             return fault("seed", "must be a text of up to 16 hex digits");
         };
         let level = match environment("LB_LOG") {
-            None => LevelFilter::Info,
+            None => LevelFilter::INFO,
             Some(text) => match text.parse() {
                 Ok(level) => level,
                 Err(_) => return fault("LB_LOG", "must be off, error, warn, info, debug or trace"),
             },
         };
+        let json_logs = match environment("LB_LOG_FORMAT").as_deref() {
+            None | Some("text") => false,
+            Some("json") => true,
+            Some(_) => return fault("LB_LOG_FORMAT", "must be text or json"),
+        };
         let Some(settings) = file["settings"].as_object() else {
             return fault("settings", "must be an object");
         };
@@ -151,6 +169,7 @@
             catalogue,
             known,
             level,
+            json_logs,
         })
     }
 }
--- a/silverspindle/src/coordinator.rs
+++ b/silverspindle/src/coordinator.rs
@@ -65,7 +65,7 @@
             };
             match future::or(async { Some(moved.await) }, follow).await {
                 Some(address) => {
-                    log::info!("coordinator {}: moves to {address}", self.address);
+                    tracing::info!("coordinator {}: moves to {address}", self.address);
                     self.address = address;
                 }
                 None => return,
@@ -79,7 +79,7 @@
         while !self.news.is_closed() {
             let before = self.last;
             let Err(e) = self.follow().await else { return };
-            log::warn!("coordinator {}: {e}; connecting anew after event {}", self.address, self.last);
+            tracing::warn!(event = self.last, "coordinator {}: {e}; connecting anew", self.address);
             wait = if self.last > before { Duration::ZERO } else { wait };
             Timer::after(wait).await;
             wait = (wait * 2).clamp(AGAIN, AGAIN_MOST);
@@ -90,7 +90,7 @@
     async fn follow(&mut self) -> io::Result<()> {
         let stream = within(CONNECT, Async::<TcpStream>::connect(self.address)).await?;
         within(CONNECT, (&stream).write_all(&self.last.to_be_bytes())).await?;
-        log::info!("coordinator {}: following from event {}", self.address, self.last);
+        tracing::info!(event = self.last, "coordinator {}: following", self.address);
         let mut frames = Messages::new(&stream, feed::measure, CHUNK).or_stall(STALL);
         loop {
             let Some(frame) = within(SILENT, frames.next()).await? else {
@@ -102,7 +102,12 @@
                 continue;
             }
             if index > self.last + 1 {
-                log::warn!("coordinator: events {} to {} are missing", self.last + 1, index - 1);
+                tracing::warn!(
+                    event = index,
+                    "coordinator: events {} to {} are missing",
+                    self.last + 1,
+                    index - 1
+                );
             }
             if self.news.send(news).await.is_err() {
                 return Ok(());
--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -144,7 +144,7 @@
                 }
                 members.iter().for_each(|m| self.listed(m));
                 let members: Vec<Member> = members.into_iter().map(|m| m.member).collect();
-                log::debug!("list: {} entries, complete: {complete}", members.len());
+                tracing::debug!(complete, "list: {} entries", members.len());
                 self.event(Event::Members { kind: if complete { whole } else { ListKind::Delta }, members });
             }
             News::Purged { what, at } => {
@@ -211,7 +211,7 @@
     fn request(&mut self, port: Rc<dyn Port>, seq: i32, call: Call) {
         // A number that is open already can't be answered twice: the later one fails.
         if self.by_client.contains_key(&(port.id(), seq)) {
-            log::warn!("client {}: number {seq} is open already", port.id());
+            tracing::warn!(client = port.id(), rid = call.rid, "number {seq} is open already");
             return port.answer(seq, Verdict::Failed);
         }
         self.next += 1;
@@ -353,8 +353,8 @@
                 Due::Module(token) => self.event(Event::Timer { token }),
                 Due::Attempt(ticket) => self.drop_attempt(ticket, Status::Timeout),
                 Due::Request(id) => {
-                    if self.requests.get(&id).is_some_and(|open| !open.closed) {
-                        log::warn!("a request had no answer from the module at its deadline");
+                    if let Some(open) = self.requests.get(&id).filter(|open| !open.closed) {
+                        tracing::warn!(rid = open.call.rid, "no answer from the module at the deadline");
                         self.answer(id, Verdict::Failed);
                         self.event(Event::ClientGone { id });
                     }
@@ -408,7 +408,7 @@
             }
             // The feed is always followed.
             Action::Watch | Action::FetchList => {}
-            Action::Log(words) => log::info!("module: {words}"),
+            Action::Log(words) => tracing::info!("module: {words}"),
         }
     }
 
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -187,7 +187,7 @@
             return;
         }
         if let Some(port) = self.connections.borrow().values().max_by_key(|p| p.held.get()) {
-            log::warn!("client {}: cut off, {} bytes wait for it", port.id, port.held.get());
+            tracing::warn!(client = port.id, "cut off, {} bytes wait for it", port.held.get());
             let _ = port.cut.try_send(());
         }
     }
@@ -200,7 +200,7 @@
         let connections = self.connections.borrow();
         let unused = connections.values().filter(|c| c.open.get() == 0 && c.used.get() < before);
         if let Some(port) = unused.min_by_key(|c| (c.asked.get(), c.used.get())) {
-            log::debug!("client {}: closed to make room", port.id);
+            tracing::debug!(client = port.id, "closed to make room");
             let _ = port.cut.try_send(());
         }
     }
@@ -225,7 +225,7 @@
                     tasks.spawn(self.clone().connection(stream, id, cuts, answers)).detach();
                 }
                 Err(e) => {
-                    log::warn!("accept: {e}");
+                    tracing::warn!("accept: {e}");
                     Timer::after(ACCEPT_AGAIN).await;
                 }
             }
@@ -272,8 +272,8 @@
         let ended = future::or(cut_off, future::or(self.read(&stream, own, &port), write)).await;
         if let Err(e) = ended.as_ref().map_err(|e| (e.kind(), e)) {
             match e.0 {
-                io::ErrorKind::InvalidData => log::warn!("client {id}: {}; closed", e.1),
-                _ => log::debug!("client {id}: {}", e.1),
+                io::ErrorKind::InvalidData => tracing::warn!(client = id, "{}; closed", e.1),
+                _ => tracing::debug!(client = id, "{}", e.1),
             }
         }
         drop(stream);
--- a/silverspindle/src/invariant.rs
+++ b/silverspindle/src/invariant.rs
@@ -12,7 +12,7 @@
 /// Counts one, and says so.
 pub fn count(what: &str) {
     let times = BROKEN.fetch_add(1, Ordering::Relaxed) + 1;
-    log::error!("invariant broken ({times} in all): {what}");
+    tracing::error!("invariant broken ({times} in all): {what}");
 }
 
 /// Asserts in debug builds; in release builds counts and logs, and goes on.
--- a/silverspindle/src/logging.rs
+++ b/silverspindle/src/logging.rs
@@ -1,12 +1,17 @@
-//! A small logger behind the `log` crate: a line to standard error with Unix time, level and module. So many
-//! lines a second go out at most, so that bad clients fill neither disk nor processor; how many were left out
-//! is said with the next line that goes out.
+//! Log lines on standard error, by `tracing`: Unix time, level, module, message and fields, as text or as JSON
+//! (`LB_LOG_FORMAT=json`). So many lines a second go out at most, so that bad clients fill neither disk nor
+//! processor; how many were left out is said with the next line that goes out.
 
-use std::io::Write;
+use std::fmt;
 use std::sync::Mutex;
 
 use bitternhold::Micros;
-use log::{LevelFilter, Log, Metadata, Record};
+use tracing::level_filters::LevelFilter;
+use tracing::{Event, Subscriber};
+use tracing_subscriber::fmt::format::{Format, Json, JsonFields, Writer};
+use tracing_subscriber::fmt::time::FormatTime;
+use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
+use tracing_subscriber::registry::LookupSpan;
 
 /// Lines a second.
 const MOST: u32 = 20;
@@ -34,39 +39,69 @@
     }
 }
 
-struct Lines(Mutex<Sieve>);
+/// Unix seconds and milliseconds, as all of the program's times count.
+struct Unix;
 
-static LINES: Lines = Lines(Mutex::new(Sieve { second: 0, passed: 0, left_out: 0 }));
-
-impl Log for Lines {
-    fn enabled(&self, metadata: &Metadata) -> bool {
-        metadata.level() <= log::max_level()
+impl FormatTime for Unix {
+    fn format_time(&self, w: &mut Writer) -> fmt::Result {
+        let now = crate::clock::now();
+        write!(w, "{}.{:03}", now / 1_000_000, now / 1000 % 1000)
     }
+}
 
-    fn log(&self, record: &Record) {
-        if !self.enabled(record.metadata()) {
-            return;
+struct Lines {
+    json: Option<Format<Json, Unix>>,
+    /// None: who asks for more than the usual lines gets all.
+    sieve: Option<Mutex<Sieve>>,
+}
+
+impl Lines {
+    fn left_out(&self, mut w: Writer, lines: u64) -> fmt::Result {
+        if self.json.is_none() {
+            Unix.format_time(&mut w)?;
+            return writeln!(w, " INFO  logging: {lines} lines left out");
         }
-        let now = crate::clock::now();
-        // Who asks for more than the usual lines gets all.
-        let all = log::max_level() > LevelFilter::Info;
-        let passes = || self.0.lock().map_or(Some(0), |mut sieve| sieve.passes(now));
-        let Some(left_out) = (if all { Some(0) } else { passes() }) else { return };
-        let target = record.target().rsplit("::").next().unwrap_or_default();
-        let (seconds, millis) = (now / 1_000_000, now / 1000 % 1000);
-        let mut line = format!("{seconds}.{millis:03} {:5} {target}: {}\n", record.level(), record.args());
+        write!(w, r#"{{"timestamp":""#)?;
+        Unix.format_time(&mut w)?;
+        let fields = r#""level":"INFO","fields":{"message":"lines left out","lines":"#;
+        writeln!(w, r#"",{fields}{lines}}},"target":"silverspindle::logging"}}"#)
+    }
+}
+
+impl<S, N> FormatEvent<S, N> for Lines
+where
+    S: Subscriber + for<'a> LookupSpan<'a>,
+    N: for<'a> FormatFields<'a> + 'static,
+{
+    fn format_event(&self, ctx: &FmtContext<S, N>, mut w: Writer, event: &Event) -> fmt::Result {
+        let passes = |sieve: &Mutex<Sieve>| match sieve.lock() {
+            Ok(mut sieve) => sieve.passes(crate::clock::now()),
+            Err(_) => Some(0),
+        };
+        let Some(left_out) = self.sieve.as_ref().map_or(Some(0), passes) else { return Ok(()) };
         if left_out > 0 {
-            line = format!("{seconds}.{millis:03} INFO  logging: {left_out} lines left out\n{line}");
+            self.left_out(w.by_ref(), left_out)?;
         }
-        // Nothing is left to tell it to where standard error can't be written.
-        let _ = std::io::stderr().write_all(line.as_bytes());
+        if let Some(json) = &self.json {
+            return json.format_event(ctx, w, event);
+        }
+        let about = event.metadata();
+        Unix.format_time(&mut w)?;
+        let target = about.target().rsplit("::").next().unwrap_or_default();
+        write!(w, " {:5} {target}: ", about.level().as_str())?;
+        ctx.field_format().format_fields(w.by_ref(), event)?;
+        writeln!(w)
     }
-
-    fn flush(&self) {}
 }
 
-/// Lets lines through up to this level; a second call changes the level alone.
-pub fn start(level: LevelFilter) {
-    let _ = log::set_logger(&LINES);
-    log::set_max_level(level);
+/// Lets lines through up to this level, as text or as a JSON object each. A second call changes nothing.
+pub fn start(level: LevelFilter, json: bool) {
+    let sieve = (level <= LevelFilter::INFO).then(Mutex::default);
+    let json_lines = json.then(|| Format::default().json().with_timer(Unix));
+    let lines = Lines { json: json_lines, sieve };
+    let all = tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr);
+    let _ = match json {
+        true => all.fmt_fields(JsonFields::new()).event_format(lines).try_init(),
+        false => all.with_ansi(false).event_format(lines).try_init(),
+    };
 }
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -1,6 +1,6 @@
 //! Starts the actors and ends them: the life of a router from its configuration to its exit.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -12,6 +12,7 @@
 use async_signal::{Signal, Signals};
 use bitternhold::{ListKind, Micros};
 use futures_lite::StreamExt;
+use silverspindle_conf::Conf;
 
 use crate::config::Config;
 use crate::coordinator::Coordinator;
@@ -41,11 +42,12 @@
     coordinator: Cell<SocketAddr>,
     front: Rc<Front>,
     owed: Rc<Owed>,
+    conf: RefCell<Conf>,
 }
 
 impl Router {
     /// Listens, takes `known` in and starts the actors; then the router is well.
-    pub fn start(config: Config, tasks: &Rc<LocalExecutor<'static>>) -> io::Result<Self> {
+    pub fn start(config: Config, conf: Conf, tasks: &Rc<LocalExecutor<'static>>) -> io::Result<Self> {
         let listener = Async::<TcpListener>::bind(config.listen)?;
         let address = listener.get_ref().local_addr()?;
         let catalogue = Rc::new(config.catalogue);
@@ -72,20 +74,39 @@
         let front = Front::new(catalogue, mailbox, config.memory, config.sockets);
         tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
         front.set_well(true);
-        log::info!("{} serves on {address}, list known to event {last}", config.name);
-        Ok(Self { address, moves, coordinator: Cell::new(config.coordinator), front, owed })
+        tracing::info!(event = last, "{} serves on {address}", config.name);
+        Ok(Self {
+            address,
+            moves,
+            coordinator: Cell::new(config.coordinator),
+            front,
+            owed,
+            conf: RefCell::new(conf),
+        })
     }
 
-    /// Takes a configuration read anew: the coordinator may have moved, all else stays until a restart. A
-    /// faulty one changes nothing.
-    pub async fn reload(&self, config: Result<Config, String>) {
+    /// Takes both configurations read anew: the coordinator may have moved, all else of the platform's stays
+    /// until a restart; of the operators' file what needs one is said. A faulty one changes nothing.
+    pub async fn reload(&self, config: Result<Config, String>, conf: Result<Conf, Vec<String>>) {
+        match conf {
+            Ok(conf) => {
+                for key in self.conf.borrow().need_restart(&conf) {
+                    tracing::warn!("operators' file: {key} has changed; that needs a restart");
+                }
+                *self.conf.borrow_mut() = conf;
+            }
+            Err(faults) => {
+                faults.iter().for_each(|fault| tracing::warn!("{fault}"));
+                tracing::warn!("the old operators' file is kept");
+            }
+        }
         match config {
             Ok(config) if config.coordinator != self.coordinator.get() => {
                 self.coordinator.set(config.coordinator);
                 let _ = self.moves.send(config.coordinator).await;
             }
-            Ok(_) => log::info!("configuration read anew, coordinator as before"),
-            Err(e) => log::warn!("{e}; the old configuration is kept"),
+            Ok(_) => tracing::info!("configuration read anew, coordinator as before"),
+            Err(e) => tracing::warn!("{e}; the old configuration is kept"),
         }
     }
 
@@ -99,22 +120,26 @@
     }
 }
 
+/// Both configurations, read anew.
+pub type Anew = (Result<Config, String>, Result<Conf, Vec<String>>);
+
 /// Serves until a signal to end, then answers what is owed and returns. On SIGHUP the configuration is read
 /// anew.
-pub fn serve(config: Config, again: impl Fn() -> Result<Config, String>) -> io::Result<()> {
+pub fn serve(config: Config, conf: Conf, again: impl Fn() -> Anew) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let tasks = Rc::new(LocalExecutor::new());
-    let router = Router::start(config, &tasks)?;
+    let router = Router::start(config, conf, &tasks)?;
     let run = async {
         while let Some(Ok(signal)) = signals.next().await {
             if signal != Signal::Hup {
-                log::info!("ending on {signal:?}: {} requests open", router.owed.get());
+                tracing::info!("ending on {signal:?}: {} requests open", router.owed.get());
                 break;
             }
-            router.reload(again()).await;
+            let (config, conf) = again();
+            router.reload(config, conf).await;
         }
         router.end().await;
-        log::info!("ended: all is answered; {} invariants broken", invariant::broken());
+        tracing::info!("ended: all is answered; {} invariants broken", invariant::broken());
     };
     async_io::block_on(tasks.run(run));
     Ok(())
--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -123,6 +123,11 @@
         own
     }
 
+    /// As the coordinator and the caches spell it.
+    fn name(&self) -> String {
+        format!("s-{:08x}", self.id.0)
+    }
+
     async fn run(mut self) {
         // By the clock, not by quiet: orders that never cease must not put the sweep off.
         let mut due = clock::now() + SWEEP;
@@ -210,7 +215,7 @@
         }
         let Some(descriptor) = self.shared.descriptors.take() else {
             if found.is_none() {
-                log::warn!("peer s-{:08x}: no descriptor left for another connection", self.id.0);
+                tracing::warn!(member = %self.name(), "no descriptor left for another connection");
             }
             return found.map(|(n, _)| n);
         };
@@ -349,7 +354,7 @@
         let Some(line) = self.lines.remove(&number) else { return };
         if !line.streams.is_empty() || why.kind() == io::ErrorKind::InvalidData {
             let n = line.streams.len();
-            log::info!("peer s-{:08x}: connection ended with {n} attempts out: {why}", self.id.0);
+            tracing::info!(member = %self.name(), "connection ended with {n} attempts out: {why}");
         }
         for (_, stream) in line.streams {
             match stream {
--- a/silverspindle/tests/cli.rs
+++ b/silverspindle/tests/cli.rs
@@ -32,6 +32,64 @@
     }
 }
 
+/// Guards against an operators' file that is found faulty line by line, or only once the router runs.
+#[test]
+fn faults_of_the_operators_file_come_all_at_once() {
+    let path =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("faulty-{}", std::process::id()));
+    let file = path.to_str().unwrap();
+    std::fs::write(&path, "snapshot-directory /d\nsnapshot-every never\nsnapshot-siez 1MB\n").unwrap();
+    let checked = run(&["check-conf", file], None);
+    let said = String::from_utf8_lossy(&checked.stderr).into_owned();
+    let expected = format!(
+        "{file}:2: snapshot-every: \"never\" is no duration, as in 200ms or 5s\n\
+         {file}:3: snapshot-siez: is no directive; did you mean snapshot-size?\n"
+    );
+    assert_eq!((checked.status.code(), said.as_str()), (Some(1), expected.as_str()));
+    let (_coordinator, address) = common::listen();
+    let config = common::configuration(&[common::entry(1, "box", address)], address).to_string();
+    let served = run(&["serve", "--conf", file], Some(&config));
+    assert_eq!(String::from_utf8_lossy(&served.stderr), expected);
+    assert!(!run(&["show-conf", "/nowhere"], None).status.success());
+
+    std::fs::write(&path, "snapshot-directory '/a b'\n").unwrap();
+    let shown = run(&["show-conf", file], None).stdout;
+    std::fs::write(&path, &shown).unwrap();
+    assert!(run(&["check-conf", file], None).status.success());
+    assert_eq!(run(&["show-conf", file], None).stdout, shown);
+    assert!(String::from_utf8_lossy(&shown).contains("snapshot-directory '/a b'\nsnapshot-every 5s\n"));
+}
+
+/// A line a JSON object, with fields by name.
+#[test]
+fn log_lines_are_json_where_asked_for() {
+    let (_coordinator, address) = common::listen();
+    let file = common::configuration(&[common::entry(1, "box", address)], address);
+    let mut child = Command::new(env!("CARGO_BIN_EXE_silverspindle"))
+        .arg("serve")
+        .envs([("LB_CONFIG", "/dev/stdin"), ("LB_LOG_FORMAT", "json")])
+        .stdin(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all(file.to_string().as_bytes()).unwrap();
+    let lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let mut lines = lines.map(|l| serde_json::from_str::<serde_json::Value>(&l).unwrap());
+    let ready = lines.find(|l| l["fields"]["message"].as_str().unwrap().starts_with("n0 serves on")).unwrap();
+    assert_eq!((&ready["fields"]["event"], &ready["level"]), (&1.into(), &"INFO".into()));
+    assert!(Command::new("kill").arg(child.id().to_string()).status().unwrap().success());
+    assert!(lines.any(|l| l["fields"]["message"].as_str().unwrap().starts_with("ended")));
+    assert!(child.wait().unwrap().success());
+}
+
+#[test]
+fn completion_and_manual_name_the_commands() {
+    for args in [&["completion", "bash"][..], &["man"], &["help"]] {
+        let out = run(args, None);
+        assert!(out.status.success() && String::from_utf8_lossy(&out.stdout).contains("show"), "{args:?}");
+    }
+}
+
 #[test]
 fn bad_configuration_ends_it_and_names_the_key() {
     for command in ["serve", "check-config"] {
@@ -61,7 +119,7 @@
     child.stdin.take().unwrap().write_all(file.to_string().as_bytes()).unwrap();
     let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
     let ready = lines.find(|l| l.contains("n0 serves on 127.0.0.1:")).unwrap();
-    let address = ready.split_once("serves on ").and_then(|(_, rest)| rest.split(',').next()).unwrap();
+    let address = ready.split_once("serves on ").and_then(|(_, rest)| rest.split(' ').next()).unwrap();
     std::net::TcpStream::connect(address).unwrap();
     assert!(Command::new("kill").arg(child.id().to_string()).status().unwrap().success());
     assert!(lines.any(|l| l.contains("ended: all is answered")));
@@ -79,9 +137,12 @@
     let file =
         |coordinator| common::configuration(&[common::entry(1, "box", first)], coordinator).to_string();
     write(file(first));
+    let conf = path.with_extension("conf");
+    std::fs::write(&conf, "").unwrap();
     let mut child = Command::new(env!("CARGO_BIN_EXE_silverspindle"))
         .arg("serve")
         .env("LB_CONFIG", &path)
+        .env("LB_CONF", &conf)
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
@@ -92,7 +153,11 @@
     };
     assert!(lines.any(|l| l.contains("n0 serves on")));
     write(r#"{"name": "n0"}"#.to_owned());
+    std::fs::write(&conf, "\nsnapshot-evry 5s\n").unwrap();
     signal("-HUP");
+    let fault = format!("{}:2: snapshot-evry: is no directive; did you mean snapshot-every?", conf.display());
+    assert!(lines.any(|l| l.contains(&fault)));
+    assert!(lines.any(|l| l.contains("the old operators' file is kept")));
     assert!(lines.any(|l| l.contains("configuration: listen: is missing; the old configuration is kept")));
     write(file(second));
     signal("-HUP");
--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -16,6 +16,7 @@
 use silverspindle::framing::{Malformed, Measure, Messages, split};
 use silverspindle::serve::Router;
 use silverspindle::thrift;
+use silverspindle_conf::Conf;
 
 /// Far more than any test takes.
 const HANGS: Duration = Duration::from_secs(60);
@@ -306,7 +307,7 @@
     members.push(entry(99, "origin", address));
     let mut file = configuration(&members, address);
     file["limits"]["sockets"] = sockets.into();
-    (Router::start(config(&file).unwrap(), tasks).unwrap(), coordinator)
+    (Router::start(config(&file).unwrap(), Conf::default(), tasks).unwrap(), coordinator)
 }
 
 /// Two futures to their ends.
