--- a/knowledge/src/protocol.rs
+++ b/knowledge/src/protocol.rs
@@ -164,7 +164,7 @@
     let (mut frames, mut some, mut size, mut all, mut count) = (Vec::new(), Vec::new(), 0, 0, 0);
     for item in items {
         let bytes = postcard::experimental::serialized_size(&item).unwrap_or(MOST_FRAME);
-        if all + bytes > most || bytes > MOST_FRAME / 2 {
+        if all + bytes > most || bytes > MOST_FRAME - 64 {
             continue;
         }
         if size + bytes > FRAME && !some.is_empty() {
--- a/knowledge/tests/exchange.rs
+++ b/knowledge/tests/exchange.rs
@@ -181,6 +181,21 @@
     assert_eq!(fresh().frame(b"\0\0\0\x08\x02GET / H"), Err(Malformed::Magic));
 }
 
+/// Guards against a bound that a full filter does not fit in.
+#[test]
+fn two_full_generations_fit_a_frame() {
+    let ids = |n: u64| Ids::new((0..GENERATION as u64).map(|i| (i + n) * 0x9e37_79b9_7f4a_7c15).collect());
+    let Item::Fact(record) = item(1) else { panic!() };
+    let value = Value::Filter { active: ids(0), passive: ids(9000) };
+    let full = Item::Fact(Record { subject: Subject::Filter, value, ..record });
+    let (count, frames) = answer(vec![item(2), full.clone(), item(3)], MOST_TRANSFER);
+    assert!(count == 3 && frames.iter().all(|f| measure(f) == Ok(f.len())));
+    let mut taking = Taking::default();
+    taking.frame(&offer(3)).unwrap();
+    let Some(Ok(Taken::Whole(_, items))) = frames.iter().map(|f| taking.frame(f)).last() else { panic!() };
+    assert_eq!(items[1], full);
+}
+
 /// Guards against an answer without an end.
 #[test]
 fn an_endless_answer_is_cut_off() {
