--- a/knowledge/tests/exchange.rs
+++ b/knowledge/tests/exchange.rs
@@ -184,7 +184,9 @@
 /// Guards against a bound that a full filter does not fit in.
 #[test]
 fn two_full_generations_fit_a_frame() {
-    let ids = |n: u64| Ids::new((0..GENERATION as u64).map(|i| (i + n) * 0x9e37_79b9_7f4a_7c15).collect());
+    let ids = |n: u64| {
+        Ids::new((0..GENERATION as u64).map(|i| (i + n).wrapping_mul(0x9e37_79b9_7f4a_7c15)).collect())
+    };
     let Item::Fact(record) = item(1) else { panic!() };
     let value = Value::Filter { active: ids(0), passive: ids(9000) };
     let full = Item::Fact(Record { subject: Subject::Filter, value, ..record });
@@ -192,7 +194,10 @@
     assert!(count == 3 && frames.iter().all(|f| measure(f) == Ok(f.len())));
     let mut taking = Taking::default();
     taking.frame(&offer(3)).unwrap();
-    let Some(Ok(Taken::Whole(_, items))) = frames.iter().map(|f| taking.frame(f)).last() else { panic!() };
+    let ends: Vec<_> = frames.iter().map(|f| taking.frame(f)).collect();
+    let Some(Ok(Taken::Whole(_, items))) = ends.last() else {
+        panic!("{:?}", ends.iter().map(|e| e.as_ref().err()).collect::<Vec<_>>())
+    };
     assert_eq!(items[1], full);
 }
 
