--- a/src/choice.rs
+++ b/src/choice.rs
@@ -105,14 +105,12 @@
             self.swap();
             self.last_added = now;
         }
-        if self.active.contains(&id) {
-            return true;
-        }
-        let known = self.passive.contains(&id);
-        self.active.insert(id);
-        self.last_added = now;
-        if self.active.len() >= self.generation {
-            self.swap();
+        let known = self.active.contains(&id) || self.passive.contains(&id);
+        if self.active.insert(id) {
+            self.last_added = now;
+            if self.active.len() >= self.generation {
+                self.swap();
+            }
         }
         known
     }
@@ -182,9 +180,8 @@
     member: MemberId,
     source: Option<MemberId>,
     at: Micros,
-    /// Its source was to give only what it holds.
+    /// Its source was to give only what it holds; it takes no place any more.
     held: bool,
-    /// Takes no place any more.
     released: bool,
     ended: bool,
     may_have_run: bool,
@@ -225,22 +222,20 @@
     /// When an object or, where true, a group was purged.
     purges: BTreeMap<(u64, bool), Micros>,
     retry_tokens: f64,
-    /// Mean time to an answer and its mean deviation, in aims; attempts that a timer watches.
+    /// Mean time to an answer and its mean deviation, in aims; running share of second copies that were
+    /// answered first; attempts that a timer watches.
     pace_mean: f64,
     pace_deviation: f64,
-    /// Running share of second copies that were answered first.
     copies_won: f64,
     watched: BTreeMap<u64, (RequestId, usize)>,
     next_token: u64,
-    /// Attempts out that name a source, and how many there may be.
+    /// Attempts out that name a source, and how many may; those of them for which the origin may be asked.
     fills_out: u32,
     fill_pace: Pace,
-    /// Those of them for which the origin may be asked.
     full_out: u32,
     origin_pace: Pace,
-    /// By class: running share of fills that came late.
+    /// By class: running share of fills that came late; mean sending time as far as it was told, in seconds.
     slow: Vec<f64>,
-    /// By class: mean sending time as far as sizes or answers told it, in seconds.
     work: Vec<f64>,
     /// Sending time a second that a warm cache, a warm parent was seen to serve for this director.
     warm_rate: [f64; 2],
@@ -342,12 +337,13 @@
     /// The part of its capacity that a member surely has: from the cold share in a line to all.
     fn ramp(&self, now: Micros, m: &Member) -> f64 {
         let s = &self.settings;
-        let (from, time) = match self.sort(m) == Some(PARENTS) {
-            true => (s.parent_cold_from, s.parent_cold_time),
-            false => (s.cold_from, s.cold_time),
+        let (from, time) = match self.sort(m) {
+            Some(ORIGIN) => return 1.0,
+            Some(PARENTS) => (s.parent_cold_from, s.parent_cold_time),
+            _ => (s.cold_from, s.cold_time),
         };
         let age = now.saturating_sub(m.started);
-        if m.started == 0 || age >= time || self.sort(m) == Some(ORIGIN) {
+        if m.started == 0 || age >= time {
             return 1.0;
         }
         (from + (1.0 - from) * age as f64 / time as f64).clamp(0.01, 1.0)
@@ -355,10 +351,8 @@
 
     /// Listed weight; where it says nothing, or changes from list to list, all count alike.
     fn weight(&self, m: &Member) -> f64 {
-        match self.settings.weights {
-            Weights::Nominal | Weights::Rough if m.weight > 0.0 => m.weight,
-            _ => 1.0,
-        }
+        let told = matches!(self.settings.weights, Weights::Nominal | Weights::Rough);
+        if told && m.weight > 0.0 { m.weight } else { 1.0 }
     }
 
     /// Members of a sort in the order of weighted rendezvous hashing, the object's own first.
@@ -414,8 +408,9 @@
     }
 
     /// A fault of a member. Guards against dead, cut off, slow and broken ones: one that fails much, and much
-    /// more than others of its sort, is set aside, longer each time, and then tried by a trickle. When all
-    /// fail alike the cause lies elsewhere and their work would jam the rest. Harm: half at once is met late.
+    /// more than others of its sort, is set aside, longer each time, then tried by a trickle. Not when all
+    /// fail alike: the cause lies elsewhere and their work would jam the rest. Harm: half at once is met
+    /// late.
     fn fault(&mut self, now: Micros, id: MemberId, weight: f64, out: &mut Vec<Action>) {
         let sort = self.peers.get(&id).and_then(|p| self.sort(&p.entry));
         let alike = sort.map_or(&[][..], |sort| &self.ready[sort]).iter().filter(|other| **other != id);
@@ -472,10 +467,8 @@
 
     /// Sending time in seconds: by size where told, else the class's mean.
     fn work_of(&self, r: &Request) -> f64 {
-        match r.size_kb {
-            Some(kb) if self.settings.flow_kb_per_s > 0.0 => kb / self.settings.flow_kb_per_s,
-            _ => self.mean_work(r.class),
-        }
+        let (kb, flow) = (r.size_kb, self.settings.flow_kb_per_s);
+        kb.filter(|_| flow > 0.0).map_or_else(|| self.mean_work(r.class), |kb| kb / flow)
     }
 
     /// When an attempt of this request is late: the class's aim, stretched by its sending time.
@@ -536,11 +529,11 @@
         own.wait as f64 <= spare && now + own.wait < request.valid_until
     }
 
-    /// The paper's test: seen lately, then kept at the middle rank; else passed through. A director that is
-    /// one of several at its location sees only its part of the requests there: what it sees first others
-    /// have seen with about the chance of their part. Then the copy is kept on trial, at the lowest rank,
-    /// which pushes out no popular one. Also shortens the refill after restarts. Harm: trial copies of
-    /// objects that never come again push out each other.
+    /// The paper's test: seen lately, then kept at the middle rank; else passed through. One of several
+    /// directors at a location sees only its part of the requests: what it sees first others have seen with
+    /// about the chance of their part. Then the copy is kept on trial, at the lowest rank, which pushes out
+    /// no popular one. Also shortens the refill after restarts. Harm: trial copies of objects that never come
+    /// again push out each other.
     fn keep(&mut self, now: Micros, key: u64, write: bool) -> Keep {
         if write {
             return Keep::Pass;
@@ -586,11 +579,11 @@
         (self.aim(&open.request) as f64 * (late + self.copies_won * (early.min(late) - late))) as Micros
     }
 
-    /// No answer for long: the attempt counts as lost, so that it takes no place among those out, and gets
-    /// a second copy where allowed; the first runs on. Guards against answers that never come: lost on the
-    /// way, from stalled or very slow members; a source whose fills hang is told by comparison. The copy only
-    /// looks where the member is well, which costs no second fill. Harm: doubles work that would have come
-    /// late, so none is made while fills come late, and the retry budget bounds them.
+    /// No answer for long: the attempt counts as lost, takes no place among those out, and gets a second copy
+    /// where allowed; the first runs on. Guards against answers that never come: lost on the way, from
+    /// stalled or very slow members; a source whose fills hang is told by comparison. The copy only looks
+    /// where the member is well, which costs no second fill. Harm: doubles late work, so none is made while
+    /// fills come late; the retry budget bounds it.
     fn overdue(&mut self, now: Micros, token: u64, out: &mut Vec<Action>) {
         let Some((id, attempt)) = self.watched.remove(&token) else { return };
         let Some(mut open) = self.open.remove(&id) else { return };
@@ -687,17 +680,11 @@
             self.next_token += 1;
         }
         let source = (source != member).then_some(source);
-        self.spend(now, member, self.mean_work(open.request.class));
-        if let Some(p) = self.peers.get_mut(&member) {
-            p.open += 1;
-        }
+        self.spend(now, member, self.mean_work(open.request.class), |p| p.open += 1);
         if let Some(s) = source {
             self.fills_out += 1;
             self.full_out += u32::from(!held);
-            self.spend(now, s, self.work_of(&open.request));
-            if let Some(p) = self.peers.get_mut(&s) {
-                p.fills += 1;
-            }
+            self.spend(now, s, self.work_of(&open.request), |p| p.fills += 1);
         }
         open.look.follows = false;
         let attempt = Attempt { member, source, at: now, held, may_have_run: true, ..Attempt::default() };
@@ -721,9 +708,9 @@
     /// What a cache may hold of ours falls while its own copies come late and rises while they come in time;
     /// more is refused at once. Also answers slow caches and bursts. Harm: large objects can hold it down.
     /// The same for fills, all together: by a parent's copy, sharing the location's link in, and those that
-    /// may go on to the origin. Also guards against refusing or failing sources. While the second limit is
-    /// used up, parents give only what they hold; while the first is, caches do. On a miss there a fill is
-    /// sent or joined if there is room, else refused. Harm: a look costs a round trip.
+    /// may go on to the origin. Also guards against failing sources. While the second limit is used up,
+    /// parents give only what they hold; while the first is, caches do. On a miss there a fill is sent or
+    /// joined if there is room. Harm: a look costs a round trip.
     fn pace(&mut self, now: Micros, open: &Open, attempt: &Attempt, o: &Outcome) {
         let aim = self.aim(&open.request);
         // A time-out counts where the attempt had time: clients of little patience say nothing of a jam.
@@ -810,8 +797,8 @@
         let late = o.elapsed > self.aim(&open.request);
         self.judge(now, attempt, &o, late, out);
         // Guards against blaming members for requests that nobody can use: an error counts once another
-        // member has answered the request well, and where two erred it is given up. Harm: an ill member among
-        // ill ones is told late.
+        // member has answered the request well; where two erred it is given up. Harm: an ill one among ill
+        // ones is told late.
         if o.status == Status::Ok {
             let erred = std::mem::take(&mut open.erred);
             erred.into_iter().filter(|m| *m != o.member).for_each(|m| self.fault(now, m, SOFT, out));
@@ -983,10 +970,11 @@
         spent + work <= budget || (turns > 1.0 && now >= last)
     }
 
-    /// Books what was sent, for the budget of a cold time.
-    fn spend(&mut self, now: Micros, id: MemberId, work: f64) {
+    /// Books what was sent, for the budget of a cold time, and among those out.
+    fn spend(&mut self, now: Micros, id: MemberId, work: f64, count: fn(&mut Peer)) {
         let window = self.settings.fall_window;
         let Some(p) = self.peers.get_mut(&id) else { return };
+        count(p);
         while p.sent.front().is_some_and(|(at, _)| now.saturating_sub(*at) > window) {
             p.sent.pop_front();
         }
