The module takes inherited facts as priors and reports what it saw itself

Need: a newcomer must enter limits, health and filter with what others saw, and be outweighed by what it sees itself.

Change: Event::Inherited; of a member met n times another's word counts 1/(n+1), a word on another process nothing, set aside only what was never met; inherited ids are a third set of the filter until its next swap; warm rates fill in until the first own reading.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,6 +5,8 @@
 
 use crate::interface::*;
 
+mod report;
+
 /// Ids that a generation of the filter holds, and the quiet time for an extra swap (design page's defaults).
 const GENERATION: usize = 4096;
 const QUIET: Micros = 10_000_000;
@@ -87,6 +89,7 @@
 pub struct AgeingFilter {
     active: BTreeSet<u64>,
     passive: BTreeSet<u64>,
+    inherited: BTreeSet<u64>,
     generation: usize,
     quiet: Micros,
     last_added: Micros,
@@ -105,7 +108,7 @@
             self.swap();
             self.last_added = now;
         }
-        let known = self.active.contains(&id) || self.passive.contains(&id);
+        let known = [&self.active, &self.passive, &self.inherited].iter().any(|ids| ids.contains(&id));
         if self.active.insert(id) {
             self.last_added = now;
             if self.active.len() >= self.generation {
@@ -116,8 +119,7 @@
     }
 
     fn swap(&mut self) {
-        self.passive.clear();
-        std::mem::swap(&mut self.active, &mut self.passive);
+        (self.passive, self.inherited) = (std::mem::take(&mut self.active), BTreeSet::new());
     }
 }
 
@@ -160,9 +162,10 @@
 #[derive(Debug, Default)]
 struct Peer {
     entry: Member,
-    /// Attempts out to it; attempts out that name it as source.
+    /// Attempts out to it; attempts out that name it as source; attempts to it that have ended.
     open: u32,
     fills: u32,
+    met: u32,
     /// Running share of faults; set aside until then, for so long the last time; then trusted with so many.
     ill: f64,
     until: Micros,
@@ -278,6 +281,7 @@
                 self.close(id);
             }
             Event::Purged { object, group, age } => self.purged(now, object, group, age),
+            Event::Inherited(told) => self.inherit(now, told),
             Event::Probed { .. } => {}
             Event::Timer { token: ASK_TOKEN } => out.push(Action::Watch),
             Event::Timer { token } => self.overdue(now, token, out),
@@ -295,11 +299,10 @@
                 _ => self.asks = 0,
             }
         }
-        if kind == ListKind::Failed {
-            return;
-        }
-        if kind != ListKind::Delta {
-            self.peers.values_mut().for_each(|p| p.entry.lifecycle = Lifecycle::Gone);
+        match kind {
+            ListKind::Failed => return,
+            ListKind::Delta => {}
+            _ => self.peers.values_mut().for_each(|p| p.entry.lifecycle = Lifecycle::Gone),
         }
         let own = self.draw(u64::MAX);
         let turn = |id: MemberId| (mix(own ^ id.0) >> 11) as f64 / (1u64 << 53) as f64;
@@ -435,28 +438,45 @@
     /// Who an outcome speaks for or against.
     fn judge(&mut self, now: Micros, attempt: &Attempt, o: &Outcome, late: bool, out: &mut Vec<Action>) {
         let (member, told) = (attempt.member, self.settings.tells == Tells::All);
-        let source = attempt.source.unwrap_or(member);
+        let via = attempt.source.unwrap_or(member);
         match (o.status, o.note) {
             (Status::Ok, Some(Note::Hit | Note::Stale)) if late => self.fault(now, member, SOFT, out),
             (Status::Ok, note) => {
                 self.good(member, out);
                 if matches!(note, Some(Note::Filled | Note::FilledByOrigin)) {
-                    self.good(source, out);
+                    self.good(via, out);
                 }
             }
-            (_, Some(Note::SourceRefused | Note::SourceUnreachable)) => self.fault(now, source, SOFT, out),
+            (_, Some(Note::SourceRefused | Note::SourceUnreachable)) => self.fault(now, via, SOFT, out),
             (_, Some(Note::OriginFailed | Note::SourceLacks | Note::FillsFull)) => {}
             (Status::ConnectFailed, _) => self.fault(now, member, HARD, out),
             // At the end of a client's short patience nothing was overdue yet.
             (Status::Timeout, _) if !late => {}
             (Status::Reset | Status::Timeout, _) => self.fault(now, member, SOFT, out),
-            (Status::Error | Status::Full, _) if !told && source != member => {
-                self.fault(now, source, SOFT, out);
-            }
+            (Status::Error | Status::Full, _) if !told && via != member => self.fault(now, via, SOFT, out),
             _ => {}
         }
     }
 
+    /// Others' word in place of what this director has not seen itself: of a member met often it says little.
+    /// The ids hold until the filter's next swap. Harm: a wrong word misplaces work for seconds.
+    fn inherit(&mut self, now: Micros, told: Inherited) {
+        for m in told.members {
+            let same = |p: &&mut Peer| p.entry.started == m.started;
+            let Some(p) = self.peers.get_mut(&m.id).filter(same) else { continue };
+            let doubt = 1.0 / (f64::from(p.met) + 1.0);
+            p.ill += m.ill_weight * doubt * (m.ill - p.ill);
+            p.pace.lateness += m.pace_weight * doubt * (m.lateness - p.pace.lateness);
+            p.pace.limit *= (m.limit.max(LIMIT_LEAST) / p.pace.limit).powf(m.pace_weight * doubt);
+            if m.aside > 0 && p.met == 0 {
+                (p.until, p.trust) = (now + m.aside.min(ASIDE_MOST), Some(1));
+            }
+        }
+        self.warm_rate = if self.rate_from > 0 { self.warm_rate } else { told.warm_rate };
+        let seen = told.seen.into_iter().take(GENERATION).collect();
+        (self.filter.last_added, self.filter.inherited) = (now, seen);
+    }
+
     // ---- 4. Life of a request ----
 
     fn class(&self, class: usize) -> Class {
@@ -618,7 +638,7 @@
             return;
         }
         if let Some(p) = self.peers.get_mut(&a.member) {
-            p.open = p.open.saturating_sub(1);
+            (p.open, p.met) = (p.open.saturating_sub(1), p.met.saturating_add(1));
         }
         if let Some(p) = a.source.and_then(|s| self.peers.get_mut(&s)) {
             p.fills = p.fills.saturating_sub(1);
@@ -932,11 +952,9 @@
     /// A refusal promises that a further try does no harm.
     fn may_refuse(&self, open: &Open) -> bool {
         let class = self.class(open.request.class);
-        match class.effect {
-            Effect::Idempotent => true,
-            Effect::Deduplicated if class.group == DedupGroup::All => true,
-            _ => open.attempts.iter().all(|a| a.ended && !a.may_have_run),
-        }
+        let dropped = class.effect == Effect::Deduplicated && class.group == DedupGroup::All;
+        let ran = |a: &Attempt| !a.ended || a.may_have_run;
+        class.effect == Effect::Idempotent || dropped || !open.attempts.iter().any(ran)
     }
 
     /// Whether one more keeps this director's part of what a cold member bears in a window.
@@ -947,24 +965,20 @@
         }
         let s = &self.settings;
         let parent = self.sort(&p.entry) == Some(PARENTS);
-        let zone = || s.zone_directors.get(s.zone).copied().unwrap_or(s.directors);
-        let (multiple, sharers) = match parent {
-            true => (s.parent_fall_multiple, s.directors),
-            false => (s.fall_multiple, zone()),
-        };
+        let zone = s.zone_directors.get(s.zone).copied().unwrap_or(s.directors);
+        let sharers = f64::from(if parent { s.directors } else { zone }.max(1));
+        let multiple = if parent { s.parent_fall_multiple } else { s.fall_multiple };
         // What it does when warm, for this director: by its weight, which counts transfers, or, where
         // weights say nothing, what warm ones were seen to take.
-        let warm = match s.weights {
-            Weights::Nominal | Weights::Rough => self.weight(&p.entry) / f64::from(sharers.max(1)),
-            _ => self.warm_rate[usize::from(parent)],
-        };
+        let told = matches!(s.weights, Weights::Nominal | Weights::Rough);
+        let warm = if told { self.weight(&p.entry) / sharers } else { self.warm_rate[usize::from(parent)] };
         let window = s.fall_window as f64 / 1e6;
         let budget = COLD_MARGIN * multiple * part * warm * window;
         let from = now.saturating_sub(s.fall_window);
         let spent: f64 = p.sent.iter().filter(|(at, _)| *at >= from).map(|(_, w)| w).sum();
         // A part below one attempt: one in so many windows, from a random turn on, as all directors together
         // must not send one each at once. Without any estimate all share one attempt a window.
-        let turns = if budget > 0.0 { work / budget } else { f64::from(sharers.max(1)) };
+        let turns = if budget > 0.0 { work / budget } else { sharers };
         let turn = (turns * s.fall_window as f64) as Micros;
         let last = p.sent.back().map_or(p.listed + (p.turn * turn as f64) as Micros, |(at, _)| at + turn);
         spent + work <= budget || (turns > 1.0 && now >= last)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -402,6 +402,70 @@
         /// As it was set.
         token: u64,
     },
+    /// What others saw, to start from.
+    Inherited(Inherited),
+}
+
+/// What others saw of a member.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct InheritedMember {
+    /// Which one.
+    pub id: MemberId,
+    /// The process that it was seen of: one that started at another time is another.
+    pub started: Micros,
+    /// Running share of faults, 0 to 1, and the weight of that word, 0 to 1.
+    pub ill: f64,
+    /// See `ill`.
+    pub ill_weight: f64,
+    /// It is set aside for so long.
+    pub aside: Micros,
+    /// Attempts that may be out to it.
+    pub limit: f64,
+    /// Running share of late answers, 0 to 1.
+    pub lateness: f64,
+    /// Weight of the word on limit and lateness, 0 to 1.
+    pub pace_weight: f64,
+}
+
+/// What others saw, and what it weighs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Inherited {
+    /// By member.
+    pub members: Vec<InheritedMember>,
+    /// Sending time a second that a warm cache, a warm parent takes from one director; 0: no word.
+    pub warm_rate: [f64; 2],
+    /// Objects asked for lately, as the filter's ids.
+    pub seen: Vec<u64>,
+}
+
+/// What a director saw of a member, to be told to others.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct MemberReport {
+    /// Which one.
+    pub id: MemberId,
+    /// The process that was seen.
+    pub started: Micros,
+    /// Attempts that ended there.
+    pub met: u32,
+    /// Running share of faults, 0 to 1.
+    pub ill: f64,
+    /// It is set aside for so long from now.
+    pub aside: Micros,
+    /// Attempts that may be out to it.
+    pub limit: f64,
+    /// Running share of late answers, 0 to 1.
+    pub lateness: f64,
+}
+
+/// What a director itself saw, without what it was told by others.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// By member, those that it met.
+    pub members: Vec<MemberReport>,
+    /// See [`Inherited::warm_rate`].
+    pub warm_rate: [f64; 2],
+    /// Objects asked for lately and a while ago, as the filter's ids.
+    pub seen: [Vec<u64>; 2],
 }
 
 /// The rank at which a copy is kept.
