--- a/silverspindle/src/coordinator.rs
+++ b/silverspindle/src/coordinator.rs
@@ -98,7 +98,14 @@
             };
             let Event { index, news } = feed::decode(&frame)?;
             // What came already, before a break, is not told twice: an old list would undo newer changes.
-            if news == News::Nothing || index <= self.last {
+            if news == News::Nothing {
+                // Nothing more to tell: what was told is current.
+                if self.news.send(news).await.is_err() {
+                    return Ok(());
+                }
+                continue;
+            }
+            if index <= self.last {
                 continue;
             }
             if index > self.last + 1 {
--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -13,9 +13,11 @@
     RequestId, Settings, Status,
 };
 use futures_lite::future;
+use silverspindle_knowledge::Item;
 
 use crate::copies::Copies;
 use crate::feed::{Listed, News, Purged};
+use crate::knowledge::Knowledge;
 use crate::traffic::{Attempt, Call, End, Message, Port, Shared, Terms, Verdict};
 use crate::upstream::{Order, Peer};
 use crate::{clock, invariant};
@@ -72,6 +74,8 @@
     actions: Vec<Action>,
     /// Copies of the router's own.
     copies: Copies,
+    /// What others can learn from this router, and it from them; none: off.
+    knowledge: Option<Knowledge>,
     next: u64,
 }
 
@@ -92,10 +96,44 @@
             backlog: VecDeque::new(),
             actions: Vec::new(),
             copies,
+            knowledge: None,
             next: 0,
         }
     }
 
+    /// With knowledge of others, or to be told to others.
+    pub fn with_knowledge(mut self, knowledge: Option<Knowledge>) -> Self {
+        self.knowledge = knowledge;
+        self
+    }
+
+    /// Takes in what another told: purges and drains at once, the rest as the module's priors.
+    pub fn learn(&mut self, transit: Micros, items: Vec<Item>) {
+        let Some(learnt) = self.knowledge.as_mut().map(|k| k.take(transit, items)) else { return };
+        if learnt.refused > 0 {
+            tracing::warn!("{} items of others out of their ranges, left out", learnt.refused);
+        }
+        learnt.purges.into_iter().for_each(|(what, at)| self.purged(what, at));
+        self.review();
+        self.event(Event::Inherited(learnt.inherited));
+    }
+
+    /// Acts by others' word on members where it outranks the own list, and by the own list again where it does
+    /// no more.
+    fn review(&mut self) {
+        let changed = self.knowledge.as_mut().map_or_else(Vec::new, Knowledge::review);
+        if changed.is_empty() {
+            return;
+        }
+        for m in &changed {
+            let id = m.member.id;
+            tracing::info!(member = %spelt(id), "acts by {:?}, started {}", m.member.lifecycle, m.member.started);
+            self.listed(m);
+        }
+        let members = changed.into_iter().map(|m| m.member).collect();
+        self.event(Event::Members { kind: ListKind::Delta, members });
+    }
+
     /// Runs until both mailboxes are closed. News go ahead of everything else that waits: a purge or a drain
     /// must not queue behind requests that would be sent without it.
     pub async fn run(mut self, news: Receiver<News>, mailbox: Receiver<Message>) {
@@ -134,8 +172,12 @@
     /// Takes news in. A whole list is of this kind: read back at the start, or told.
     pub fn news(&mut self, news: News, whole: ListKind) {
         match news {
-            News::Nothing => {}
+            News::Nothing => {
+                self.knowledge.iter_mut().for_each(Knowledge::heard);
+                self.review();
+            }
             News::Members { complete, members } => {
+                self.knowledge.iter_mut().for_each(|k| k.listed(complete, &members));
                 if complete {
                     let listed: Vec<MemberId> = members.iter().map(|m| m.member.id).collect();
                     let absent: Vec<MemberId> =
@@ -146,21 +188,27 @@
                 let members: Vec<Member> = members.into_iter().map(|m| m.member).collect();
                 tracing::debug!(complete, "list: {} entries", members.len());
                 self.event(Event::Members { kind: if complete { whole } else { ListKind::Delta }, members });
+                self.review();
             }
             News::Purged { what, at } => {
-                let now = clock::now();
-                let keep = self.settings.purge_done + self.settings.purge_grace;
-                self.shared.board.purged(now, what, keep);
-                self.copies.purge(now, what, at);
-                let (object, group) = match what {
-                    Purged::Object(key) => (Some(format!("{key:016x}")), 0),
-                    Purged::Group(group) => (None, group),
-                };
-                self.event(Event::Purged { object, group, age: now.saturating_sub(at) });
+                self.knowledge.iter_mut().for_each(|k| k.purged(what, at));
+                self.purged(what, at);
             }
         }
     }
 
+    fn purged(&mut self, what: Purged, at: Micros) {
+        let now = clock::now();
+        let keep = self.settings.purge_done + self.settings.purge_grace;
+        self.shared.board.purged(now, what, keep);
+        self.copies.purge(now, what, at);
+        let (object, group) = match what {
+            Purged::Object(key) => (Some(format!("{key:016x}")), 0),
+            Purged::Group(group) => (None, group),
+        };
+        self.event(Event::Purged { object, group, age: now.saturating_sub(at) });
+    }
+
     fn gone(&mut self, id: MemberId) {
         self.shared.board.set_ready(id, false);
         if let Some(peer) = self.peers.remove(&id) {
@@ -202,6 +250,15 @@
                 all.into_iter().for_each(|id| self.left(id));
             }
             Message::Ended(end) => self.ended(end),
+            Message::Give { reply } => {
+                let report = self.module.report(clock::now());
+                let items = self.knowledge.as_mut().map_or_else(Vec::new, |k| k.give(report));
+                let _ = reply.try_send(items);
+            }
+            Message::Learnt { transit, items } => self.learn(transit, items),
+            Message::HalfLives(half_lives) => {
+                self.knowledge.iter_mut().for_each(|k| k.reload(half_lives));
+            }
             Message::Probed { member, status, elapsed, load } => {
                 self.event(Event::Probed { member, status, elapsed, load });
             }
@@ -458,6 +515,11 @@
     }
 }
 
+/// A member's id as the coordinator and the caches spell it.
+fn spelt(id: MemberId) -> String {
+    format!("s-{:08x}", id.0)
+}
+
 enum Next {
     News(News),
     Message(Message),
--- /dev/null
+++ b/silverspindle/src/knowledge/exchange.rs
@@ -0,0 +1,329 @@
+//! The exchange on sockets, both sides: a donor gives to newcomers behind its clients, a newcomer asks after its
+//! start while it serves. What is decided is in `silverspindle-knowledge`; here it meets TCP and TLS.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use bitternhold::Micros;
+use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, future};
+use futures_rustls::{TlsAcceptor, TlsConnector};
+use rustls::pki_types::{CertificateDer, ServerName};
+use silverspindle_conf::Exchange;
+use silverspindle_knowledge::asking::{Action, Asking, Event};
+use silverspindle_knowledge::giving::{CHUNK, Giving};
+use silverspindle_knowledge::protocol::{self, Malformed, Message as Frame, Offer, Taken, Taking, VERSION};
+use silverspindle_knowledge::{InstanceId, Item, Source};
+
+use super::Steady;
+use super::keys::{self, Tls};
+use crate::framing::{self, Messages};
+use crate::traffic::Message;
+
+/// A connection not up by then has failed; the same for the handshake on it, and for the first frame.
+const CONNECT: Duration = Duration::from_secs(1);
+const HANDSHAKE: Duration = Duration::from_secs(2);
+/// Half a frame without more for so long is a stop.
+const STALL: Duration = Duration::from_secs(1);
+/// A whole exchange takes no longer, however it drips.
+const WHOLE: Duration = Duration::from_secs(10);
+/// Connections of newcomers that may be before their first frame; a bound on descriptors besides those served.
+const AT_THE_DOOR: usize = 4;
+/// With more messages waiting than this the director has clients to serve.
+const BUSY: usize = 8;
+const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
+
+/// Descriptors that it may take.
+pub fn descriptors(conf: &Exchange) -> usize {
+    let gives = if conf.listen.is_some() { 1 + AT_THE_DOOR + conf.newcomers } else { 0 };
+    gives + conf.at_once.min(conf.donors.len())
+}
+
+async fn within<T>(time: Duration, what: &str, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let late = async {
+        Timer::after(time).await;
+        Err(io::Error::new(io::ErrorKind::TimedOut, format!("no {what} in time")))
+    };
+    future::or(work, late).await
+}
+
+fn measure(buffer: &[u8]) -> Result<usize, framing::Malformed> {
+    protocol::measure(buffer).map_err(|_| framing::Malformed("a frame longer than any may be"))
+}
+
+fn malformed(why: Malformed) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, why.to_string())
+}
+
+async fn frame(frames: &mut Messages<impl AsyncRead + Unpin>) -> io::Result<bytes::Bytes> {
+    let closed = || io::Error::new(io::ErrorKind::UnexpectedEof, "closed by the peer");
+    frames.next().await?.ok_or_else(closed)
+}
+
+/// The name in a peer's certificate, for the log.
+fn peer(certificates: Option<&[CertificateDer<'static>]>) -> String {
+    let about = certificates.and_then(|all| keys::about(all.first()?).ok());
+    about.and_then(|a| a.names.into_iter().next()).unwrap_or_else(|| "-".to_owned())
+}
+
+/// What both sides share.
+pub struct Hub {
+    me: Source,
+    steady: Steady,
+    tls: RefCell<Tls>,
+    conf: RefCell<Exchange>,
+    giving: RefCell<Giving>,
+    at_the_door: Cell<usize>,
+    director: Sender<Message>,
+}
+
+impl Hub {
+    /// Reads the keys; a fault in them is the start's.
+    pub fn new(
+        me: Source,
+        steady: Steady,
+        conf: Exchange,
+        director: Sender<Message>,
+    ) -> Result<Rc<Self>, String> {
+        Ok(Rc::new(Self {
+            me,
+            steady,
+            tls: RefCell::new(Tls::read(&conf.files)?),
+            giving: RefCell::new(Giving::new(conf.give_rate, conf.newcomers)),
+            conf: RefCell::new(conf),
+            at_the_door: Cell::new(0),
+            director,
+        }))
+    }
+
+    /// Takes new settings and reads the keys anew. A fault keeps the old ones.
+    pub fn reload(&self, conf: &Exchange) {
+        match Tls::read(&conf.files) {
+            Ok(tls) => {
+                *self.tls.borrow_mut() = tls;
+                self.giving.borrow_mut().set(conf.give_rate, conf.newcomers);
+                *self.conf.borrow_mut() = conf.clone();
+            }
+            Err(e) => tracing::warn!("{e}; the old keys are kept"),
+        }
+    }
+
+    /// Gives to whoever asks with a certificate of the office's authority, for ever.
+    pub async fn give(self: Rc<Self>, listener: Async<TcpListener>, tasks: Rc<LocalExecutor<'static>>) {
+        loop {
+            let (stream, from) = match listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(e) => {
+                    tracing::warn!("accept: {e}");
+                    Timer::after(ACCEPT_AGAIN).await;
+                    continue;
+                }
+            };
+            if self.at_the_door.get() >= AT_THE_DOOR {
+                // Who is turned away here has no certificate shown yet; a newcomer comes again by itself.
+                continue;
+            }
+            self.at_the_door.set(self.at_the_door.get() + 1);
+            let hub = self.clone();
+            let serve = async move {
+                if let Err(e) = within(WHOLE, "end", hub.serve(stream)).await {
+                    tracing::warn!(peer = %from, "a newcomer was not served: {e}");
+                }
+            };
+            tasks.spawn(serve).detach();
+        }
+    }
+
+    async fn serve(&self, stream: Async<TcpStream>) -> io::Result<()> {
+        let hello = async {
+            let acceptor = TlsAcceptor::from(self.tls.borrow().server.clone());
+            let mut stream = within(HANDSHAKE, "handshake", acceptor.accept(stream)).await?;
+            let mut frames = Messages::new(&mut stream, measure, 1024).or_stall(STALL);
+            let hello = within(CONNECT, "first frame", frame(&mut frames)).await?;
+            Ok::<_, io::Error>((stream, hello))
+        };
+        let door = Door(&self.at_the_door);
+        let (mut stream, hello) = hello.await?;
+        drop(door);
+        let name = peer(stream.get_ref().1.peer_certificates());
+        let me = match protocol::decode(&hello) {
+            Ok(Frame::Hello { me }) if me.instance == InstanceId::of(&name) => me,
+            Ok(Frame::Hello { .. }) => return Err(io::Error::other("the name is not the certificate's")),
+            Ok(_) => return Err(malformed(Malformed::Kind(hello[4]))),
+            Err(why) => {
+                // So that a peer of another version learns which one is spoken here.
+                let own = Offer { me: self.me, up: self.steady.up(), items: 0 };
+                let _ = stream.write_all(&protocol::encode(&Frame::Offer(own), VERSION)).await;
+                return Err(malformed(why));
+            }
+        };
+        let admitted = self.giving.borrow().admit(me.instance, self.steady.now());
+        if let Err(after) = admitted {
+            stream.write_all(&protocol::encode(&Frame::Busy { after }, VERSION)).await?;
+            return stream.close().await;
+        }
+        let (reply, items) = async_channel::bounded(1);
+        let gone = |_| io::Error::other("the router is ending");
+        self.director
+            .send(Message::Give { reply })
+            .await
+            .map_err(|_| io::Error::other("the router is ending"))?;
+        let items = items.recv().await.map_err(gone)?;
+        let up = self.steady.up();
+        let (count, frames) = protocol::answer(items, protocol::MOST_TRANSFER);
+        let transfer = Transfer::begin(&self.giving, frames.iter().map(Vec::len).sum());
+        let offer = Offer { me: self.me, up, items: count };
+        stream.write_all(&protocol::encode(&Frame::Offer(offer), VERSION)).await?;
+        for chunk in frames.iter().flat_map(|frame| frame.chunks(CHUNK)) {
+            transfer.wait(chunk.len(), &self.steady, &self.director).await;
+            stream.write_all(chunk).await?;
+            stream.flush().await?;
+            future::yield_now().await;
+        }
+        let ms = (self.steady.up() - up) / 1000;
+        tracing::info!(peer = name, "gave {count} items, {} bytes, in {ms} ms", transfer.bytes);
+        stream.close().await
+    }
+
+    /// Asks donors, from the start on until enough is known.
+    pub async fn ask(self: Rc<Self>, tasks: Rc<LocalExecutor<'static>>) {
+        let donors = self.conf.borrow().donors.clone();
+        let ids: Vec<InstanceId> = donors.iter().map(|(name, _)| InstanceId::of(name)).collect();
+        let (at_once, until) = {
+            let conf = self.conf.borrow();
+            (conf.at_once, self.steady.now() + conf.ask_for)
+        };
+        let mut plan = Asking::new(self.me, &ids, at_once, until);
+        let (tell, told) = async_channel::bounded(ids.len().max(1));
+        let (mut actions, mut event) = (Vec::new(), Event::Tick);
+        loop {
+            plan.handle(self.steady.now(), event, &mut actions);
+            let mut wake = None;
+            for action in actions.drain(..) {
+                match action {
+                    Action::Ask(donor) => {
+                        let (hub, (name, at), tell) = (self.clone(), donors[donor].clone(), tell.clone());
+                        let ask = async move {
+                            let event = hub.one(donor, &name, at).await;
+                            let _ = tell.send(event).await;
+                        };
+                        tasks.spawn(ask).detach();
+                    }
+                    Action::Wake(at) => wake = Some(at),
+                    Action::Done => return tracing::info!("asked enough"),
+                }
+            }
+            let due = wake.unwrap_or(until).saturating_sub(self.steady.now());
+            let tick = async {
+                Timer::after(Duration::from_micros(due)).await;
+                Event::Tick
+            };
+            let answer = async { told.recv().await.unwrap_or(Event::Tick) };
+            event = future::or(answer, tick).await;
+        }
+    }
+
+    /// Asks one donor; what it gives whole goes to the director.
+    async fn one(&self, donor: usize, name: &str, at: SocketAddr) -> Event {
+        match within(WHOLE, "end", self.fetch(name, at)).await {
+            Ok(Answer::Busy(after)) => Event::Busy { donor, after },
+            Ok(Answer::Whole { offer, items, transit }) => {
+                let n = items.len();
+                tracing::info!(peer = name, "learnt {n} items, up {} s", offer.up / 1_000_000);
+                let _ = self.director.send(Message::Learnt { transit, items }).await;
+                Event::Answered { donor, up: offer.up }
+            }
+            Err(e) => {
+                tracing::warn!(peer = name, "donor at {at}: {e}; nothing of it is taken in");
+                Event::Failed { donor }
+            }
+        }
+    }
+
+    async fn fetch(&self, name: &str, at: SocketAddr) -> io::Result<Answer> {
+        let server = ServerName::try_from(name.to_owned()).map_err(io::Error::other)?;
+        let connector = TlsConnector::from(self.tls.borrow().client.clone());
+        let stream = within(CONNECT, "connection", Async::<TcpStream>::connect(at)).await?;
+        let mut stream = within(HANDSHAKE, "handshake", connector.connect(server, stream)).await?;
+        let asked = self.steady.now();
+        stream.write_all(&protocol::encode(&Frame::Hello { me: self.me }, VERSION)).await?;
+        stream.flush().await?;
+        self.read(name, asked, stream).await
+    }
+
+    async fn read(
+        &self,
+        name: &str,
+        asked: Micros,
+        stream: impl AsyncRead + AsyncWrite + Unpin,
+    ) -> io::Result<Answer> {
+        let mut frames = Messages::new(stream, measure, CHUNK).or_stall(STALL);
+        let mut taking = Taking::default();
+        let mut next = within(CONNECT, "offer", frame(&mut frames)).await?;
+        loop {
+            match taking.frame(&next).map_err(malformed)? {
+                Taken::More => {}
+                Taken::Busy(after) => return Ok(Answer::Busy(after)),
+                Taken::Whole(offer, _) if offer.me.instance != InstanceId::of(name) => {
+                    return Err(io::Error::other("the name is not the certificate's"));
+                }
+                Taken::Whole(offer, items) => {
+                    // Ages are as of when they were written, at some time since it was asked.
+                    let transit = self.steady.now() - asked;
+                    return Ok(Answer::Whole { offer, items, transit });
+                }
+            }
+            next = frame(&mut frames).await?;
+        }
+    }
+}
+
+enum Answer {
+    Busy(Micros),
+    Whole { offer: Offer, items: Vec<Item>, transit: Micros },
+}
+
+/// One connection before its first frame; gone when dropped.
+struct Door<'a>(&'a Cell<usize>);
+
+impl Drop for Door<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A transfer under the donor's plan; ended when dropped.
+struct Transfer<'a> {
+    giving: &'a RefCell<Giving>,
+    number: u64,
+    bytes: usize,
+}
+
+impl<'a> Transfer<'a> {
+    fn begin(giving: &'a RefCell<Giving>, bytes: usize) -> Self {
+        let number = giving.borrow_mut().begin(bytes);
+        Self { giving, number, bytes }
+    }
+
+    async fn wait(&self, bytes: usize, steady: &Steady, director: &Sender<Message>) {
+        loop {
+            let busy = director.len() > BUSY;
+            let may = self.giving.borrow_mut().may_write(self.number, bytes, busy, steady.now());
+            match may {
+                Ok(()) => return,
+                Err(wait) => Timer::after(Duration::from_micros(wait)).await,
+            };
+        }
+    }
+}
+
+impl Drop for Transfer<'_> {
+    fn drop(&mut self) {
+        self.giving.borrow_mut().end(self.number);
+    }
+}
--- a/silverspindle/src/lib.rs
+++ b/silverspindle/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod director;
 pub mod front;
 pub mod invariant;
+pub mod knowledge;
 pub mod logging;
 pub mod serve;
 pub mod traffic;
--- a/silverspindle/src/main.rs
+++ b/silverspindle/src/main.rs
@@ -6,6 +6,7 @@
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
 use silverspindle::config::{Config, read_conf};
+use silverspindle::knowledge::keys;
 use silverspindle::{logging, serve};
 
 const ENVIRONMENT: &str = "\
@@ -45,6 +46,9 @@
         /// The file; without it that of LB_CONF, else an empty one
         file: Option<PathBuf>,
     },
+    /// Keys for the exchange between routers
+    #[command(subcommand)]
+    Keys(Keys),
     /// Print the completion of the command line for a shell
     Completion {
         /// Which one
@@ -56,6 +60,33 @@
     Version,
 }
 
+#[derive(Subcommand)]
+enum Keys {
+    /// Make the office's authority: authority.pem and authority.key
+    Init {
+        /// The folder, made where it is absent
+        folder: PathBuf,
+        /// Days that it holds
+        #[arg(long, default_value_t = keys::AUTHORITY_DAYS)]
+        days: u32,
+    },
+    /// Make a router's certificate and key, signed by the authority
+    Issue {
+        /// The authority's folder
+        folder: PathBuf,
+        /// The router's name
+        name: String,
+        /// Days that it holds
+        #[arg(long, default_value_t = keys::ROUTER_DAYS)]
+        days: u32,
+    },
+    /// Print whose a certificate is and until when it holds
+    Show {
+        /// The certificate's file
+        file: PathBuf,
+    },
+}
+
 fn environment(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
@@ -85,6 +116,11 @@
             let again = || (Config::read(&environment), read_conf(file.as_deref()));
             serve::serve(config, conf, again).map_err(io)?;
         }
+        Command::Keys(Keys::Init { folder, days }) => keys::init(&folder, days).map_err(one)?,
+        Command::Keys(Keys::Issue { folder, name, days }) => {
+            keys::issue(&folder, &name, days).map_err(one)?
+        }
+        Command::Keys(Keys::Show { file }) => print!("{}", keys::show(&file).map_err(one)?),
         Command::Completion { shell } => {
             clap_complete::generate(shell, &mut Line::command(), "silverspindle", &mut out);
         }
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -19,7 +19,9 @@
 use crate::copies::Copies;
 use crate::director::{self, Director, Owed};
 use crate::front::{Front, most_clients};
-use crate::traffic::{Board, Descriptors, Shared};
+use crate::knowledge::exchange::{self, Hub};
+use crate::knowledge::{Knowledge, snapshots};
+use crate::traffic::{Board, Descriptors, Message, Shared};
 use crate::{clock, invariant};
 
 /// Descriptors kept for all else: the listener, the coordinator, signals, the reactor.
@@ -34,7 +36,6 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
 /// The actors of a router, started.
-#[derive(Debug)]
 pub struct Router {
     /// Where it listens.
     pub address: SocketAddr,
@@ -43,6 +44,8 @@
     front: Rc<Front>,
     owed: Rc<Owed>,
     conf: RefCell<Conf>,
+    hub: Option<Rc<Hub>>,
+    director: Sender<Message>,
 }
 
 impl Router {
@@ -53,24 +56,52 @@
         let catalogue = Rc::new(config.catalogue);
         let (mailbox, messages) = async_channel::bounded(director::MAILBOX);
         let (tell, news) = async_channel::bounded(director::MAILBOX);
+        let exchanges = conf.exchange.as_ref().map_or(0, exchange::descriptors);
         let shared = Rc::new(Shared {
             catalogue: catalogue.clone(),
             board: Rc::new(Board::default()),
             descriptors: Descriptors::new(
-                config.sockets.saturating_sub(most_clients(config.sockets) + OTHER_DESCRIPTORS),
+                config.sockets.saturating_sub(most_clients(config.sockets) + OTHER_DESCRIPTORS + exchanges),
             ),
             director: mailbox.clone(),
             tasks: tasks.clone(),
         });
         let owed = Rc::new(Owed::default());
         let copies = Copies::new((config.memory / COPIES_PART).min(MOST_COPIES), config.flow, config.link);
-        let mut director = Director::new(config.seed, shared, owed.clone(), copies);
+        let on = conf.exchange.is_some() || conf.snapshot.is_some();
+        let knowledge = on.then(|| Knowledge::new(&config.name, conf.half_lives, &catalogue.settings));
+        let who = knowledge.as_ref().map(|k| (k.me, k.steady));
+        let mut director = Director::new(config.seed, shared, owed.clone(), copies).with_knowledge(knowledge);
         let (last, known) = config.known;
         known.into_iter().for_each(|event| director.news(event.news, ListKind::Cached));
+        if let Some((snapshot, (me, _))) = conf.snapshot.clone().zip(who) {
+            let file = snapshots::path(&snapshot.directory, me.instance);
+            match snapshots::read(&file, me.instance, snapshot.most) {
+                Ok(None) => tracing::info!("no snapshot yet"),
+                Ok(Some((away, items))) => {
+                    tracing::info!("snapshot: {} items, away {} ms", items.len(), away / 1000);
+                    director.learn(away, items);
+                }
+                Err(e) => tracing::warn!("{e}; starting without it"),
+            }
+            tasks.spawn(snapshots::run(snapshot, me.instance, mailbox.clone())).detach();
+        }
+        let mut hub = None;
+        if let Some((terms, (me, steady))) = conf.exchange.clone().zip(who) {
+            let listen = terms.listen.map(Async::<TcpListener>::bind).transpose()?;
+            let own = Hub::new(me, steady, terms, mailbox.clone()).map_err(io::Error::other)?;
+            if let Some(listener) = listen {
+                tracing::info!("gives on {}", listener.get_ref().local_addr()?);
+                tasks.spawn(own.clone().give(listener, tasks.clone())).detach();
+            }
+            tasks.spawn(own.clone().ask(tasks.clone())).detach();
+            hub = Some(own);
+        }
         tasks.spawn(director.run(news, messages)).detach();
         let (moves, moved) = async_channel::bounded(MOVES);
         let coordinator = Coordinator { address: config.coordinator, last, news: tell, moves: moved };
         tasks.spawn(coordinator.run()).detach();
+        let to_director = mailbox.clone();
         let front = Front::new(catalogue, mailbox, config.memory, config.sockets);
         tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
         front.set_well(true);
@@ -82,6 +113,8 @@
             front,
             owed,
             conf: RefCell::new(conf),
+            hub,
+            director: to_director,
         })
     }
 
@@ -93,6 +126,10 @@
                 for key in self.conf.borrow().need_restart(&conf) {
                     tracing::warn!("operators' file: {key} has changed; that needs a restart");
                 }
+                if let (Some(hub), Some(exchange)) = (&self.hub, &conf.exchange) {
+                    hub.reload(exchange);
+                }
+                let _ = self.director.send(Message::HalfLives(conf.half_lives)).await;
                 *self.conf.borrow_mut() = conf;
             }
             Err(faults) => {
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -12,6 +12,8 @@
 use bitternhold::settings::Catalogue;
 use bitternhold::{FillMode, Keep, Load, MemberId, Micros, Note, Status};
 use bytes::Bytes;
+use silverspindle_conf::HalfLives;
+use silverspindle_knowledge::Item;
 
 use crate::copies;
 use crate::feed::{Purged, hex};
@@ -141,6 +143,20 @@
     },
     /// An attempt ended.
     Ended(End),
+    /// Someone asks for all that is known.
+    Give {
+        /// Where it goes.
+        reply: Sender<Vec<Item>>,
+    },
+    /// Another told what it knows.
+    Learnt {
+        /// It was on the way for so long at most.
+        transit: Micros,
+        /// What it told.
+        items: Vec<Item>,
+    },
+    /// Half-lives changed.
+    HalfLives(HalfLives),
     /// A probe ended.
     Probed {
         /// Where it went.
--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -231,6 +231,18 @@
     out
 }
 
+/// An entry of a whole or a partial list, as the coordinator writes it.
+pub fn record(id: u32, state: u8, address: SocketAddr) -> Vec<u8> {
+    let kind = if id == 99 { 2 } else { 0 };
+    let mut r = id.to_be_bytes().to_vec();
+    r.extend([127, 0, 0, 1]);
+    r.extend(address.port().to_be_bytes());
+    r.extend([state, 1, kind, 0, 0]);
+    r.extend(10_000u32.to_be_bytes());
+    r.extend([0; 8]);
+    r
+}
+
 /// A client's connection to a router.
 pub struct Client {
     stream: Stream,
--- /dev/null
+++ b/silverspindle/tests/exchange.rs
@@ -0,0 +1,570 @@
+//! Routers that learn from each other, on loopback: drains and purges by hearsay, donors that break off, lie
+//! about lengths or show no good certificate, and snapshots.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use async_io::Async;
+use common::*;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_rustls::TlsAcceptor;
+use serde_json::Value;
+use silverspindle::knowledge::keys::{self, Tls};
+use silverspindle::knowledge::snapshots;
+use silverspindle::serve::Router;
+use silverspindle_conf::{Conf, Files};
+use silverspindle_knowledge::protocol::{self, Message, Offer, VERSION};
+use silverspindle_knowledge::*;
+
+/// A folder of keys for n0, n1 and more, new for each test.
+struct Office(PathBuf);
+
+impl Office {
+    fn new() -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let name = format!("office-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let _ = std::fs::remove_dir_all(&folder);
+        keys::init(&folder, 100).unwrap();
+        ["n0", "n1", "n2"].iter().for_each(|name| keys::issue(&folder, name, 100).unwrap());
+        Self(folder)
+    }
+
+    fn files(&self, name: &str) -> Files {
+        let file = |name: String| self.0.join(name);
+        Files {
+            authority: file("authority.pem".into()),
+            certificate: file(format!("{name}.pem")),
+            key: file(format!("{name}.key")),
+        }
+    }
+
+    fn conf(&self, name: &str, more: &str) -> Conf {
+        let Files { authority, certificate, key } = self.files(name);
+        let text = format!(
+            "exchange-authority '{}'\nexchange-certificate '{}'\nexchange-key '{}'\n{more}",
+            authority.display(),
+            certificate.display(),
+            key.display()
+        );
+        silverspindle_conf::read(&text).unwrap()
+    }
+}
+
+impl Drop for Office {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A port that was free a moment ago, on an address of this test alone.
+fn free() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.78:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// A router of this name before these caches, with its coordinator's listener.
+fn named(
+    tasks: &Tasks,
+    name: &str,
+    caches: &[SocketAddr],
+    conf: Conf,
+) -> (Router, Async<std::net::TcpListener>) {
+    let (coordinator, address) = listen();
+    let mut members: Vec<Value> = (1..).zip(caches).map(|(id, at)| entry(id, "box", *at)).collect();
+    members.push(entry(99, "origin", address));
+    let mut file = configuration(&members, address);
+    file["name"] = name.into();
+    (Router::start(config(&file).unwrap(), conf, tasks).unwrap(), coordinator)
+}
+
+/// A coordinator's connection, once its router has said what it has.
+async fn feed(coordinator: &Async<std::net::TcpListener>) -> Async<std::net::TcpStream> {
+    let mut feed = coordinator.accept().await.unwrap().0;
+    feed.read_exact(&mut [0; 8]).await.unwrap();
+    feed
+}
+
+/// Asks for an object until the command that reaches a cache is as wanted; how the others answered tells which
+/// cache was asked.
+async fn until(client: &Client, caches: [&Cache; 2], seq: &mut i32, good: impl Fn(usize, &Command) -> bool) {
+    loop {
+        *seq += 1;
+        let rid = format!("{seq:016x}", seq = *seq);
+        let mut fields: Vec<(&str, &str)> = page(RID);
+        (fields[1].1, fields[3].1) = (&rid, &rid);
+        client.send(&serve(*seq, &fields, b"")).await;
+        let one = async { (0, caches[0].next().await) };
+        let two = async { (1, caches[1].next().await) };
+        let (which, (want, line)) = futures_lite::future::or(one, two).await;
+        reply(&line, &[&rid, "NONE", "-", ""]).await;
+        reply_all(client, caches, &rid, *seq).await;
+        if good(which, &want) {
+            return;
+        }
+    }
+}
+
+/// Answers whatever else comes for a request until its answer is there.
+async fn reply_all(client: &Client, caches: [&Cache; 2], rid: &str, seq: i32) {
+    let _ = seq;
+    let serve = async |cache: &Cache| loop {
+        let (want, line) = cache.next().await;
+        if want[0] == "want" {
+            reply(&line, &[rid, "HIT", NAMED, "x"]).await;
+        }
+    };
+    let both = async {
+        futures_lite::future::zip(serve(caches[0]), serve(caches[1])).await;
+    };
+    futures_lite::future::or(async { drop(client.next().await) }, both).await;
+}
+
+const RID: &str = "9b1f03aa5c7e2d41";
+
+/// Which caches these many requests for different objects went to.
+async fn asked(client: &Client, caches: [&Cache; 2], seq: &mut i32, requests: usize) -> [usize; 2] {
+    let mut counts = [0; 2];
+    for _ in 0..requests {
+        let seen = Rc::new(std::cell::Cell::new(0));
+        until(client, caches, seq, |which, _| {
+            seen.set(which);
+            true
+        })
+        .await;
+        counts[seen.get()] += 1;
+    }
+    counts
+}
+
+/// The drain is known to the donor and not to the newcomer's list: as soon as the newcomer has learnt of it the
+/// box gets nothing, while its own coordinator says nothing at all.
+#[test]
+fn a_drain_that_only_the_donor_knows_is_heeded() {
+    run(async |tasks| {
+        let (office, at) = (Office::new(), free());
+        let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+        let both = [one.address, two.address];
+        let (_donor, coordinator) =
+            named(tasks, "n0", &both, office.conf("n0", &format!("exchange-listen {at}")));
+        let mut told = feed(&coordinator).await;
+        told.write_all(&event(2, 2, &record(1, 1, one.address))).await.unwrap();
+        told.write_all(&event(0, 0, b"")).await.unwrap();
+        let (newcomer, _silent) = named(tasks, "n1", &both, office.conf("n1", &format!("donor n0 {at}")));
+        let client = Client::connect(tasks, newcomer.address).await;
+        let mut seq = 0;
+        // It serves meanwhile; once no request of ten goes to the box that drains, none does.
+        while asked(&client, [&one, &two], &mut seq, 10).await[0] > 0 {}
+        assert_eq!(asked(&client, [&one, &two], &mut seq, 60).await, [0, 60]);
+    });
+}
+
+/// Guards against borrowed news that a box is well: the newcomer's own list says that it drains, the donor, cut
+/// off from the coordinator since, says ready and tells of its limits.
+#[test]
+fn no_word_of_another_lifts_a_drain_of_ones_own() {
+    run(async |tasks| {
+        let (office, at) = (Office::new(), free());
+        let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+        let both = [one.address, two.address];
+        let (donor, donors_coordinator) =
+            named(tasks, "n0", &both, office.conf("n0", &format!("exchange-listen {at}")));
+        let mut told = feed(&donors_coordinator).await;
+        told.write_all(&event(0, 0, b"")).await.unwrap();
+        let client = Client::connect(tasks, donor.address).await;
+        assert!(asked(&client, [&one, &two], &mut 0, 20).await[0] > 0);
+        let (newcomer, coordinator) = named(tasks, "n1", &both, office.conf("n1", &format!("donor n0 {at}")));
+        let mut told = feed(&coordinator).await;
+        told.write_all(&event(2, 2, &record(1, 1, one.address))).await.unwrap();
+        let client = Client::connect(tasks, newcomer.address).await;
+        let mut seq = 0;
+        while asked(&client, [&one, &two], &mut seq, 10).await[0] > 0 {}
+        // A donor is asked again every second while it is fresh: its word comes in between.
+        for _ in 0..30 {
+            assert_eq!(asked(&client, [&one, &two], &mut seq, 10).await, [0, 10]);
+            async_io::Timer::after(std::time::Duration::from_millis(50)).await;
+        }
+    });
+}
+
+/// A purge that only the donor was told: the newcomer asks for nothing older.
+#[test]
+fn a_purge_that_only_the_donor_knows_is_kept() {
+    run(async |tasks| {
+        let (office, at) = (Office::new(), free());
+        let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+        let both = [one.address, two.address];
+        let (_donor, coordinator) =
+            named(tasks, "n0", &both, office.conf("n0", &format!("exchange-listen {at}")));
+        let ms = silverspindle::clock::now() / 1000;
+        let purge = [17u16.to_be_bytes().as_slice(), &ms.to_be_bytes()].concat();
+        let mut told = feed(&coordinator).await;
+        told.write_all(&event(2, 4, &purge)).await.unwrap();
+        let (newcomer, _silent) = named(tasks, "n1", &both, office.conf("n1", &format!("donor n0 {at}")));
+        let client = Client::connect(tasks, newcomer.address).await;
+        until(&client, [&one, &two], &mut 0, |_, want| {
+            field(want, "newer").is_some_and(|ms| ms.parse::<u64>().unwrap() < 60_000)
+        })
+        .await;
+    });
+}
+
+/// A donor by script: TLS as ever, then these bytes, then it stays open or not.
+fn scripted(
+    tasks: &Tasks,
+    tls: Tls,
+    bytes: Vec<Vec<u8>>,
+    open: bool,
+) -> (SocketAddr, async_channel::Receiver<()>) {
+    let (listener, at) = listen();
+    let (tell, asked) = async_channel::unbounded();
+    let all = tasks.clone();
+    let accept = async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (acceptor, bytes, tell) =
+                (TlsAcceptor::from(tls.server.clone()), bytes.clone(), tell.clone());
+            let serve = async move {
+                let Ok(mut stream) = acceptor.accept(stream).await else { return };
+                let mut hello = [0; 64];
+                let _ = stream.read(&mut hello).await;
+                for part in bytes {
+                    let _ = stream.write_all(&part).await;
+                    let _ = stream.flush().await;
+                }
+                let _ = tell.send(()).await;
+                if open {
+                    // Until the other side closes.
+                    while stream.read(&mut hello).await.is_ok_and(|n| n > 0) {}
+                }
+            };
+            all.spawn(serve).detach();
+        }
+    };
+    tasks.spawn(accept).detach();
+    (at, asked)
+}
+
+/// The word of instance n0 that box 1 drains, as a donor would write it: offer, items, end.
+fn drains(me: Source, items: u32) -> [Vec<u8>; 3] {
+    let drain = Item::Fact(Record {
+        subject: Subject::Member(1, Aspect::Listed),
+        source: me,
+        seq: 1,
+        age: 0,
+        up: 60_000_000,
+        observations: 1,
+        hops: 0,
+        value: silverspindle_knowledge::Value::Listed { lifecycle: Lifecycle::Draining, started: 0 },
+    });
+    let offer = Message::Offer(Offer { me, up: 600_000_000, items });
+    [offer, Message::Items(vec![drain]), Message::End].map(|m| protocol::encode(&m, VERSION))
+}
+
+const N0: &str = "n0";
+
+fn n0() -> Source {
+    Source { instance: InstanceId::of(N0), incarnation: 1 }
+}
+
+/// Of what is broken off, stalled, garbled, lying or newer nothing is taken in, by whole frames or halves, and
+/// nobody else is touched. Each of these says before its fault that box 1 drains.
+#[test]
+fn of_a_donor_that_fails_nothing_is_taken_in() {
+    let [offer, items, end] = drains(n0(), 1);
+    let two = drains(n0(), 2)[0].clone();
+    let newer = protocol::encode(&Message::Offer(Offer { me: n0(), up: 1, items: 1 }), VERSION + 1);
+    let foreign = drains(Source { instance: InstanceId::of("n2"), incarnation: 1 }, 1);
+    let cases: Vec<(&str, Vec<Vec<u8>>, bool)> = vec![
+        ("killed mid-transfer", vec![offer.clone(), items.clone()], false),
+        ("stalled with the connection open", vec![offer.clone(), items.clone(), end[..3].to_vec()], true),
+        ("garbage", vec![offer.clone(), items.clone(), b"GET / HTTP/1.1\r\n\r\n".to_vec()], true),
+        (
+            "a frame of 3 GB",
+            vec![offer.clone(), items.clone(), 3_000_000_000u32.to_be_bytes().to_vec()],
+            true,
+        ),
+        ("a newer version", vec![newer, items.clone(), end.clone()], false),
+        ("fewer items than offered", vec![two, items.clone(), end.clone()], false),
+        ("another's name", foreign.to_vec(), false),
+        ("items before the offer", vec![items, end], false),
+    ];
+    for (what, bytes, open) in cases {
+        run(async |tasks| {
+            let office = Office::new();
+            let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+            let (at, told) = scripted(tasks, Tls::read(&office.files(N0)).unwrap(), bytes, open);
+            let (newcomer, _silent) =
+                named(tasks, "n1", &[one.address, two.address], office.conf("n1", &format!("donor n0 {at}")));
+            // Asked twice: the first time is over, as it is asked again.
+            told.recv().await.unwrap();
+            told.recv().await.unwrap();
+            let client = Client::connect(tasks, newcomer.address).await;
+            assert!(asked(&client, [&one, &two], &mut 0, 40).await[0] > 0, "{what}");
+        });
+    }
+}
+
+/// The same donor without a fault is heeded, so that the test above proves something; and after faulty donors a
+/// good one is asked.
+#[test]
+fn a_good_donor_is_heeded_beside_faulty_ones() {
+    run(async |tasks| {
+        let office = Office::new();
+        let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+        let (at, _) = scripted(tasks, Tls::read(&office.files(N0)).unwrap(), drains(n0(), 1).to_vec(), false);
+        let (faulty, _) =
+            scripted(tasks, Tls::read(&office.files("n2")).unwrap(), vec![b"garbage".to_vec()], true);
+        let donors = format!("donors-at-once 1\ndonor n2 {faulty}\ndonor n0 {at}\ndonor n3 {}", free());
+        let (newcomer, _silent) = named(tasks, "n1", &[one.address, two.address], office.conf("n1", &donors));
+        let client = Client::connect(tasks, newcomer.address).await;
+        let mut seq = 0;
+        while asked(&client, [&one, &two], &mut seq, 10).await[0] > 0 {}
+        assert_eq!(asked(&client, [&one, &two], &mut seq, 30).await, [0, 30]);
+    });
+}
+
+/// Certificates of another authority, past their end, of another name, and none at all: neither side gives or
+/// takes anything.
+#[test]
+fn without_a_good_certificate_nothing_is_given_or_taken() {
+    let (office, other) = (Office::new(), Office::new());
+    let expired = {
+        // The name must be right for the date to be the fault.
+        let folder = Office::new();
+        for (from, to) in [("authority.pem", "authority.pem"), ("authority.key", "authority.key")] {
+            std::fs::copy(office.0.join(from), folder.0.join(to)).unwrap();
+        }
+        for name in ["n0.pem", "n0.key"] {
+            std::fs::remove_file(folder.0.join(name)).unwrap();
+        }
+        let before = time::OffsetDateTime::now_utc() - time::Duration::days(3);
+        keys::issue_at(before, &folder.0, "n0", 2).unwrap();
+        folder
+    };
+    for (what, tls) in [
+        ("another authority", Tls::read(&other.files(N0)).unwrap()),
+        ("past its end", Tls::read(&expired.files(N0)).unwrap()),
+        ("another name", Tls::read(&office.files("n2")).unwrap()),
+    ] {
+        run(async |tasks| {
+            let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+            let (listener, at) = listen();
+            let bytes = drains(n0(), 1).concat();
+            let (tell, told) = async_channel::unbounded();
+            let acceptor = TlsAcceptor::from(tls.server.clone());
+            let serve = async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    if let Ok(mut stream) = acceptor.accept(stream).await {
+                        let _ = stream.write_all(&bytes).await;
+                        let _ = stream.flush().await;
+                    }
+                    let _ = tell.send(()).await;
+                }
+            };
+            tasks.spawn(serve).detach();
+            let conf = office.conf("n1", &format!("donor n0 {at}"));
+            let (newcomer, _silent) = named(tasks, "n1", &[one.address, two.address], conf);
+            told.recv().await.unwrap();
+            told.recv().await.unwrap();
+            let client = Client::connect(tasks, newcomer.address).await;
+            assert!(asked(&client, [&one, &two], &mut 0, 40).await[0] > 0, "{what}");
+        });
+    }
+    // And a donor gives nothing to them, nor to one that shows none or speaks no TLS.
+    run(async |tasks| {
+        let at = free();
+        let conf = office.conf("n0", &format!("exchange-listen {at}"));
+        let (donor, _coordinator) = named(tasks, "n0", &[], conf);
+        let hello = protocol::encode(&Message::Hello { me: n0() }, VERSION);
+        for files in [Some(other.files("n1")), Some(expired.files(N0)), None] {
+            let mut client = (*Tls::read(&office.files("n1")).unwrap().client).clone();
+            match files {
+                // Trusts the donor, shows what is not good.
+                Some(files) => {
+                    let own = Tls::read(&files).unwrap();
+                    client.client_auth_cert_resolver = own.client.client_auth_cert_resolver.clone();
+                }
+                None => {
+                    client.client_auth_cert_resolver = std::sync::Arc::new(NoCertificate);
+                }
+            }
+            let connector = futures_rustls::TlsConnector::from(std::sync::Arc::new(client));
+            let stream = Async::<std::net::TcpStream>::connect(at).await.unwrap();
+            // With TLS 1.3 the asker's handshake ends first; the refusal comes with the first read.
+            if let Ok(mut stream) = connector.connect("n0".try_into().unwrap(), stream).await {
+                let _ = stream.write_all(&hello).await;
+                let read = stream.read(&mut [0; 100]).await;
+                assert!(!read.is_ok_and(|n| n > 0));
+            }
+        }
+        let mut plain = Async::<std::net::TcpStream>::connect(at).await.unwrap();
+        plain.write_all(&hello).await.unwrap();
+        let mut got = Vec::new();
+        let _ = plain.read_to_end(&mut got).await;
+        assert!(got.windows(4).all(|w| w != b"SSPK"));
+        let client = Client::connect(tasks, donor.address).await;
+        assert!(client.well(1).await, "nobody else is touched");
+    });
+}
+
+#[derive(Debug)]
+struct NoCertificate;
+
+impl rustls::client::ResolvesClientCert for NoCertificate {
+    fn resolve(
+        &self,
+        _: &[&[u8]],
+        _: &[rustls::SignatureScheme],
+    ) -> Option<std::sync::Arc<rustls::sign::CertifiedKey>> {
+        None
+    }
+
+    fn has_certs(&self) -> bool {
+        false
+    }
+}
+
+/// Newcomers past the bound are told when to come back, and do.
+#[test]
+fn a_busy_donor_says_when_to_come_back() {
+    run(async |tasks| {
+        let (office, at) = (Office::new(), free());
+        let conf = office.conf("n0", &format!("exchange-listen {at}\ngive-newcomers 1\ngive-rate 1kB"));
+        let (_donor, coordinator) = named(tasks, "n0", &[], conf);
+        let mut told = feed(&coordinator).await;
+        // Purges enough for an answer of several chunks, which at this rate takes long.
+        let purges: Vec<u8> = (0..5000u64)
+            .flat_map(|n| {
+                let ms = silverspindle::clock::now() / 1000;
+                event(2 + n, 3, &[n.to_be_bytes(), ms.to_be_bytes()].concat())
+            })
+            .collect();
+        told.write_all(&purges).await.unwrap();
+        let ask = async |name: &str| {
+            let tls = Tls::read(&office.files(name)).unwrap();
+            let stream = Async::<std::net::TcpStream>::connect(at).await.unwrap();
+            let connector = futures_rustls::TlsConnector::from(tls.client);
+            let mut stream = connector.connect("n0".try_into().unwrap(), stream).await.unwrap();
+            let me = Source { instance: InstanceId::of(name), incarnation: 1 };
+            stream.write_all(&protocol::encode(&Message::Hello { me }, VERSION)).await.unwrap();
+            let mut length = [0; 4];
+            stream.read_exact(&mut length).await.unwrap();
+            let mut rest = vec![0; u32::from_be_bytes(length) as usize];
+            stream.read_exact(&mut rest).await.unwrap();
+            (protocol::decode(&[&length[..], &rest].concat()).unwrap(), stream)
+        };
+        // Until the purges are in, an answer is short and soon over.
+        let (first, _open) = loop {
+            match ask("n1").await {
+                (Message::Offer(offer), stream) if offer.items > 4000 => break (offer, stream),
+                _ => {}
+            }
+        };
+        assert!(first.items > 4000);
+        let (Message::Busy { after }, _) = ask("n2").await else { panic!() };
+        assert!((50_000..=600_000_000).contains(&after), "{after}");
+    });
+}
+
+/// A router that comes back reads what it knew: the drain that its configuration's list has forgotten. What is
+/// torn, of another router or none is refused, and the router starts without.
+#[test]
+fn a_snapshot_is_one_more_donor() {
+    run(async |tasks| {
+        let office = Office::new();
+        let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+        let both = [one.address, two.address];
+        let text = format!("snapshot-directory '{}'\nsnapshot-every 100ms", office.0.display());
+        let conf = silverspindle_conf::read(&text).unwrap();
+        let file = snapshots::path(&office.0, InstanceId::of("n0"));
+        let (_first, coordinator) = named(tasks, "n0", &both, conf.clone());
+        let mut told = feed(&coordinator).await;
+        told.write_all(&event(2, 2, &record(1, 1, one.address))).await.unwrap();
+        told.write_all(&event(0, 0, b"")).await.unwrap();
+        let drained = |items: &[Item]| {
+            items.iter().any(|i| {
+                matches!(
+                    i,
+                    Item::Fact(Record {
+                        value: silverspindle_knowledge::Value::Listed { lifecycle: Lifecycle::Draining, .. },
+                        ..
+                    })
+                )
+            })
+        };
+        loop {
+            match snapshots::read(&file, InstanceId::of("n0"), 1 << 20) {
+                Ok(Some((_, items))) if drained(&items) => break,
+                Ok(_) => async_io::Timer::after(std::time::Duration::from_millis(10)).await,
+                Err(e) => panic!("{e}"),
+            };
+        }
+        let good = std::fs::read(&file).unwrap();
+        let start = async |bytes: &[u8]| {
+            let folder = Office::new();
+            std::fs::write(snapshots::path(&folder.0, InstanceId::of("n0")), bytes).unwrap();
+            let text = format!("snapshot-directory '{}'\nsnapshot-every 1h", folder.0.display());
+            let conf = silverspindle_conf::read(&text).unwrap();
+            let (second, _silent) = named(tasks, "n0", &both, conf);
+            let client = Client::connect(tasks, second.address).await;
+            asked(&client, [&one, &two], &mut 0, 40).await
+        };
+        assert_eq!(start(&good).await, [0, 40]);
+        for bad in [
+            &good[..good.len() - 1],
+            b"",
+            b"something else that lies there by chance",
+            &[&good[..], b"x"].concat(),
+        ] {
+            assert!(start(bad).await[0] > 0);
+        }
+    });
+}
+
+/// Writes snapshots as fast as it can until it is killed; run by the test below as a process of its own.
+#[test]
+#[ignore = "a process for the next test"]
+fn writer_of_snapshots() {
+    let folder = PathBuf::from(std::env::var("SNAPSHOTS").unwrap());
+    let path = snapshots::path(&folder, InstanceId::of("n0"));
+    for n in 0.. {
+        snapshots::write(&path, &numbered(n)).unwrap();
+    }
+}
+
+fn numbered(n: u64) -> Vec<u8> {
+    let items = (0..2000).map(|i| Item::Purge(Purged::Object(i), n)).collect();
+    snapshot::encode(InstanceId::of("n0"), silverspindle::clock::now(), items, 1 << 20)
+}
+
+/// Guards against a torn snapshot after a kill at any point: the old one or the new one is there, whole.
+#[test]
+fn a_writer_killed_at_any_point_leaves_the_old_or_the_new() {
+    let office = Office::new();
+    let path = snapshots::path(&office.0, InstanceId::of("n0"));
+    snapshots::write(&path, &numbered(0)).unwrap();
+    let (mut last, mut beside) = (0, 0);
+    for round in 0..200u64 {
+        let mut child = std::process::Command::new(std::env::current_exe().unwrap())
+            .args(["--ignored", "--exact", "writer_of_snapshots", "--nocapture"])
+            .env("SNAPSHOTS", &office.0)
+            .stdout(std::process::Stdio::null())
+            .stderr(std::process::Stdio::null())
+            .spawn()
+            .unwrap();
+        // From before it has begun to amid its writes; the point differs by itself as well.
+        std::thread::sleep(std::time::Duration::from_micros(500 + round * 97 % 9_000));
+        child.kill().unwrap();
+        child.wait().unwrap();
+        let (_, items) = snapshots::read(&path, InstanceId::of("n0"), 1 << 20).unwrap().unwrap();
+        let Item::Purge(_, first) = items[0] else { panic!() };
+        assert!(items.len() == 2000 && items.iter().all(|i| matches!(i, Item::Purge(_, n) if *n == first)));
+        last += u64::from(first > 0);
+        beside += u64::from(path.with_extension("new").exists());
+    }
+    assert!(last > 0 && beside > 0, "some kills came amid the writes: {last}, {beside}");
+}
--- a/silverspindle/tests/router.rs
+++ b/silverspindle/tests/router.rs
@@ -275,15 +275,7 @@
         let (one, two) = (Cache::start(tasks), Cache::start(tasks));
         let (router, coordinator) = router(tasks, &[one.address, two.address]);
         let client = Client::connect(tasks, router.address).await;
-        let record = |id: u32, state: u8, cache: &Cache| {
-            let mut r = id.to_be_bytes().to_vec();
-            r.extend([127, 0, 0, 1]);
-            r.extend(cache.address.port().to_be_bytes());
-            r.extend([state, 1, 0, 0, 0]);
-            r.extend(10_000u32.to_be_bytes());
-            r.extend([0; 8]);
-            r
-        };
+        let record = |id: u32, state: u8, cache: &Cache| record(id, state, cache.address);
         let frame = |index, payload: &[u8]| event(index, 2, payload);
         let drain = frame(2, &record(1, 1, &one));
         let mut feed = coordinator.accept().await.unwrap().0;
