Stand-ins as a library, and silverspindle try: routers between them, every item counted

Need: the exchange's gain must be measured with real routers that die and come back, and a fresh machine needs one command that shows the router at work.

--- a/silverspindle/src/main.rs
+++ b/silverspindle/src/main.rs
@@ -8,6 +8,7 @@
 use silverspindle::config::{Config, read_conf};
 use silverspindle::knowledge::keys;
 use silverspindle::{logging, serve};
+use silverspindle_standins::trial;
 
 const ENVIRONMENT: &str = "\
 Environment:
@@ -46,6 +47,33 @@
         /// The file; without it that of LB_CONF, else an empty one
         file: Option<PathBuf>,
     },
+    /// Run this program between stand-ins on loopback and count every item's one final answer
+    Try {
+        /// How long traffic lasts
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// Routers
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=100))]
+        routers: u8,
+        /// Items a second to all of them
+        #[arg(long, default_value_t = 300.0)]
+        rate: f64,
+        /// Seed of all that is drawn
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Kill the first router after so many seconds and start it again
+        #[arg(long)]
+        kill: Option<u64>,
+        /// What is wrong around the kill
+        #[arg(long, value_enum, default_value_t = Trouble::None)]
+        trouble: Trouble,
+        /// How it learns then
+        #[arg(long, value_enum, default_value_t = Inherit::No)]
+        inherit: Inherit,
+        /// Drain a box, slow the head office, restart a box and purge on the way
+        #[arg(long)]
+        rough: bool,
+    },
     /// Keys for the exchange between routers
     #[command(subcommand)]
     Keys(Keys),
@@ -60,6 +88,26 @@
     Version,
 }
 
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Inherit {
+    /// Not at all
+    No,
+    /// From the other routers
+    Exchange,
+    /// From its own last snapshot
+    Snapshot,
+}
+
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Trouble {
+    /// Nothing
+    None,
+    /// A box stalls from five seconds before on
+    Stall,
+    /// The head office takes four times as long from five seconds before on
+    Office,
+}
+
 #[derive(Subcommand)]
 enum Keys {
     /// Make the office's authority: authority.pem and authority.key
@@ -116,6 +164,34 @@
             let again = || (Config::read(&environment), read_conf(file.as_deref()));
             serve::serve(config, conf, again).map_err(io)?;
         }
+        Command::Try { seconds, routers, rate, seed, kill, trouble, inherit, rough } => {
+            let inherit = match inherit {
+                Inherit::No => trial::Inherit::No,
+                Inherit::Exchange => trial::Inherit::Exchange,
+                Inherit::Snapshot => trial::Inherit::Snapshot,
+            };
+            let mut script = if rough { trial::rough(seconds) } else { Vec::new() };
+            if let Some(at) = kill {
+                let trouble = match trouble {
+                    Trouble::None => None,
+                    Trouble::Stall => Some((3, trial::Fault::Stall)),
+                    Trouble::Office => Some((trial::HEAD, trial::Fault::Slow(4.0))),
+                };
+                let before = at.saturating_sub(5) * 1_000_000;
+                script.extend(trouble.map(|(whom, what)| (before, trial::Act::Fault(whom, Some(what)))));
+                script.push((at * 1_000_000, trial::Act::Kill));
+            }
+            script.sort_by_key(|(at, _)| *at);
+            let program = std::env::current_exe().map_err(io)?;
+            let options = trial::Options { program, seconds, seed, routers, rate, inherit, script };
+            let tasks = std::rc::Rc::new(async_executor::LocalExecutor::new());
+            let run = async_io::block_on(tasks.run(trial::trial(&tasks, &options)));
+            let outcome = run.map_err(io)?;
+            print!("{}", trial::report(&outcome));
+            if !outcome.is_good() {
+                return Err(one("an item without its one final answer, or a rule broken".to_owned()));
+            }
+        }
         Command::Keys(Keys::Init { folder, days }) => keys::init(&folder, days).map_err(one)?,
         Command::Keys(Keys::Issue { folder, name, days }) => {
             keys::issue(&folder, &name, days).map_err(one)?
--- a/silverspindle/tests/cli.rs
+++ b/silverspindle/tests/cli.rs
@@ -82,6 +82,19 @@
     assert!(child.wait().unwrap().success());
 }
 
+/// The set-up's one command: a router between stand-ins, every item with its one final answer, through a drain, a
+/// slow head office, a cold box, a purge, a stalled box, and the router's death.
+#[test]
+fn a_trial_counts_every_items_one_answer() {
+    let out = run(
+        &["try", "--seconds", "4", "--rate", "60", "--rough", "--kill", "2", "--inherit", "snapshot"],
+        None,
+    );
+    let said = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert!(out.status.success(), "{said}{}", String::from_utf8_lossy(&out.stderr));
+    assert!(said.contains("every item has its one final answer"), "{said}");
+}
+
 #[test]
 fn completion_and_manual_name_the_commands() {
     for args in [&["completion", "bash"][..], &["man"], &["help"]] {
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,13 @@
+//! The parties that a router meets, on loopback: see the README.
+
+pub mod clients;
+pub mod codec;
+pub mod coordinator;
+pub mod office;
+pub mod trial;
+
+/// Microseconds.
+pub type Micros = u64;
+
+/// A second.
+pub const SECOND: Micros = 1_000_000;
