Limits of fills are inherited: a newcomer spares a slow head office at once

Change: a fact more, the limits of all fills and of those that may go on to the origin, in store, hub, report and module; a limit takes another's word only until its own first cut.

--- a/knowledge/src/facts.rs
+++ b/knowledge/src/facts.rs
@@ -59,6 +59,8 @@
     Filter,
     /// What warm members take.
     Rates,
+    /// Limits of fills.
+    Fills,
 }
 
 /// What of a member.
@@ -159,6 +161,14 @@
     },
     /// Sending time a second that a warm cache, a warm parent takes from one router.
     Rates([f32; 2]),
+    /// Of all fills, and of those that may go on to the origin: how many may be out, and the running share of
+    /// late ones, 0 to 1.
+    Fills {
+        /// The limits.
+        limits: [f32; 2],
+        /// The shares.
+        lateness: [f32; 2],
+    },
     /// The two generations of the filter.
     Filter {
         /// Seen lately.
@@ -176,6 +186,7 @@
             Value::Pace { .. } => 2,
             Value::Rates(_) => 3,
             Value::Filter { .. } => 4,
+            Value::Fills { .. } => 5,
         }
     }
 
@@ -194,6 +205,10 @@
                 Value::Pace { started: t, limit: b, lateness: n },
             ) => s.cmp(t).then(a.total_cmp(b)).then(m.total_cmp(n)),
             (Value::Rates([a, m]), Value::Rates([b, n])) => a.total_cmp(b).then(m.total_cmp(n)),
+            (Value::Fills { limits: a, lateness: m }, Value::Fills { limits: b, lateness: n }) => {
+                let pairs = a.iter().zip(b).chain(m.iter().zip(n));
+                pairs.map(|(x, y)| x.total_cmp(y)).find(|o| o.is_ne()).unwrap_or(Ordering::Equal)
+            }
             (Value::Filter { active: a, passive: m }, Value::Filter { active: b, passive: n }) => {
                 (a, m).cmp(&(b, n))
             }
@@ -245,6 +260,11 @@
                 let good = *limit > 0.0 && *limit <= HIGHEST_LIMIT && share(*lateness);
                 return if good { Ok(()) } else { Err(Refused::Range) };
             }
+            (Value::Fills { limits, lateness }, Subject::Fills) => {
+                let good = limits.iter().all(|l| *l > 0.0 && *l <= HIGHEST_LIMIT);
+                let good = good && lateness.iter().all(|l| share(*l));
+                return if good { Ok(()) } else { Err(Refused::Range) };
+            }
             (Value::Rates(rates), Subject::Rates) => {
                 let good = rates.iter().all(|r| (0.0..=HIGHEST_LIMIT).contains(r));
                 return if good { Ok(()) } else { Err(Refused::Range) };
--- a/knowledge/src/store.rs
+++ b/knowledge/src/store.rs
@@ -51,7 +51,7 @@
     fn of(&self, subject: Subject) -> Micros {
         match subject {
             Subject::Member(_, Aspect::Health) => self.health,
-            Subject::Member(_, Aspect::Pace) => self.pace,
+            Subject::Member(_, Aspect::Pace) | Subject::Fills => self.pace,
             // A list's word does not fade: it is set against the own list, see `list`.
             Subject::Member(_, Aspect::Listed) => OLDEST,
             Subject::Rates => self.rates,
@@ -119,6 +119,9 @@
 pub struct Priors {
     /// By member, in the order of ids.
     pub members: Vec<MemberPrior>,
+    /// Limits of all fills and of those that may go on to the origin, with the shares of late ones, and the
+    /// weight of that word.
+    pub fills: Option<([f64; 2], [f64; 2], f64)>,
     /// What a warm cache, a warm parent takes, and the weight of that word.
     pub rates: Option<([f64; 2], f64)>,
     /// Objects asked for lately, the surest first.
@@ -281,7 +284,7 @@
         let weight = |r: &Record| match r.subject {
             Subject::Member(_, Aspect::Listed) => 0,
             Subject::Member(..) => 1,
-            Subject::Rates => 2,
+            Subject::Rates | Subject::Fills => 2,
             Subject::Filter => 3,
         };
         records.sort_by_key(weight);
@@ -336,19 +339,28 @@
     /// earlier one says nothing, and a member it gives nothing for is not asked about.
     pub fn priors(&self, now: Micros, started: &BTreeMap<u64, Micros>) -> Priors {
         let members = started.iter().filter_map(|(id, started)| self.member(now, *id, *started)).collect();
-        let rates: Vec<(&Entry, f64)> =
-            self.words(Subject::Rates).map(|e| (e, self.weight(now, Subject::Rates, e))).collect();
-        let rates = (!rates.is_empty()).then(|| {
-            let of = |i: usize| {
-                let words = rates.iter().map(|(e, w)| match e.value {
-                    Value::Rates(r) => (f64::from(r[i]), *w),
-                    _ => (0.0, 0.0),
-                });
-                mean(&words.collect::<Vec<_>>())
-            };
-            ([of(0), of(1)], together(rates.iter().map(|(_, w)| *w)))
+        let rates = self.pairs(now, Subject::Rates, |value| match value {
+            Value::Rates(rates) => rates.map(f64::from),
+            _ => [0.0; 2],
         });
-        Priors { members, rates, filter: self.filter(now) }
+        let limits = self.pairs(now, Subject::Fills, |value| match value {
+            Value::Fills { limits, .. } => limits.map(|l| f64::from(l).ln()),
+            _ => [0.0; 2],
+        });
+        let lateness = self.pairs(now, Subject::Fills, |value| match value {
+            Value::Fills { lateness, .. } => lateness.map(f64::from),
+            _ => [0.0; 2],
+        });
+        let fills = limits.zip(lateness).map(|((l, weight), (late, _))| (l.map(f64::exp), late, weight));
+        Priors { members, fills, rates, filter: self.filter(now) }
+    }
+
+    /// Means of two figures over all words on a subject, and what the words weigh together.
+    fn pairs(&self, now: Micros, subject: Subject, of: fn(&Value) -> [f64; 2]) -> Option<([f64; 2], f64)> {
+        let words: Vec<([f64; 2], f64)> =
+            self.words(subject).map(|e| (of(&e.value), self.weight(now, subject, e))).collect();
+        let figure = |i: usize| mean(&words.iter().map(|(pair, w)| (pair[i], *w)).collect::<Vec<_>>());
+        (!words.is_empty()).then(|| ([figure(0), figure(1)], together(words.iter().map(|(_, w)| *w))))
     }
 
     fn member(&self, now: Micros, id: u64, process: Micros) -> Option<MemberPrior> {
--- a/silverspindle/src/knowledge/mod.rs
+++ b/silverspindle/src/knowledge/mod.rs
@@ -5,7 +5,9 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use bitternhold::{self as module, Inherited, InheritedMember, MemberId, MemberReport, Micros, Settings};
+use bitternhold::{
+    self as module, Inherited, InheritedMember, InheritedPace, MemberId, MemberReport, Micros, Settings,
+};
 use silverspindle_conf::HalfLives;
 use silverspindle_knowledge::list::{self, OwnList};
 use silverspindle_knowledge::store::{self, CLOCK_START, Store};
@@ -191,6 +193,11 @@
             let rates = Value::Rates(report.warm_rate.map(|rate| rate as f32));
             self.store.observe(now, up, Subject::Rates, met, rates);
         }
+        if met > 0 {
+            let [limits, lateness] = [report.fills.map(|f| f.0 as f32), report.fills.map(|f| f.1 as f32)];
+            let lateness = lateness.map(|share| share.clamp(0.0, 1.0));
+            self.store.observe(now, up, Subject::Fills, met, Value::Fills { limits, lateness });
+        }
         let [active, passive] = report.seen.map(Ids::new);
         if !(active.is_empty() && passive.is_empty()) {
             self.store.observe(now, up, Subject::Filter, met, Value::Filter { active, passive });
@@ -231,13 +238,14 @@
             ill: m.ill,
             ill_weight: m.health_weight,
             aside: m.aside,
-            limit: m.limit,
-            lateness: m.lateness,
-            pace_weight: m.pace_weight,
+            pace: InheritedPace { limit: m.limit, lateness: m.lateness, weight: m.pace_weight },
         });
         // A rate has no prior to weigh against: half a word is used whole, less is none.
         let warm_rate = priors.rates.filter(|(_, weight)| *weight >= 0.5).map_or([0.0; 2], |(r, _)| r);
-        let inherited = Inherited { members: members.collect(), warm_rate, seen: priors.filter };
+        let fills = priors.fills.map_or_else(Default::default, |(limits, lateness, weight)| {
+            [0, 1].map(|i| InheritedPace { limit: limits[i], lateness: lateness[i], weight })
+        });
+        let inherited = Inherited { members: members.collect(), fills, warm_rate, seen: priors.filter };
         Learnt { purges, inherited, refused }
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -143,6 +143,13 @@
         f64::from(out) < self.limit && chance < self.limit
     }
 
+    /// Starts from others' word, while the limit is a guess still.
+    fn start(&mut self, told: InheritedPace, doubt: f64) {
+        let weight = if self.fell == 0 { told.weight * doubt } else { 0.0 };
+        self.lateness += weight * (told.lateness - self.lateness);
+        self.limit *= (told.limit.max(LIMIT_LEAST) / self.limit).powf(weight);
+    }
+
     fn tell(&mut self, now: Micros, out: u32, late: bool, many: f64, stands_for: f64) {
         self.lateness += LATE_LEARN * stands_for * (f64::from(late) - self.lateness);
         if late && self.lateness > many && now.saturating_sub(self.fell) >= CUT_APART {
@@ -275,9 +282,8 @@
             Event::ClientGone { id } => {
                 // Nobody waits for what still runs.
                 let running = self.open.get(&id).map_or(&[][..], |open| &open.attempts);
-                for (n, _) in running.iter().enumerate().filter(|(_, a)| !a.ended && self.settings.cancel) {
-                    out.push(Action::Cancel { id, attempt: n as u32 });
-                }
+                let rest = running.iter().enumerate().filter(|(_, a)| !a.ended && self.settings.cancel);
+                out.extend(rest.map(|(n, _)| Action::Cancel { id, attempt: n as u32 }));
                 self.close(id);
             }
             Event::Purged { object, group, age } => self.purged(now, object, group, age),
@@ -466,12 +472,13 @@
             let Some(p) = self.peers.get_mut(&m.id).filter(same) else { continue };
             let doubt = 1.0 / (f64::from(p.met) + 1.0);
             p.ill += m.ill_weight * doubt * (m.ill - p.ill);
-            p.pace.lateness += m.pace_weight * doubt * (m.lateness - p.pace.lateness);
-            p.pace.limit *= (m.limit.max(LIMIT_LEAST) / p.pace.limit).powf(m.pace_weight * doubt);
+            p.pace.start(m.pace, doubt);
             if m.aside > 0 && p.met == 0 {
                 (p.until, p.trust) = (now + m.aside.min(ASIDE_MOST), Some(1));
             }
         }
+        self.fill_pace.start(told.fills[0], 1.0);
+        self.origin_pace.start(told.fills[1], 1.0);
         self.warm_rate = if self.rate_from > 0 { self.warm_rate } else { told.warm_rate };
         let seen = told.seen.into_iter().take(GENERATION).collect();
         (self.filter.last_added, self.filter.inherited) = (now, seen);
@@ -511,8 +518,7 @@
         }
         let id = request.id;
         if self.own_first(now, &request, key) {
-            out.push(Action::Own { id });
-            return;
+            return out.push(Action::Own { id });
         }
         let (attempts, bad, erred, look) = (Vec::new(), Vec::new(), Vec::new(), Look::default());
         self.open.insert(id, Open { request, key, keep, attempts, answered: false, look, bad, erred });
@@ -541,9 +547,8 @@
     /// have dropped, and the caches where the link has nothing to do. Harm: takes the link from others.
     fn own_first(&self, now: Micros, request: &Request, key: u64) -> bool {
         let oldest = self.oldest(request.class, true);
-        let Some(own) = request.own.filter(|_| self.own_holds(now, request, key, oldest)) else {
-            return false;
-        };
+        let holds = |_: &Own| self.own_holds(now, request, key, oldest);
+        let Some(own) = request.own.filter(holds) else { return false };
         let room = if own.unseen >= OWN_UNSEEN { OWN_FILL } else { OWN_HIT };
         let spare = room * self.aim(request) as f64 + self.work_of(request) * 1e6;
         own.wait as f64 <= spare && now + own.wait < request.valid_until
@@ -674,13 +679,12 @@
             let parent = self.peers.get(&source).is_some_and(|p| self.sort(&p.entry) == Some(PARENTS));
             let fills = self.fill_pace.room(self.fills_out, chance);
             room = fills && self.origin_pace.room(self.full_out, chance);
-            if !room {
-                held = fills && parent && !open.look.held_missed;
-                match (held, open.look.missed || open.look.held_missed) {
-                    (true, _) => {}
-                    (false, true) => return false,
-                    (false, false) => source = member,
+            held = !room && fills && parent && !open.look.held_missed;
+            if !room && !held {
+                if open.look.missed || open.look.held_missed {
+                    return false;
                 }
+                source = member;
             }
         }
         // To the client's end: earlier time-outs threw away transfers of large objects that were under way.
@@ -808,11 +812,9 @@
         }
         if o.status == Status::Ok {
             self.learn(now, &open, attempt, &o);
-            for (n, a) in open.attempts.iter().enumerate() {
-                if self.settings.cancel && o.closed && !a.ended {
-                    out.push(Action::Cancel { id: o.id, attempt: n as u32 });
-                }
-            }
+            let cancel = |a: &Attempt| self.settings.cancel && o.closed && !a.ended;
+            let rest = open.attempts.iter().enumerate().filter(|(_, a)| cancel(a));
+            out.extend(rest.map(|(n, _)| Action::Cancel { id: o.id, attempt: n as u32 }));
         }
         let late = o.elapsed > self.aim(&open.request);
         self.judge(now, attempt, &o, late, out);
@@ -1007,8 +1009,7 @@
             let ready = self.ready[sort].iter().filter_map(|id| self.peers.get(id));
             let parts: f64 = ready.map(|p| self.ramp(now, &p.entry)).sum();
             if parts > 0.0 && self.rate_from > 0 {
-                let rate = self.rate_sum[sort] / (span as f64 / 1e6) / parts;
-                let old = self.warm_rate[sort];
+                let (rate, old) = (self.rate_sum[sort] / (span as f64 / 1e6) / parts, self.warm_rate[sort]);
                 self.warm_rate[sort] += (rate - old) * if rate > old { RATE_UP } else { LEARN };
             }
         }
--- a/src/choice/report.rs
+++ b/src/choice/report.rs
@@ -18,6 +18,7 @@
         });
         Report {
             members: members.collect(),
+            fills: [&self.fill_pace, &self.origin_pace].map(|p| (p.limit, p.lateness)),
             // Until it has served for a while itself, a rate is another's word.
             warm_rate: if self.rate_from > 0 { self.warm_rate } else { [0.0; 2] },
             seen: [&self.filter.active, &self.filter.passive].map(|ids| ids.iter().copied().collect()),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -419,12 +419,19 @@
     pub ill_weight: f64,
     /// It is set aside for so long.
     pub aside: Micros,
-    /// Attempts that may be out to it.
+    /// How much it bears.
+    pub pace: InheritedPace,
+}
+
+/// What others found of a limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct InheritedPace {
+    /// Attempts that may be out.
     pub limit: f64,
     /// Running share of late answers, 0 to 1.
     pub lateness: f64,
-    /// Weight of the word on limit and lateness, 0 to 1.
-    pub pace_weight: f64,
+    /// Weight of that word, 0 to 1.
+    pub weight: f64,
 }
 
 /// What others saw, and what it weighs.
@@ -432,6 +439,8 @@
 pub struct Inherited {
     /// By member.
     pub members: Vec<InheritedMember>,
+    /// Of all fills, and of those that may go on to the origin.
+    pub fills: [InheritedPace; 2],
     /// Sending time a second that a warm cache, a warm parent takes from one director; 0: no word.
     pub warm_rate: [f64; 2],
     /// Objects asked for lately, as the filter's ids.
@@ -462,6 +471,8 @@
 pub struct Report {
     /// By member, those that it met.
     pub members: Vec<MemberReport>,
+    /// Limit and share of late ones of all fills, and of those that may go on to the origin.
+    pub fills: [(f64, f64); 2],
     /// See [`Inherited::warm_rate`].
     pub warm_rate: [f64; 2],
     /// Objects asked for lately and a while ago, as the filter's ids.
--- a/tests/inherited.rs
+++ b/tests/inherited.rs
@@ -52,8 +52,7 @@
         if let Some(limit) = prior {
             let of = |id| InheritedMember {
                 id: MemberId(id),
-                limit,
-                pace_weight: 1.0,
+                pace: InheritedPace { limit, lateness: 0.0, weight: 1.0 },
                 ..InheritedMember::default()
             };
             told(&mut world, (1..=4).map(of).collect());
@@ -99,10 +98,26 @@
     let well = |id| InheritedMember {
         id: MemberId(id),
         ill_weight: 1.0,
-        limit: 1e6,
-        pace_weight: 1.0,
+        pace: InheritedPace { limit: 1e6, lateness: 0.0, weight: 1.0 },
         ..ill(id, 0)
     };
     told(&mut world, vec![well(1), well(77)]);
     assert_eq!(share(&mut world, 1, 1) + share(&mut world, 100, 77), 0);
 }
+
+/// What others found that all fills together, and the origin, bear holds the newcomer's first fills back.
+#[test]
+fn an_inherited_limit_of_fills_holds() {
+    let fills = |told: Option<[f64; 2]>| {
+        let mut world = World::new(Settings { zone_directors: vec![0, 1], ..settings() });
+        if let Some(limits) = told {
+            let fills = limits.map(|limit| InheritedPace { limit, lateness: 0.5, weight: 1.0 });
+            world.tell(Event::Inherited(Inherited { fills, ..Inherited::default() }));
+        }
+        let sent: Vec<Sent> = (1..=40).flat_map(|id| sends(&world.ask(id, &format!("o{id}")))).collect();
+        let filled = sent.iter().filter(|s| s.source != s.member);
+        (filled.clone().filter(|s| !s.mode.held_only).count(), filled.count())
+    };
+    assert_eq!(fills(None), (30, 30));
+    assert_eq!(fills(Some([12.0, 5.0])), (5, 12));
+}
