Hard cases of the exchange on loopback; certificates watched; a trial counts by class

Need: each hard case is to be caused on sockets: donors that disagree, a fresh one beside an old one, clocks 30 s off, a drip of a byte a second, a ring of four with a box that came back. A router may run for longer than its certificate holds. A trial must show that no class gets worse, and what a donor's clients notice.

--- a/silverspindle/src/knowledge/exchange.rs
+++ b/silverspindle/src/knowledge/exchange.rs
@@ -36,6 +36,8 @@
 const AT_THE_DOOR: usize = 4;
 /// With more messages waiting than this the director has clients to serve.
 const BUSY: usize = 8;
+/// How often certificates are looked at.
+const WATCH: Duration = Duration::from_secs(12 * 3600);
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
 
 /// Descriptors that it may take.
@@ -113,6 +115,14 @@
         }
     }
 
+    /// Warns of certificates that end, twice a day, for ever.
+    pub async fn watch(self: Rc<Self>) {
+        loop {
+            Timer::after(WATCH).await;
+            self.tls.borrow().warn();
+        }
+    }
+
     /// Gives to whoever asks with a certificate of the office's authority, for ever.
     pub async fn give(self: Rc<Self>, listener: Async<TcpListener>, tasks: Rc<LocalExecutor<'static>>) {
         loop {
--- a/silverspindle/src/knowledge/keys.rs
+++ b/silverspindle/src/knowledge/keys.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::io::Write;
 use std::os::unix::fs::OpenOptionsExt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use rcgen::{
@@ -105,10 +105,28 @@
     pub names: Vec<String>,
     /// Who signed it.
     pub issuer: String,
-    /// Until when it holds, and for how many days more; negative: it has ended.
+    /// The day on which it ends.
     pub until: String,
-    /// See `until`.
-    pub days_left: i64,
+    ends: OffsetDateTime,
+}
+
+impl About {
+    /// Days left as of now.
+    fn left(&self) -> i64 {
+        (self.ends - OffsetDateTime::now_utc()).whole_days()
+    }
+
+    /// Says so where it has ended or ends soon.
+    fn warn(&self, path: &Path) {
+        let name = path.display();
+        match self.left() {
+            ..0 => tracing::error!("{name}: the certificate has ended on {}", self.until),
+            days @ 0..SOON => {
+                tracing::warn!("{name}: the certificate ends on {}, in {days} days", self.until)
+            }
+            _ => {}
+        }
+    }
 }
 
 /// Reads what a certificate says.
@@ -125,7 +143,7 @@
         names: names.collect(),
         issuer: x509.issuer().to_string(),
         until: until.date().to_string(),
-        days_left: (until - OffsetDateTime::now_utc()).whole_days(),
+        ends: until,
     })
 }
 
@@ -133,7 +151,7 @@
 pub fn show(path: &Path) -> Result<String, Fault> {
     let der = CertificateDer::from_pem_file(path).map_err(named(path))?;
     let a = about(&der).map_err(named(path))?;
-    let left = if a.days_left < 0 { "has ended".to_owned() } else { format!("{} days left", a.days_left) };
+    let left = if a.left() < 0 { "has ended".to_owned() } else { format!("{} days left", a.left()) };
     let names = if a.names.is_empty() { "-".to_owned() } else { a.names.join(", ") };
     Ok(format!(
         "subject: {}\nnames:   {names}\nissuer:  {}\nuntil:   {}, {left}\n",
@@ -148,9 +166,16 @@
     pub client: Arc<ClientConfig>,
     /// For giving.
     pub server: Arc<ServerConfig>,
+    /// The certificates that end.
+    ends: Vec<(PathBuf, About)>,
 }
 
 impl Tls {
+    /// Warns of certificates that end, as at the start: a router may run for longer than they hold.
+    pub fn warn(&self) {
+        self.ends.iter().for_each(|(path, about)| about.warn(path));
+    }
+
     /// Reads the three files. Warns of a certificate that has ended or ends soon.
     pub fn read(files: &Files) -> Result<Self, Fault> {
         let authority = CertificateDer::from_pem_file(&files.authority).map_err(named(&files.authority))?;
@@ -158,15 +183,10 @@
         let chain: Vec<CertificateDer> =
             chain.collect::<Result<_, _>>().map_err(named(&files.certificate))?;
         let key = PrivateKeyDer::from_pem_file(&files.key).map_err(named(&files.key))?;
-        for (path, der) in [(&files.authority, Some(&authority)), (&files.certificate, chain.first())] {
-            let Some(about) = der.and_then(|der| about(der).ok()) else { continue };
-            let (name, days) = (path.display(), about.days_left);
-            match days {
-                ..0 => tracing::error!("{name}: the certificate has ended on {}", about.until),
-                0..SOON => tracing::warn!("{name}: the certificate ends on {}, in {days} days", about.until),
-                _ => {}
-            }
-        }
+        let ends = [(&files.authority, Some(&authority)), (&files.certificate, chain.first())];
+        let ends = ends.into_iter().filter_map(|(path, der)| Some((path.clone(), about(der?).ok()?)));
+        let ends: Vec<(PathBuf, About)> = ends.collect();
+        ends.iter().for_each(|(path, about)| about.warn(path));
         let mut roots = RootCertStore::empty();
         roots.add(authority).map_err(named(&files.authority))?;
         let (roots, provider) = (Arc::new(roots), Arc::new(rustls::crypto::ring::default_provider()));
@@ -184,6 +204,6 @@
             .with_root_certificates(roots)
             .with_client_auth_cert(chain, key)
             .map_err(named(&files.certificate))?;
-        Ok(Self { client: Arc::new(client), server: Arc::new(server) })
+        Ok(Self { client: Arc::new(client), server: Arc::new(server), ends })
     }
 }
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -95,6 +95,7 @@
                 tasks.spawn(own.clone().give(listener, tasks.clone())).detach();
             }
             tasks.spawn(own.clone().ask(tasks.clone())).detach();
+            tasks.spawn(own.clone().watch()).detach();
             hub = Some(own);
         }
         tasks.spawn(director.run(news, messages)).detach();
--- a/silverspindle/tests/exchange.rs
+++ b/silverspindle/tests/exchange.rs
@@ -30,7 +30,7 @@
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         let _ = std::fs::remove_dir_all(&folder);
         keys::init(&folder, 100).unwrap();
-        ["n0", "n1", "n2"].iter().for_each(|name| keys::issue(&folder, name, 100).unwrap());
+        ["n0", "n1", "n2", "n3"].iter().for_each(|name| keys::issue(&folder, name, 100).unwrap());
         Self(folder)
     }
 
@@ -157,8 +157,8 @@
         let (newcomer, _silent) = named(tasks, "n1", &both, office.conf("n1", &format!("donor n0 {at}")));
         let client = Client::connect(tasks, newcomer.address).await;
         let mut seq = 0;
-        // It serves meanwhile; once no request of ten goes to the box that drains, none does.
-        while asked(&client, [&one, &two], &mut seq, 10).await[0] > 0 {}
+        // It serves meanwhile; once of forty requests none goes to the box that drains, none does any more.
+        while asked(&client, [&one, &two], &mut seq, 40).await[0] > 0 {}
         assert_eq!(asked(&client, [&one, &two], &mut seq, 60).await, [0, 60]);
     });
 }
@@ -182,7 +182,7 @@
         told.write_all(&event(2, 2, &record(1, 1, one.address))).await.unwrap();
         let client = Client::connect(tasks, newcomer.address).await;
         let mut seq = 0;
-        while asked(&client, [&one, &two], &mut seq, 10).await[0] > 0 {}
+        while asked(&client, [&one, &two], &mut seq, 40).await[0] > 0 {}
         // A donor is asked again every second while it is fresh: its word comes in between.
         for _ in 0..30 {
             assert_eq!(asked(&client, [&one, &two], &mut seq, 10).await, [0, 10]);
@@ -322,7 +322,7 @@
         let (newcomer, _silent) = named(tasks, "n1", &[one.address, two.address], office.conf("n1", &donors));
         let client = Client::connect(tasks, newcomer.address).await;
         let mut seq = 0;
-        while asked(&client, [&one, &two], &mut seq, 10).await[0] > 0 {}
+        while asked(&client, [&one, &two], &mut seq, 40).await[0] > 0 {}
         assert_eq!(asked(&client, [&one, &two], &mut seq, 30).await, [0, 30]);
     });
 }
@@ -477,6 +477,161 @@
     });
 }
 
+/// What a donor of this name and time in service says of box 1: that it drains or not, that it is set aside or
+/// not, on so many observations.
+fn says(name: &str, incarnation: Micros, up: Micros, met: u32, drains: bool, aside: Micros) -> Vec<Vec<u8>> {
+    let source = Source { instance: InstanceId::of(name), incarnation };
+    let lifecycle = if drains { Lifecycle::Draining } else { Lifecycle::Ready };
+    let ill = if aside > 0 { 0.9 } else { 0.0 };
+    let record = |aspect, observations, value| {
+        let subject = Subject::Member(1, aspect);
+        Item::Fact(Record { subject, source, seq: 1, age: 0, up, observations, hops: 0, value })
+    };
+    let items = vec![
+        record(Aspect::Listed, 1, silverspindle_knowledge::Value::Listed { lifecycle, started: 0 }),
+        record(Aspect::Health, met, silverspindle_knowledge::Value::Health { started: 0, ill, aside }),
+    ];
+    let offer = Message::Offer(Offer { me: source, up, items: 2 });
+    [offer, Message::Items(items), Message::End].iter().map(|m| protocol::encode(m, VERSION)).collect()
+}
+
+const MINUTE: Micros = 60_000_000;
+
+/// A newcomer between two boxes and two scripted donors, n0 and n2; how its first requests after both were heard
+/// fall on the boxes.
+fn between(n0: Vec<Vec<u8>>, n2: Vec<Vec<u8>>) -> [usize; 2] {
+    run(async |tasks| {
+        let office = Office::new();
+        let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+        let (first, told) = scripted(tasks, Tls::read(&office.files("n0")).unwrap(), n0, false);
+        let (second, said) = scripted(tasks, Tls::read(&office.files("n2")).unwrap(), n2, false);
+        // And one that is told last: asked a second time, as it is fresh, it proves that the others were heard.
+        let last = says("n3", 1, 1, 0, false, 0);
+        let (third, after) = scripted(tasks, Tls::read(&office.files("n3")).unwrap(), last, false);
+        let donors = format!("donors-at-once 8\ndonor n0 {first}\ndonor n2 {second}\ndonor n3 {third}");
+        let caches = [one.address, two.address];
+        let (newcomer, _silent) = named(tasks, "n1", &caches, office.conf("n1", &donors));
+        for heard in [told, said, after] {
+            heard.recv().await.unwrap();
+        }
+        let client = Client::connect(tasks, newcomer.address).await;
+        let mut seq = 0;
+        // The last bytes are under way still: what comes before they are in is not counted.
+        for _ in 0..20 {
+            asked(&client, [&one, &two], &mut seq, 2).await;
+        }
+        asked(&client, [&one, &two], &mut seq, 40).await
+    })
+}
+
+#[test]
+fn of_two_donors_that_disagree_on_a_drain_the_cautious_one_is_heeded() {
+    for (n0, n2) in [(true, false), (false, true)] {
+        let counts = between(says("n0", 1, 10 * MINUTE, 100, n0, 0), says("n2", 1, 10 * MINUTE, 100, n2, 0));
+        assert_eq!(counts, [0, 40]);
+    }
+    let counts =
+        between(says("n0", 1, 10 * MINUTE, 100, false, 0), says("n2", 1, 10 * MINUTE, 100, false, 0));
+    assert!(counts[0] > 0);
+}
+
+/// A donor that started a moment ago says that the box is well; one of long standing has set it aside.
+#[test]
+fn a_fresh_donor_does_not_outweigh_an_old_one() {
+    let old = says("n0", 1, 10 * MINUTE, 100, false, 30_000_000);
+    assert_eq!(between(old.clone(), says("n2", 9, 1_000, 1, false, 0)), [0, 40]);
+    // Nor does it set aside what the old one finds well.
+    let well = says("n0", 1, 10 * MINUTE, 100, false, 0);
+    assert!(between(well, says("n2", 9, 1_000, 1, false, 30_000_000))[0] > 0);
+}
+
+/// A donor's clock is 30 s ahead or behind: its ages are durations, so its drains hold all the same.
+#[test]
+fn a_donors_clock_does_not_matter() {
+    let now = silverspindle::clock::now();
+    for clock in [now + 30_000_000, now - 30_000_000] {
+        let well = says("n2", 1, 10 * MINUTE, 100, false, 0);
+        assert_eq!(between(says("n0", clock, 10 * MINUTE, 100, true, 0), well), [0, 40]);
+    }
+}
+
+/// A donor that drips a byte a second holds up nobody: the other one is heard at once, the router serves, and
+/// the drip is cut off.
+#[test]
+fn a_donor_that_drips_is_cut_off() {
+    run(async |tasks| {
+        let office = Office::new();
+        let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+        let drip = drains(Source { instance: InstanceId::of("n2"), incarnation: 1 }, 1).concat();
+        let acceptor = TlsAcceptor::from(Tls::read(&office.files("n2")).unwrap().server);
+        let (listener, slow) = listen();
+        let (tell, cut) = async_channel::unbounded();
+        let serve = async move {
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut stream = acceptor.accept(stream).await.unwrap();
+            let _ = stream.read(&mut [0; 64]).await;
+            for byte in drip {
+                if stream.write_all(&[byte]).await.is_err() || stream.flush().await.is_err() {
+                    break;
+                }
+                async_io::Timer::after(std::time::Duration::from_millis(900)).await;
+            }
+            let _ = tell.send(()).await;
+        };
+        tasks.spawn(serve).detach();
+        let (good, _) =
+            scripted(tasks, Tls::read(&office.files(N0)).unwrap(), drains(n0(), 1).to_vec(), false);
+        let donors = format!("donor n0 {good}\ndonor n2 {slow}");
+        let (newcomer, _silent) = named(tasks, "n1", &[one.address, two.address], office.conf("n1", &donors));
+        let client = Client::connect(tasks, newcomer.address).await;
+        let mut seq = 0;
+        while asked(&client, [&one, &two], &mut seq, 40).await[0] > 0 {}
+        assert_eq!(asked(&client, [&one, &two], &mut seq, 30).await, [0, 30]);
+        assert!(cut.is_empty(), "the drip goes on meanwhile");
+        cut.recv().await.unwrap();
+    });
+}
+
+/// Four routers in a ring, each learning from the one before. The first one's list says that box 1 drains; the
+/// box then came back as a new process under its id, which only the last one's list has. Word of the drain comes
+/// round to it and says nothing of the new process; the others heed it.
+#[test]
+fn round_a_ring_a_word_stays_with_the_process_that_it_was_about() {
+    run(async |tasks| {
+        let office = Office::new();
+        let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+        let both = [one.address, two.address];
+        let at: Vec<SocketAddr> = (0..4).map(|_| free()).collect();
+        let ring = |n: usize| {
+            let before = (n + 3) % 4;
+            office
+                .conf(&format!("n{n}"), &format!("exchange-listen {}\ndonor n{before} {}", at[n], at[before]))
+        };
+        let (_first, coordinator) = named(tasks, "n0", &both, ring(0));
+        let mut told = feed(&coordinator).await;
+        told.write_all(&event(2, 2, &record(1, 1, one.address))).await.unwrap();
+        told.write_all(&event(0, 0, b"")).await.unwrap();
+        let (second, _silent) = named(tasks, "n1", &both, ring(1));
+        let client = Client::connect(tasks, second.address).await;
+        let mut seq = 0;
+        while asked(&client, [&one, &two], &mut seq, 40).await[0] > 0 {}
+        let (third, _quiet) = named(tasks, "n2", &both, ring(2));
+        let client = Client::connect(tasks, third.address).await;
+        while asked(&client, [&one, &two], &mut seq, 40).await[0] > 0 {}
+        // The last one's list has the new process.
+        let (fourth, coordinator) = named(tasks, "n3", &both, ring(3));
+        let mut told = feed(&coordinator).await;
+        let mut came_back = record(1, 0, one.address);
+        let started = silverspindle::clock::now() / 1000 - 60_000;
+        came_back[19..27].copy_from_slice(&started.to_be_bytes());
+        told.write_all(&event(2, 2, &came_back)).await.unwrap();
+        // Fresh donors are asked again each second: word of the drain is there after three.
+        async_io::Timer::after(std::time::Duration::from_secs(3)).await;
+        let client = Client::connect(tasks, fourth.address).await;
+        assert!(asked(&client, [&one, &two], &mut seq, 40).await[0] > 0);
+    });
+}
+
 /// A router that comes back reads what it knew: the drain that its configuration's list has forgotten. What is
 /// torn, of another router or none is refused, and the router starts without.
 #[test]
--- a/standins/src/clients.rs
+++ b/standins/src/clients.rs
@@ -48,6 +48,10 @@
     pub wrong: u64,
     /// Time to a served answer, in microseconds from when the item was due.
     pub times: Histogram<u64>,
+    /// Of pages and of scans: how many were sent, and served in the wanted time.
+    pub classes: [(u64, u64); 2],
+    /// When each served answer came and how long it had taken, to look at windows of time.
+    pub trace: Vec<(Micros, Micros)>,
 }
 
 impl Default for Tally {
@@ -55,7 +59,8 @@
         let times = Histogram::new_with_bounds(1, 60_000_000, 3);
         let times = times.unwrap_or_else(|_| unreachable!("bounds that hdrhistogram takes"));
         let [sent, served, in_time, refused, advised, failed, cut, lost, wrong] = [0; 9];
-        Self { sent, served, in_time, refused, advised, failed, cut, lost, wrong, times }
+        let (classes, trace) = Default::default();
+        Self { sent, served, in_time, refused, advised, failed, cut, lost, wrong, times, classes, trace }
     }
 }
 
@@ -151,7 +156,11 @@
         object: u64,
         write: bool,
     ) {
-        self.tally.borrow_mut().sent += 1;
+        {
+            let mut tally = self.tally.borrow_mut();
+            tally.sent += 1;
+            tally.classes[usize::from(write)].0 += 1;
+        }
         let idle = self.connections.borrow().iter().find(|c| c.open.borrow().len() < MOST_OPEN).cloned();
         let connection = match idle {
             Some(connection) => Ok(connection),
@@ -216,6 +225,8 @@
             Answer::Served(bytes, _) if whole(&item, &bytes) => {
                 tally.served += 1;
                 tally.in_time += u64::from(took <= AIM);
+                tally.classes[usize::from(item.write)].1 += u64::from(took <= AIM);
+                tally.trace.push((now, took));
                 let _ = tally.times.record(took.max(1));
             }
             Answer::Served(..) => tally.wrong += 1,
--- a/standins/src/trial.rs
+++ b/standins/src/trial.rs
@@ -91,6 +91,9 @@
     pub after: Sample,
     /// See `after`.
     pub before: Sample,
+    /// Time to a served answer at the other routers, which may be giving: 99th percentile and longest, after and
+    /// before, in microseconds.
+    pub others: [(Micros, Micros); 2],
 }
 
 /// Differences of counts.
@@ -100,6 +103,8 @@
     pub sent: u64,
     /// Of them served in the wanted time.
     pub in_time: u64,
+    /// The same of pages and of scans: sent, in the wanted time.
+    pub classes: [(u64, u64); 2],
     /// Attempts.
     pub attempts: u64,
     /// Hits.
@@ -268,6 +273,7 @@
     Sample {
         sent: tally.sent,
         in_time: tally.in_time,
+        classes: tally.classes,
         attempts: own.attempts,
         hits: own.hits,
         office: own.office_reads,
@@ -275,10 +281,23 @@
     }
 }
 
+/// 99th percentile and longest time of the answers that these clients had in a while.
+fn longest(clients: &[Rc<Clients>], from: Micros, to: Micros) -> (Micros, Micros) {
+    let mut times = Vec::new();
+    for clients in clients {
+        let tally = clients.tally.borrow();
+        times.extend(tally.trace.iter().filter(|(at, _)| (from..to).contains(at)).map(|(_, took)| *took));
+    }
+    times.sort_unstable();
+    let last = times.last().copied().unwrap_or(0);
+    (times.get(times.len() * 99 / 100).copied().unwrap_or(last), last)
+}
+
 fn difference(to: Sample, from: Sample) -> Sample {
     Sample {
         sent: to.sent - from.sent,
         in_time: to.in_time - from.in_time,
+        classes: [0, 1].map(|i| (to.classes[i].0 - from.classes[i].0, to.classes[i].1 - from.classes[i].1)),
         attempts: to.attempts - from.attempts,
         hits: to.hits - from.hits,
         office: to.office - from.office,
@@ -362,7 +381,10 @@
             let at = |time| at(time).unwrap_or_default();
             let span = seconds * SECOND;
             let after = difference(at(kill + span), at(kill));
-            Window { seconds, after, before: difference(at(kill), at(kill.saturating_sub(span))) }
+            let before = difference(at(kill), at(kill.saturating_sub(span)));
+            let others =
+                [kill, kill.saturating_sub(span)].map(|from| longest(&clients[1..], from, from + span));
+            Window { seconds, after, before, others }
         });
     Ok(Outcome {
         windows: windows.collect(),
@@ -456,6 +478,21 @@
             share(w.after.in_time, w.after.sent),
             share(w.before.in_time, w.before.sent),
         );
+        let class = |s: &Sample, i: usize| share(s.classes[i].1, s.classes[i].0);
+        let ms = |us: Micros| us as f64 / 1e3;
+        let [after, before] = w.others;
+        let _ = writeln!(
+            out,
+            "  pages in time {:.1} % ({:.1}), scans {:.1} % ({:.1}); the others' p99 {:.1} ms ({:.1}), longest {:.1} ({:.1})",
+            class(&w.after, 0),
+            class(&w.before, 0),
+            class(&w.after, 1),
+            class(&w.before, 1),
+            ms(after.0),
+            ms(before.0),
+            ms(after.1),
+            ms(before.1),
+        );
     }
     let verdict = if outcome.is_good() { "every item has its one final answer" } else { "NOT GOOD" };
     let _ = writeln!(out, "\nwrites that ran more than once: {}; {verdict}", outcome.writes_twice);
