--- a/silverspindle/src/config.rs
+++ b/silverspindle/src/config.rs
@@ -25,6 +25,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The second address, for staff and the platform: ready, drain, resume. None: no such listener.
+    pub management: Option<SocketAddr>,
     /// For the module's random numbers.
     pub seed: u64,
     /// Where the coordinator is.
@@ -110,6 +112,14 @@
             Some(text) => address("LB_LISTEN", Some(&text))?,
             None => address("listen", file["listen"].as_str())?,
         };
+        let management = match environment("LB_MANAGEMENT") {
+            Some(text) => Some(address("LB_MANAGEMENT", Some(&text))?),
+            None => match file["management"].as_str() {
+                Some(text) => Some(address("management", Some(text))?),
+                None if file["management"].is_null() => None,
+                None => return fault("management", "must be a text: address and port"),
+            },
+        };
         let Some(seed) = file["seed"].as_str().and_then(|s| u64::from_str_radix(s, 16).ok()) else {
             return fault("seed", "must be a text of up to 16 hex digits");
         };
@@ -160,6 +170,7 @@
         Ok(Self {
             name,
             listen,
+            management,
             seed,
             coordinator: address("coordinator", file["coordinator"].as_str())?,
             sockets: limit(&file, "sockets", SOCKETS as f64, LEAST_SOCKETS as f64)? as usize,
--- /dev/null
+++ b/silverspindle/src/drain.rs
@@ -0,0 +1,270 @@
+//! Whether this router takes clients: the drain that staff ask for, a resume, and the end on SIGTERM.
+//!
+//! No I/O: it is told what happened and when, and answers whether the router is ready, which connection is
+//! to be closed and whether the process may exit. A drained router keeps running and serves what it took;
+//! the front that sends clients here stops new connections 0.2 s after it hears no, and asks ten times a
+//! second, so connections are left alone for [`GRACE`]; then each is closed as soon as it owes nothing, so
+//! that none is left some 4 s after the drain. SIGHUP changes nothing here.
+
+use bitternhold::Micros;
+
+/// After a drain or an end, connections are left alone for so long: the front hears no within 0.1 s and
+/// sends no new connection 0.2 s later.
+pub const GRACE: Micros = 400_000;
+/// A connection that came after the grace and has said nothing yet is given so long for its first request.
+pub const FIRST_WORD: Micros = 300_000;
+/// After SIGTERM clients may still come for so long (0.4 s for connections, 0.2 s for requests).
+pub const LINGER: Micros = 700_000;
+
+/// Where the router stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Not yet able to serve.
+    Starting,
+    /// Takes clients.
+    Serving,
+    /// Asked to drain at this time: serves what comes, takes no new work gladly.
+    Draining(Micros),
+    /// Told to end at this time: as draining, and exits once all is answered.
+    Ending(Micros),
+}
+
+/// A client's connection as the drain sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// Requests handed on and not answered in writing.
+    pub open: usize,
+    /// Any request came on it.
+    pub asked: bool,
+    /// When it came, or last had something to do.
+    pub used: Micros,
+}
+
+/// The state machine of draining.
+#[derive(Clone, Debug)]
+pub struct Drain {
+    phase: Phase,
+    /// Drains asked for, resumes, and calls that changed nothing.
+    pub counts: [u64; 3],
+}
+
+impl Default for Drain {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Drain {
+    /// A router that can't serve yet.
+    pub fn new() -> Self {
+        Self { phase: Phase::Starting, counts: [0; 3] }
+    }
+
+    /// Where it stands.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// All is listening: the router can serve, unless it was drained or told to end meanwhile.
+    pub fn started(&mut self) {
+        if self.phase == Phase::Starting {
+            self.phase = Phase::Serving;
+        }
+    }
+
+    /// Staff ask for a drain. A second drain keeps the time of the first; an ending router stays ending.
+    /// Says whether anything changed.
+    pub fn drain(&mut self, now: Micros) -> bool {
+        match self.phase {
+            Phase::Starting | Phase::Serving => {
+                self.phase = Phase::Draining(now);
+                self.counts[0] += 1;
+                true
+            }
+            Phase::Draining(_) | Phase::Ending(_) => {
+                self.counts[2] += 1;
+                false
+            }
+        }
+    }
+
+    /// Staff ask to take clients again. Nothing brings an ending router back. Says whether anything changed.
+    pub fn resume(&mut self) -> bool {
+        match self.phase {
+            Phase::Draining(_) => {
+                self.phase = Phase::Serving;
+                self.counts[1] += 1;
+                true
+            }
+            _ => {
+                self.counts[2] += 1;
+                false
+            }
+        }
+    }
+
+    /// SIGTERM or SIGINT. A router that was drained already keeps its earlier time: its connections are going.
+    pub fn end(&mut self, now: Micros) {
+        self.phase = match self.phase {
+            Phase::Draining(since) => Phase::Ending(since.min(now)),
+            Phase::Ending(since) => Phase::Ending(since),
+            Phase::Starting | Phase::Serving => Phase::Ending(now),
+        };
+    }
+
+    /// The answer to `GET /-/ready` and to `isWell`.
+    pub fn ready(&self) -> bool {
+        self.phase == Phase::Serving
+    }
+
+    /// Since when connections are to go, if they are.
+    fn since(&self) -> Option<Micros> {
+        match self.phase {
+            Phase::Draining(since) | Phase::Ending(since) => Some(since),
+            Phase::Starting | Phase::Serving => None,
+        }
+    }
+
+    /// Whether a connection is to be closed now: after the grace, once it owes no answer. One that came later
+    /// and said nothing yet gets [`FIRST_WORD`] for its request.
+    pub fn close(&self, now: Micros, seen: Seen) -> bool {
+        let Some(since) = self.since() else { return false };
+        if now < since.saturating_add(GRACE) || seen.open > 0 {
+            return false;
+        }
+        seen.asked || seen.used < since || now >= seen.used.saturating_add(FIRST_WORD)
+    }
+
+    /// Whether the process may exit: it was told to end, [`LINGER`] has passed since, nothing is owed and all
+    /// clients' connections are gone or owe nothing.
+    pub fn may_exit(&self, now: Micros, owed: usize, flushed: bool) -> bool {
+        match self.phase {
+            Phase::Ending(since) => now >= since.saturating_add(LINGER) && owed == 0 && flushed,
+            _ => false,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Micros = 1_000_000;
+
+    fn idle(used: Micros) -> Seen {
+        Seen { open: 0, asked: true, used }
+    }
+
+    #[test]
+    fn ready_only_while_serving() {
+        let mut d = Drain::new();
+        assert!(!d.ready());
+        d.started();
+        assert!(d.ready());
+        assert!(d.drain(10 * S));
+        assert!(!d.ready());
+        assert!(!d.drain(11 * S), "a second drain changes nothing");
+        assert_eq!(d.phase(), Phase::Draining(10 * S));
+        assert!(d.resume());
+        assert!(d.ready());
+        assert!(!d.resume());
+        assert_eq!(d.counts, [1, 1, 2]);
+    }
+
+    #[test]
+    fn drained_before_start_stays_drained() {
+        let mut d = Drain::new();
+        d.drain(S);
+        d.started();
+        assert!(!d.ready());
+    }
+
+    #[test]
+    fn nothing_brings_an_ending_router_back() {
+        for first in [false, true] {
+            let mut d = Drain::new();
+            d.started();
+            if first {
+                d.drain(S);
+            }
+            d.end(2 * S);
+            assert!(!d.resume());
+            assert!(!d.drain(3 * S));
+            d.started();
+            assert!(!d.ready());
+            let since = if first { S } else { 2 * S };
+            assert_eq!(d.phase(), Phase::Ending(since), "a drain keeps its time into the end");
+        }
+    }
+
+    #[test]
+    fn connections_close_after_the_grace_once_they_owe_nothing() {
+        let mut d = Drain::new();
+        d.started();
+        assert!(!d.close(5 * S, idle(0)), "serving closes nothing");
+        d.drain(10 * S);
+        assert!(!d.close(10 * S + GRACE - 1, idle(0)), "the front is still sending");
+        assert!(d.close(10 * S + GRACE, idle(0)));
+        let busy = Seen { open: 1, asked: true, used: 10 * S };
+        assert!(!d.close(12 * S, busy), "an open request is answered first");
+        // A connection that came late gets time for its first word, one from before the drain none.
+        let late = Seen { open: 0, asked: false, used: 10 * S + GRACE };
+        assert!(!d.close(10 * S + GRACE + 1, late));
+        assert!(d.close(10 * S + GRACE + FIRST_WORD, late));
+        assert!(d.close(10 * S + GRACE, Seen { open: 0, asked: false, used: 9 * S }));
+        d.resume();
+        assert!(!d.close(20 * S, idle(0)), "resumed keeps its connections");
+    }
+
+    #[test]
+    fn exit_waits_for_the_linger_and_all_answers() {
+        let mut d = Drain::new();
+        d.started();
+        assert!(!d.may_exit(100 * S, 0, true), "only an ending router exits");
+        d.drain(S);
+        assert!(!d.may_exit(100 * S, 0, true), "a drained router keeps running");
+        let mut e = Drain::new();
+        e.started();
+        e.end(10 * S);
+        assert!(!e.may_exit(10 * S + LINGER - 1, 0, true));
+        assert!(!e.may_exit(10 * S + LINGER, 1, true));
+        assert!(!e.may_exit(10 * S + LINGER, 0, false));
+        assert!(e.may_exit(10 * S + LINGER, 0, true));
+    }
+
+    /// Every order of drain, resume, end and reload: ready says yes exactly while serving, an ending router
+    /// never comes back, and its time never moves on.
+    #[test]
+    fn every_order_of_calls() {
+        fn walk(d: &Drain, depth: usize, now: Micros) {
+            if depth == 0 {
+                return;
+            }
+            for call in 0..4 {
+                let mut next = d.clone();
+                let before = next.phase();
+                match call {
+                    0 => {
+                        next.drain(now);
+                    }
+                    1 => {
+                        next.resume();
+                    }
+                    2 => next.end(now),
+                    _ => {} // SIGHUP: nothing changes
+                }
+                assert_eq!(next.ready(), next.phase() == Phase::Serving);
+                if let Phase::Ending(since) = before {
+                    assert_eq!(next.phase(), Phase::Ending(since));
+                }
+                if call == 3 {
+                    assert_eq!(next.phase(), before);
+                }
+                walk(&next, depth - 1, now + S);
+            }
+        }
+        let mut d = Drain::new();
+        d.started();
+        walk(&d, 6, S);
+    }
+}
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -16,6 +16,7 @@
 use futures_lite::{AsyncWriteExt, future};
 
 use crate::clock;
+use crate::drain::{Drain, Seen};
 use crate::feed::hex;
 use crate::framing::{Malformed, Messages};
 use crate::traffic::{Call, Message, Port, Taken, Verdict};
@@ -48,6 +49,8 @@
 const MOST_PART: u64 = u16::MAX as u64;
 /// A budget over this multiple of the class's deadline is no figure of a client's.
 const OVER_DEADLINE: u64 = 2;
+/// A drain looks at every connection so often.
+const SWEEP: Duration = Duration::from_millis(25);
 /// Ids of requests that are remembered: each may come once.
 const RIDS: usize = 8192;
 const RIDS_QUIET: Micros = 30_000_000;
@@ -102,6 +105,10 @@
 }
 
 impl Connection {
+    fn seen(&self) -> Seen {
+        Seen { open: self.open.get(), asked: self.asked.get(), used: self.used.get() }
+    }
+
     fn finished(&self) {
         invariant!(self.open.get() > 0, "more requests finished than taken in");
         self.open.set(self.open.get().saturating_sub(1));
@@ -127,8 +134,8 @@
 pub struct Front {
     catalogue: Rc<Catalogue>,
     director: Sender<Message>,
-    /// `isWell` is answered with this.
-    well: Cell<bool>,
+    /// Whether it takes clients: `isWell` and the second address are answered from this.
+    drain: Rc<RefCell<Drain>>,
     /// Answers not yet written, and bytes of bodies in them; as much is borne.
     unflushed: Cell<usize>,
     held: Cell<usize>,
@@ -153,11 +160,12 @@
         director: Sender<Message>,
         memory: usize,
         sockets: usize,
+        drain: Rc<RefCell<Drain>>,
     ) -> Rc<Self> {
         Rc::new(Self {
             catalogue,
             director,
-            well: Cell::new(false),
+            drain,
             unflushed: Cell::new(0),
             held: Cell::new(0),
             most_held: memory / 3,
@@ -171,9 +179,18 @@
         })
     }
 
-    /// Whether the front that sends clients here may do so.
-    pub fn set_well(&self, well: bool) {
-        self.well.set(well);
+    /// Closes what a drain or an end lets go, for ever: each connection once it owes nothing after the grace.
+    pub async fn sweep(self: Rc<Self>) {
+        loop {
+            Timer::after(SWEEP).await;
+            let now = clock::now();
+            let drain = self.drain.borrow();
+            for port in self.connections.borrow().values() {
+                if drain.close(now, port.seen()) {
+                    let _ = port.cut.try_send(());
+                }
+            }
+        }
     }
 
     /// All answers are written.
@@ -350,7 +367,7 @@
                         Err(verdict) => Some(Reply::Verdict(seq, verdict)),
                     }
                 }
-                thrift::Message::IsWell(seq) => Some(Reply::Well(seq, self.well.get())),
+                thrift::Message::IsWell(seq) => Some(Reply::Well(seq, self.drain.borrow().ready())),
                 thrift::Message::Unknown { seq, name, .. } => {
                     Some(Reply::Unknown(seq, String::from_utf8_lossy(name).into_owned()))
                 }
@@ -470,6 +487,10 @@
                 port.finished();
             }
             written?;
+            // Under a drain a connection goes with its last answer, before its client sends anew.
+            if port.owed.get() == 0 && self.drain.borrow().close(clock::now(), port.seen()) {
+                return Ok(());
+            }
         }
         Ok(())
     }
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -10,7 +10,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
-use bitternhold::{ListKind, Micros};
+use bitternhold::ListKind;
 use futures_lite::StreamExt;
 use silverspindle_conf::Conf;
 
@@ -18,16 +18,16 @@
 use crate::coordinator::Coordinator;
 use crate::copies::Copies;
 use crate::director::{self, Director, Owed};
+use crate::drain::Drain;
 use crate::front::{Front, most_clients};
 use crate::knowledge::exchange::{self, Hub};
 use crate::knowledge::{Knowledge, snapshots};
+use crate::management::Management;
 use crate::traffic::{Board, Descriptors, Message, Shared};
 use crate::{clock, invariant};
 
 /// Descriptors kept for all else: the listener, the coordinator, signals, the reactor.
 const OTHER_DESCRIPTORS: usize = 24;
-/// After a signal to end, clients may still come for so long (0.4 s for connections, 0.2 s for requests).
-const LINGER: Micros = 700_000;
 /// Own copies take this part of the memory, and so many bytes at most.
 const COPIES_PART: usize = 8;
 const MOST_COPIES: usize = 12_000_000;
@@ -42,6 +42,7 @@
     moves: Sender<SocketAddr>,
     coordinator: Cell<SocketAddr>,
     front: Rc<Front>,
+    drain: Rc<RefCell<Drain>>,
     owed: Rc<Owed>,
     conf: RefCell<Conf>,
     hub: Option<Rc<Hub>>,
@@ -51,7 +52,8 @@
 impl Router {
     /// Listens, takes `known` in and starts the actors; then the router is well.
     pub fn start(config: Config, conf: Conf, tasks: &Rc<LocalExecutor<'static>>) -> io::Result<Self> {
-        let listener = Async::<TcpListener>::bind(config.listen)?;
+        let listener = Async::new(shared_listener(config.listen)?)?;
+        let management = config.management.map(Async::<TcpListener>::bind).transpose()?;
         let address = listener.get_ref().local_addr()?;
         let catalogue = Rc::new(config.catalogue);
         let (mailbox, messages) = async_channel::bounded(director::MAILBOX);
@@ -103,15 +105,22 @@
         let coordinator = Coordinator { address: config.coordinator, last, news: tell, moves: moved };
         tasks.spawn(coordinator.run()).detach();
         let to_director = mailbox.clone();
-        let front = Front::new(catalogue, mailbox, config.memory, config.sockets);
+        let drain = Rc::new(RefCell::new(Drain::new()));
+        let front = Front::new(catalogue, mailbox, config.memory, config.sockets, drain.clone());
         tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
-        front.set_well(true);
+        tasks.spawn(front.clone().sweep()).detach();
+        if let Some(listener) = management {
+            tracing::info!("management on {}", listener.get_ref().local_addr()?);
+            tasks.spawn(Management::new(drain.clone()).listen(listener, tasks.clone())).detach();
+        }
+        drain.borrow_mut().started();
         tracing::info!(event = last, "{} serves on {address}", config.name);
         Ok(Self {
             address,
             moves,
             coordinator: Cell::new(config.coordinator),
             front,
+            drain,
             owed,
             conf: RefCell::new(conf),
             hub,
@@ -150,14 +159,28 @@
 
     /// Says that no more clients should come, serves those that still do, and returns when all is answered.
     pub async fn end(&self) {
-        self.front.set_well(false);
-        let since = clock::now();
-        while clock::now() < since + LINGER || self.owed.get() > 0 || !self.front.flushed() {
+        self.drain.borrow_mut().end(clock::now());
+        while !self.drain.borrow().may_exit(clock::now(), self.owed.get(), self.front.flushed()) {
             Timer::after(LOOK_AGAIN).await;
         }
     }
 }
 
+/// The clients' address, shared with a process that upgrades this one (SO_REUSEPORT): both take connections
+/// while they overlap, and neither refuses one.
+fn shared_listener(address: SocketAddr) -> io::Result<TcpListener> {
+    use socket2::{Domain, Protocol, Socket, Type};
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(LISTEN_BACKLOG)?;
+    Ok(socket.into())
+}
+
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: i32 = 1024;
+
 /// Both configurations, read anew.
 pub type Anew = (Result<Config, String>, Result<Conf, Vec<String>>);
 
