--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -9,9 +9,8 @@
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use async_signal::{Signal, Signals};
 use bitternhold::ListKind;
-use futures_lite::StreamExt;
+use futures_lite::future;
 use silverspindle_conf::Conf;
 
 use crate::config::Config;
@@ -187,13 +186,13 @@
 /// Serves until a signal to end, then answers what is owed and returns. On SIGHUP the configuration is read
 /// anew.
 pub fn serve(config: Config, conf: Conf, again: impl Fn() -> Anew) -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let signals = Signals::new()?;
     let tasks = Rc::new(LocalExecutor::new());
     let router = Router::start(config, conf, &tasks)?;
     let run = async {
-        while let Some(Ok(signal)) = signals.next().await {
-            if signal != Signal::Hup {
-                tracing::info!("ending on {signal:?}: {} requests open", router.owed.get());
+        loop {
+            if !signals.next().await {
+                tracing::info!("ending on a signal: {} requests open", router.owed.get());
                 break;
             }
             let (config, conf) = again();
@@ -205,3 +204,43 @@
     async_io::block_on(tasks.run(run));
     Ok(())
 }
+
+/// Signals as bytes on pipes, one for ending (SIGTERM, SIGINT) and one for SIGHUP. Pipes and not a socket
+/// pair: the fleet's platform has no Unix sockets.
+struct Signals {
+    end: Async<std::io::PipeReader>,
+    hup: Async<std::io::PipeReader>,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+        use signal_hook::low_level::pipe::register;
+        // The handler must never block on a full pipe: the writing ends are made non-blocking as well.
+        let writer = |w: std::io::PipeWriter| Async::new(w)?.into_inner();
+        let (end, end_writer) = std::io::pipe()?;
+        let end_writer = writer(end_writer)?;
+        register(SIGTERM, end_writer.try_clone()?)?;
+        register(SIGINT, end_writer)?;
+        let (hup, hup_writer) = std::io::pipe()?;
+        register(SIGHUP, writer(hup_writer)?)?;
+        Ok(Self { end: Async::new(end)?, hup: Async::new(hup)? })
+    }
+
+    /// The next signal: false for an end, true for SIGHUP. Several SIGHUP that came together are one.
+    async fn next(&self) -> bool {
+        future::or(
+            async {
+                let _ = drained(&self.end).await;
+                false
+            },
+            async { drained(&self.hup).await.is_ok() },
+        )
+        .await
+    }
+}
+
+/// Reads what signals wrote.
+async fn drained(pipe: &Async<std::io::PipeReader>) -> io::Result<usize> {
+    pipe.read_with(|mut reader| std::io::Read::read(&mut reader, &mut [0u8; 64])).await
+}
