An ending router says twice a second what it waits for

Change: while ending, one info line every 0.5 s: requests owed, clients' connections and requests open.

Clients go on using their open connections; a busy one never reaches no open request, so the drain never closes it. Ruled out: a leak of the owed count (it falls and rises with the connections' open requests).

--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -193,6 +193,12 @@
         }
     }
 
+    /// Clients' connections, and the requests open on them.
+    pub fn held(&self) -> (usize, usize) {
+        let connections = self.connections.borrow();
+        (connections.len(), connections.values().map(|c| c.open.get()).sum())
+    }
+
     /// All answers are written.
     pub fn flushed(&self) -> bool {
         self.unflushed.get() == 0
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -33,6 +33,8 @@
 /// Moves of the coordinator that may wait to be taken in.
 const MOVES: usize = 4;
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// While it ends, it says every so often what it waits for.
+const SAY_EVERY: bitternhold::Micros = 500_000;
 
 /// The actors of a router, started.
 pub struct Router {
@@ -159,7 +161,16 @@
     /// Says that no more clients should come, serves those that still do, and returns when all is answered.
     pub async fn end(&self) {
         self.drain.borrow_mut().end(clock::now());
+        let mut said = clock::now();
         while !self.drain.borrow().may_exit(clock::now(), self.owed.get(), self.front.flushed()) {
+            if clock::now() >= said + SAY_EVERY {
+                said = clock::now();
+                let (connections, open) = self.front.held();
+                tracing::info!(
+                    "ending: {} owed, {connections} clients' connections with {open} open",
+                    self.owed.get()
+                );
+            }
             Timer::after(LOOK_AGAIN).await;
         }
     }
