Upgrades: ending refuses what SIGKILL would find; a successor in TMPDIR takes new connections

Ruled out: a leak of the owed count.

Design. drain.rs: an ending router takes all that comes within the 0.7 s linger, later only what its deadline plus 150 ms lets it answer before SIGKILL (longest deadline, taken as 3 s, plus 0.7 s, per the protocol); the rest is refused at once with backoff, as never run, so the connection empties and closes. Rejected: pausing reads on a draining connection: a request left unread more than 50 ms is taken and would be lost. upgrade.rs: each process writes TMPDIR/silverspindle-ADDRESS-PID.live; stale files (process gone) are removed at start, the own at exit. On SIGTERM, a younger live process on the address means an upgrade: the old one takes its accept queue and closes its listener, so the kernel routes every new connection to the successor. Rejected: closing the listener at every SIGTERM, which would refuse the connections that a planned restart still owes 0.2 to 0.4 s. Direct replies (refusals, isWell) now count as owed for the drain's close.

Tests: unit tests of takes and of the files; tests/management.rs: the old process logs its successor, closes its listener, ends with 0, the new one serves on, and no file is left.

--- a/silverspindle/src/drain.rs
+++ b/silverspindle/src/drain.rs
@@ -15,6 +15,11 @@
 pub const FIRST_WORD: Micros = 300_000;
 /// After SIGTERM clients may still come for so long (0.4 s for connections, 0.2 s for requests).
 pub const LINGER: Micros = 700_000;
+/// SIGKILL follows SIGTERM after the longest deadline, taken as this where it is longer, and [`LINGER`].
+pub const LONGEST_COUNTED: Micros = 3_000_000;
+/// An answer that is due by SIGKILL has to be written before it by so much: a time-out at the deadline
+/// reaches the client within 50 ms.
+pub const BEFORE_KILL: Micros = 150_000;
 
 /// Where the router stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +49,9 @@
 #[derive(Clone, Debug)]
 pub struct Drain {
     phase: Phase,
+    /// From SIGTERM to SIGKILL at the soonest, and when SIGTERM came.
+    kill_after: Micros,
+    told: Micros,
     /// Drains asked for, resumes, and calls that changed nothing.
     pub counts: [u64; 3],
 }
@@ -57,7 +65,13 @@
 impl Drain {
     /// A router that can't serve yet.
     pub fn new() -> Self {
-        Self { phase: Phase::Starting, counts: [0; 3] }
+        Self { phase: Phase::Starting, kill_after: LONGEST_COUNTED + LINGER, told: 0, counts: [0; 3] }
+    }
+
+    /// The longest deadline of the site's classes: it sets when SIGKILL may come after SIGTERM.
+    pub fn with_longest(mut self, deadline: Micros) -> Self {
+        self.kill_after = deadline.min(LONGEST_COUNTED) + LINGER;
+        self
     }
 
     /// Where it stands.
@@ -105,6 +119,9 @@
 
     /// SIGTERM or SIGINT. A router that was drained already keeps its earlier time: its connections are going.
     pub fn end(&mut self, now: Micros) {
+        if !matches!(self.phase, Phase::Ending(_)) {
+            self.told = now;
+        }
         self.phase = match self.phase {
             Phase::Draining(since) => Phase::Ending(since.min(now)),
             Phase::Ending(since) => Phase::Ending(since),
@@ -135,6 +152,20 @@
         seen.asked || seen.used < since || now >= seen.used.saturating_add(FIRST_WORD)
     }
 
+    /// Whether a request that came now and is due by `deadline` is taken, or refused at once as never run.
+    /// An ending router takes all that comes within [`LINGER`] of the signal, as clients are told to expect,
+    /// and later what it can answer before SIGKILL: clients may go on using their open connections, and a
+    /// connection that always has a request open would never be closed. A drained one takes all.
+    pub fn takes(&self, now: Micros, deadline: Micros) -> bool {
+        match self.phase {
+            Phase::Ending(_) => {
+                now < self.told.saturating_add(LINGER)
+                    || deadline.saturating_add(BEFORE_KILL) <= self.told.saturating_add(self.kill_after)
+            }
+            _ => true,
+        }
+    }
+
     /// Whether the process may exit: it was told to end, [`LINGER`] has passed since, nothing is owed and all
     /// clients' connections are gone or owe nothing.
     pub fn may_exit(&self, now: Micros, owed: usize, flushed: bool) -> bool {
@@ -232,6 +263,26 @@
         assert!(e.may_exit(10 * S + LINGER, 0, true));
     }
 
+    #[test]
+    fn an_ending_router_takes_what_it_can_answer_before_the_kill() {
+        let mut d = Drain::new().with_longest(2 * S);
+        d.started();
+        assert!(d.takes(S, 1000 * S), "serving takes all");
+        d.drain(10 * S);
+        assert!(d.takes(10 * S, 1000 * S), "a drained router keeps running and takes all");
+        d.end(11 * S);
+        // SIGKILL comes 2.7 s after SIGTERM at the soonest, whenever the drain came.
+        let kill = 11 * S + 2 * S + LINGER;
+        assert!(d.takes(11 * S + LINGER - 1, 1000 * S), "what comes within the linger is taken");
+        let late = 11 * S + LINGER;
+        assert!(d.takes(late, kill - BEFORE_KILL));
+        assert!(!d.takes(late, kill - BEFORE_KILL + 1));
+        let mut long = Drain::new().with_longest(30 * S);
+        long.end(0);
+        assert!(long.takes(S, LONGEST_COUNTED + LINGER - BEFORE_KILL), "a longer deadline counts as 3 s");
+        assert!(!long.takes(S, LONGEST_COUNTED + LINGER));
+    }
+
     /// Every order of drain, resume, end and reload: ready says yes exactly while serving, an ending router
     /// never comes back, and its time never moves on.
     #[test]
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -82,6 +82,8 @@
     cut: Sender<()>,
     held: Cell<usize>,
     owed: Cell<usize>,
+    /// Replies of the reader's own, not written yet.
+    replies: Cell<usize>,
     front: Rc<Front>,
 }
 
@@ -106,7 +108,7 @@
 
 impl Connection {
     fn seen(&self) -> Seen {
-        Seen { open: self.open.get(), asked: self.asked.get(), used: self.used.get() }
+        Seen { open: self.open.get() + self.replies.get(), asked: self.asked.get(), used: self.used.get() }
     }
 
     fn finished(&self) {
@@ -149,6 +151,8 @@
     rids: RefCell<AgeingFilter>,
     /// A connection ended.
     freed: (Sender<()>, Receiver<()>),
+    /// No more connections are to be taken: a successor takes them.
+    stop: (Sender<()>, Receiver<()>),
     next: Cell<u64>,
 }
 
@@ -175,6 +179,7 @@
             connections: RefCell::default(),
             rids: RefCell::new(AgeingFilter::new(RIDS, RIDS_QUIET)),
             freed: async_channel::bounded(1),
+            stop: async_channel::bounded(1),
             next: Cell::new(0),
         })
     }
@@ -193,6 +198,12 @@
         }
     }
 
+    /// Takes what waits to be accepted and then no more connections: the listener is closed, and the kernel
+    /// sends new ones to the process that shares the address.
+    pub fn stop_accepting(&self) {
+        let _ = self.stop.0.try_send(());
+    }
+
     /// Clients' connections, and the requests open on them.
     pub fn held(&self) -> (usize, usize) {
         let connections = self.connections.borrow();
@@ -235,7 +246,22 @@
         tasks: Rc<LocalExecutor<'static>>,
     ) {
         loop {
-            let accepted = listener.accept().await;
+            let stop = async {
+                let _ = self.stop.1.recv().await;
+                None
+            };
+            let Some(accepted) = future::or(async { Some(listener.accept().await) }, stop).await else {
+                // What is queued would be reset with the listener: it is taken first.
+                let mut queued = 0;
+                while let Ok((stream, _)) = listener.get_ref().accept() {
+                    let Ok(stream) = Async::new(stream) else { continue };
+                    let (id, cuts, answers) = self.admit();
+                    tasks.spawn(self.clone().connection(stream, id, cuts, answers)).detach();
+                    queued += 1;
+                }
+                tracing::info!("no more connections taken; {queued} were waiting");
+                return;
+            };
             while self.connections.borrow().len() >= self.most_connections {
                 self.evict();
                 let freed = async { self.freed.1.recv().await.is_ok() };
@@ -270,6 +296,7 @@
             cut,
             held: Cell::new(0),
             owed: Cell::new(0),
+            replies: Cell::new(0),
             front: self.clone(),
         });
         self.connections.borrow_mut().insert(id, port.clone());
@@ -364,6 +391,10 @@
                     match self.call(&fields, body, arrived) {
                         // Past what may be open: nothing has run, and `forget` must be read behind it.
                         Ok(_) if port.open.get() >= MOST_ANSWERS => Some(Reply::Verdict(seq, REFUSED)),
+                        // An ending router refuses what it could not answer before it is killed.
+                        Ok(call) if !self.drain.borrow().takes(arrived, call.deadline) => {
+                            Some(Reply::Verdict(seq, REFUSED))
+                        }
                         Ok(call) => {
                             port.open.set(port.open.get() + 1);
                             let request = Message::Request { port: port.clone(), seq, call };
@@ -379,6 +410,7 @@
                 }
             };
             if let Some(reply) = reply {
+                port.replies.set(port.replies.get() + 1);
                 own.send(reply).await.map_err(closed)?;
             }
             // A client that sends at full speed must not keep others out.
@@ -491,6 +523,8 @@
             if handed_on {
                 port.owe(-1, -(body.len() as isize));
                 port.finished();
+            } else {
+                port.replies.set(port.replies.get().saturating_sub(1));
             }
             written?;
             // Under a drain a connection goes with its last answer, before its client sends anew.
--- a/silverspindle/src/lib.rs
+++ b/silverspindle/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod management;
 pub mod serve;
 pub mod traffic;
+pub mod upgrade;
 pub mod upstream;
 
 pub use silverspindle_wire::{clock, feed, framing, resp, thrift};
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -23,6 +23,7 @@
 use crate::knowledge::{Knowledge, snapshots};
 use crate::management::Management;
 use crate::traffic::{Board, Descriptors, Message, Shared};
+use crate::upgrade::Beside;
 use crate::{clock, invariant};
 
 /// Descriptors kept for all else: the listener, the coordinator, signals, the reactor.
@@ -44,6 +45,8 @@
     coordinator: Cell<SocketAddr>,
     front: Rc<Front>,
     drain: Rc<RefCell<Drain>>,
+    /// This process's file beside a successor's, in `$TMPDIR`.
+    beside: Option<Beside>,
     owed: Rc<Owed>,
     conf: RefCell<Conf>,
     hub: Option<Rc<Hub>>,
@@ -106,7 +109,10 @@
         let coordinator = Coordinator { address: config.coordinator, last, news: tell, moves: moved };
         tasks.spawn(coordinator.run()).detach();
         let to_director = mailbox.clone();
-        let drain = Rc::new(RefCell::new(Drain::new()));
+        let longest = catalogue.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let drain = Rc::new(RefCell::new(Drain::new().with_longest(longest)));
+        let beside = std::env::var_os("TMPDIR")
+            .and_then(|directory| Beside::enter(std::path::Path::new(&directory), address, clock::now()));
         let front = Front::new(catalogue, mailbox, config.memory, config.sockets, drain.clone());
         tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
         tasks.spawn(front.clone().sweep()).detach();
@@ -122,6 +128,7 @@
             coordinator: Cell::new(config.coordinator),
             front,
             drain,
+            beside,
             owed,
             conf: RefCell::new(conf),
             hub,
@@ -161,6 +168,10 @@
     /// Says that no more clients should come, serves those that still do, and returns when all is answered.
     pub async fn end(&self) {
         self.drain.borrow_mut().end(clock::now());
+        if self.beside.as_ref().is_some_and(Beside::succeeded) {
+            tracing::info!("a younger process serves on {}: it takes the new connections", self.address);
+            self.front.stop_accepting();
+        }
         let mut said = clock::now();
         while !self.drain.borrow().may_exit(clock::now(), self.owed.get(), self.front.flushed()) {
             if clock::now() >= said + SAY_EVERY {
--- a/silverspindle/tests/management.rs
+++ b/silverspindle/tests/management.rs
@@ -19,8 +19,13 @@
 }
 
 fn start(file: &serde_json::Value, listen: &str) -> Router {
+    start_in(file, listen, &std::env::temp_dir())
+}
+
+fn start_in(file: &serde_json::Value, listen: &str, directory: &std::path::Path) -> Router {
     let mut child = Command::new(env!("CARGO_BIN_EXE_silverspindle"))
         .arg("serve")
+        .env("TMPDIR", directory)
         .env("LB_CONFIG", "/dev/stdin")
         .env("LB_LISTEN", listen)
         .env("LB_MANAGEMENT", "127.0.0.1:0")
@@ -109,8 +114,10 @@
 fn an_upgrade_shares_the_clients_address() {
     let (_coordinator, address) = common::listen();
     let file = common::configuration(&[common::entry(1, "box", address)], address);
-    let old = start(&file, "127.0.0.1:0");
-    let new = start(&file, &old.clients.to_string());
+    let directory = std::env::temp_dir().join(format!("upgrade-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).unwrap();
+    let old = start_in(&file, "127.0.0.1:0", &directory);
+    let new = start_in(&file, &old.clients.to_string(), &directory);
     assert_eq!(new.clients, old.clients);
     assert_eq!((ready(&old), ready(&new)), (200, 200));
     for r in [&old, &new] {
@@ -128,8 +135,16 @@
             assert!(children.trim().is_empty(), "a program was started: {children}");
         }
     }
-    end(old);
+    let mut old = old;
+    assert!(Command::new("kill").arg(old.child.id().to_string()).status().unwrap().success());
+    assert!(old.lines.any(|l| l.contains("a younger process serves on")), "the old one knows its successor");
+    assert!(old.lines.any(|l| l.contains("no more connections taken")));
+    assert!(old.lines.any(|l| l.contains("ended: all is answered")));
+    assert!(old.child.wait().unwrap().success());
     assert_eq!(ready(&new), 200, "the new one serves on");
     TcpStream::connect(new.clients).unwrap();
     end(new);
+    let left: Vec<_> = std::fs::read_dir(&directory).unwrap().collect();
+    assert!(left.is_empty(), "each process removes its file: {left:?}");
+    std::fs::remove_dir(&directory).unwrap();
 }
