Descriptors of the management address are set aside from the caches' connections

Need: the second address holds its listener and up to 8 calls (management::MOST_CALLS); they came out of the 24 kept for all else, which the signal pipes (4) now share too. Change: with management set, 9 more are kept aside before the caches' pool is sized. A count from the protocol's new address, no constant changed.

--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -63,11 +63,15 @@
         let (mailbox, messages) = async_channel::bounded(director::MAILBOX);
         let (tell, news) = async_channel::bounded(director::MAILBOX);
         let exchanges = conf.exchange.as_ref().map_or(0, exchange::descriptors);
+        // The second address: its listener and the calls it holds at a time.
+        let calls = config.management.map_or(0, |_| crate::management::MOST_CALLS + 1);
         let shared = Rc::new(Shared {
             catalogue: catalogue.clone(),
             board: Rc::new(Board::default()),
             descriptors: Descriptors::new(
-                config.sockets.saturating_sub(most_clients(config.sockets) + OTHER_DESCRIPTORS + exchanges),
+                config
+                    .sockets
+                    .saturating_sub(most_clients(config.sockets) + OTHER_DESCRIPTORS + exchanges + calls),
             ),
             director: mailbox.clone(),
             tasks: tasks.clone(),
