--- a/conf/src/settings.rs
+++ b/conf/src/settings.rs
@@ -67,18 +67,8 @@
     pub most: u64,
 }
 
-/// After so long another's word counts half, by what it is about; microseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HalfLives {
-    /// Faults and stalls.
-    pub health: Micros,
-    /// Limits.
-    pub pace: Micros,
-    /// What warm members take.
-    pub rates: Micros,
-    /// Objects asked for lately.
-    pub filter: Micros,
-}
+/// After so long another's word counts half, by what it is about: the knowledge store's own terms.
+pub use silverspindle_knowledge::store::HalfLives;
 
 pub(crate) fn settle(given: &Given, faults: &mut Vec<Fault>) -> Conf {
     let one = |name: &str| given.get(name).and_then(|all| all.first());
--- a/silverspindle/src/drain.rs
+++ b/silverspindle/src/drain.rs
@@ -52,8 +52,6 @@
     /// From SIGTERM to SIGKILL at the soonest, and when SIGTERM came.
     kill_after: Micros,
     told: Micros,
-    /// Drains asked for, resumes, and calls that changed nothing.
-    pub counts: [u64; 3],
 }
 
 impl Default for Drain {
@@ -65,7 +63,7 @@
 impl Drain {
     /// A router that can't serve yet.
     pub fn new() -> Self {
-        Self { phase: Phase::Starting, kill_after: LONGEST_COUNTED + LINGER, told: 0, counts: [0; 3] }
+        Self { phase: Phase::Starting, kill_after: LONGEST_COUNTED + LINGER, told: 0 }
     }
 
     /// The longest deadline of the site's classes: it sets when SIGKILL may come after SIGTERM.
@@ -92,13 +90,9 @@
         match self.phase {
             Phase::Starting | Phase::Serving => {
                 self.phase = Phase::Draining(now);
-                self.counts[0] += 1;
                 true
             }
-            Phase::Draining(_) | Phase::Ending(_) => {
-                self.counts[2] += 1;
-                false
-            }
+            Phase::Draining(_) | Phase::Ending(_) => false,
         }
     }
 
@@ -107,13 +101,9 @@
         match self.phase {
             Phase::Draining(_) => {
                 self.phase = Phase::Serving;
-                self.counts[1] += 1;
                 true
             }
-            _ => {
-                self.counts[2] += 1;
-                false
-            }
+            _ => false,
         }
     }
 
@@ -135,7 +125,7 @@
     }
 
     /// Since when connections are to go, if they are.
-    fn since(&self) -> Option<Micros> {
+    pub fn since(&self) -> Option<Micros> {
         match self.phase {
             Phase::Draining(since) | Phase::Ending(since) => Some(since),
             Phase::Starting | Phase::Serving => None,
@@ -199,7 +189,6 @@
         assert!(d.resume());
         assert!(d.ready());
         assert!(!d.resume());
-        assert_eq!(d.counts, [1, 1, 2]);
     }
 
     #[test]
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -153,6 +153,8 @@
     freed: (Sender<()>, Receiver<()>),
     /// No more connections are to be taken: a successor takes them.
     stop: (Sender<()>, Receiver<()>),
+    /// The drain may have changed: the sweep sleeps on this while the router serves.
+    nudged: (Sender<()>, Receiver<()>),
     next: Cell<u64>,
 }
 
@@ -180,13 +182,24 @@
             rids: RefCell::new(AgeingFilter::new(RIDS, RIDS_QUIET)),
             freed: async_channel::bounded(1),
             stop: async_channel::bounded(1),
+            nudged: async_channel::bounded(1),
             next: Cell::new(0),
         })
     }
 
+    /// Whoever changes the drain tells the sweep with this.
+    pub fn nudger(&self) -> Sender<()> {
+        self.nudged.0.clone()
+    }
+
     /// Closes what a drain or an end lets go, for ever: each connection once it owes nothing after the grace.
+    /// While the router serves it waits to be nudged, and costs no wake-up.
     pub async fn sweep(self: Rc<Self>) {
         loop {
+            if self.drain.borrow().since().is_none() {
+                let _ = self.nudged.1.recv().await;
+                continue;
+            }
             Timer::after(SWEEP).await;
             let now = clock::now();
             let drain = self.drain.borrow();
--- a/silverspindle/src/knowledge/mod.rs
+++ b/silverspindle/src/knowledge/mod.rs
@@ -10,7 +10,7 @@
 };
 use silverspindle_conf::HalfLives;
 use silverspindle_knowledge::list::{self, OwnList};
-use silverspindle_knowledge::store::{self, CLOCK_START, Store};
+use silverspindle_knowledge::store::{CLOCK_START, Store};
 use silverspindle_knowledge::{Aspect, Ids, InstanceId, Item, Lifecycle, Source, Subject, Value};
 
 use crate::clock;
@@ -76,10 +76,6 @@
     purges: BTreeMap<silverspindle_knowledge::Purged, Micros>,
 }
 
-fn half_lives(h: HalfLives) -> store::HalfLives {
-    store::HalfLives { health: h.health, pace: h.pace, rates: h.rates, filter: h.filter }
-}
-
 fn lifecycle(of: module::Lifecycle) -> Lifecycle {
     match of {
         module::Lifecycle::Ready => Lifecycle::Ready,
@@ -102,7 +98,7 @@
         Self {
             me,
             steady: Steady::start(),
-            store: Store::new(me, half_lives(conf), settings.purge_done + settings.purge_grace),
+            store: Store::new(me, conf, settings.purge_done + settings.purge_grace),
             list: OwnList::default(),
             entries: BTreeMap::new(),
             overruled: BTreeMap::new(),
@@ -112,7 +108,7 @@
 
     /// Takes other half-lives from now on.
     pub fn reload(&mut self, conf: HalfLives) {
-        self.store.set_half_lives(half_lives(conf));
+        self.store.set_half_lives(conf);
     }
 
     /// The coordinator has nothing more to tell: the own list is current.
--- a/silverspindle/src/management.rs
+++ b/silverspindle/src/management.rs
@@ -89,7 +89,7 @@
         "/-/drain" | "/-/resume" => "PUT",
         _ => return refuse(404, "no such call; there are GET /-/ready, PUT /-/drain, PUT /-/resume"),
     };
-    if method != wanted && !(wanted == "GET" && method == "HEAD") {
+    if method != wanted {
         return refuse(405, if wanted == "GET" { "use GET" } else { "use PUT" });
     }
     let (status, text) = match path {
@@ -120,7 +120,7 @@
         _ => "",
     };
     let allow = match answer.status {
-        405 if answer.text == "use GET" => "Allow: GET, HEAD\r\n",
+        405 if answer.text == "use GET" => "Allow: GET\r\n",
         405 => "Allow: PUT\r\n",
         _ => "",
     };
@@ -136,14 +136,16 @@
 /// The listener of the second address.
 pub struct Management {
     drain: Rc<RefCell<Drain>>,
+    /// Wakes the front's sweep after a call.
+    nudge: Sender<()>,
     calls: RefCell<BTreeMap<u64, Sender<()>>>,
     next: std::cell::Cell<u64>,
 }
 
 impl Management {
-    /// Calls are carried out on this drain, which the front reads.
-    pub fn new(drain: Rc<RefCell<Drain>>) -> Rc<Self> {
-        Rc::new(Self { drain, calls: RefCell::default(), next: std::cell::Cell::new(0) })
+    /// Calls are carried out on this drain, which the front reads; `nudge` tells the front that it changed.
+    pub fn new(drain: Rc<RefCell<Drain>>, nudge: Sender<()>) -> Rc<Self> {
+        Rc::new(Self { drain, nudge, calls: RefCell::default(), next: std::cell::Cell::new(0) })
     }
 
     /// Accepts callers, for ever.
@@ -196,6 +198,7 @@
             filled += n;
             let read = answer(&buffer[..filled], &mut self.drain.borrow_mut(), clock::now());
             if let Read::Answer(answer) = read {
+                let _ = self.nudge.try_send(());
                 break answer;
             }
         };
@@ -256,6 +259,7 @@
         d.started();
         assert_eq!(status(said("GET /-/drain HTTP/1.1\r\n\r\n", &mut d)), 405);
         assert_eq!(status(said("POST /-/ready HTTP/1.1\r\n\r\n", &mut d)), 405);
+        assert_eq!(status(said("HEAD /-/ready HTTP/1.1\r\n\r\n", &mut d)), 405, "an answer has a body");
         assert_eq!(status(said("GET /metrics HTTP/1.1\r\n\r\n", &mut d)), 404);
         assert_eq!(status(said("GARBAGE\r\n\r\n", &mut d)), 400);
         assert_eq!(status(said("PUT /-/drain HTTP/1.1\r\nContent-Length: x\r\n\r\n", &mut d)), 400);
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -122,7 +122,9 @@
         tasks.spawn(front.clone().sweep()).detach();
         if let Some(listener) = management {
             tracing::info!("management on {}", listener.get_ref().local_addr()?);
-            tasks.spawn(Management::new(drain.clone()).listen(listener, tasks.clone())).detach();
+            tasks
+                .spawn(Management::new(drain.clone(), front.nudger()).listen(listener, tasks.clone()))
+                .detach();
         }
         drain.borrow_mut().started();
         tracing::info!(event = last, "{} serves on {address}", config.name);
@@ -172,6 +174,7 @@
     /// Says that no more clients should come, serves those that still do, and returns when all is answered.
     pub async fn end(&self) {
         self.drain.borrow_mut().end(clock::now());
+        let _ = self.front.nudger().try_send(());
         if self.beside.as_ref().is_some_and(Beside::succeeded) {
             tracing::info!("a younger process serves on {}: it takes the new connections", self.address);
             self.front.stop_accepting();
--- a/silverspindle/tests/router.rs
+++ b/silverspindle/tests/router.rs
@@ -9,6 +9,7 @@
 
 const RID: &str = "9b1f03aa5c7e2d41";
 const OTHER: &str = "00000000000000a2";
+const THIRD: &str = "00000000000000a3";
 
 #[test]
 fn a_request_passes_unchanged_and_so_does_its_answer() {
@@ -446,3 +447,41 @@
         }
     });
 }
+
+/// Guards against an ending router that takes what SIGKILL would find unanswered: on a connection kept busy, a
+/// request that comes after the linger and is due later than the kill is refused at once with advice and sent to
+/// no cache; one due before the kill is still served, and what was taken before is answered.
+#[test]
+fn an_ending_router_refuses_what_it_could_not_answer_before_the_kill() {
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (router, _coordinator) = router(tasks, &[cache.address]);
+        let client = Client::connect(tasks, router.address).await;
+        client.send(&serve(1, &page(RID), b"")).await;
+        let (_, first) = cache.next().await;
+        let talk = async {
+            // The linger is waited for: what comes within it is taken whatever its deadline.
+            silverspindle::clock::at(silverspindle::clock::now() + silverspindle::drain::LINGER).await;
+            client.send(&serve(2, &page(OTHER), b"")).await;
+            let answer = client.next().await.unwrap();
+            assert!(advice(&answer, 2).is_some(), "a 20 s budget ends after the kill: refused");
+            let mut short = page(THIRD);
+            short.retain(|(name, _)| *name != "budget");
+            short.push(("budget", "1000"));
+            client.send(&serve(3, &short, b"")).await;
+            // Second copies of the first may come between; the refused one never does.
+            let (want, line) = loop {
+                let (want, line) = cache.next().await;
+                if want[1] != RID {
+                    break (want, line);
+                }
+            };
+            assert_eq!(want[1], THIRD, "nothing was sent for the refused one");
+            reply(&line, &[THIRD, "HIT", NAMED, "c"]).await;
+            assert_eq!(client.next().await.unwrap(), served(3, b"c"));
+            reply(&first, &[RID, "HIT", NAMED, "a"]).await;
+            assert_eq!(client.next().await.unwrap(), served(1, b"a"));
+        };
+        both(router.end(), talk).await;
+    });
+}
