Attempts share a connection where handshakes are priced and connections rarely break

Harmless at one router with free handshakes; a hundred of them pay. Change: `deductions.handshake` is read; a busy connection is shared while its streams times the peer's running share of breaks are under that price, so a peer that resets or spoils answers gets connections of its own again. Price 0 keeps what was. LB_LOG=trace writes attempts, their ends and answers, by which the fleet was counted.

--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -315,6 +315,9 @@
     fn answer(&mut self, id: RequestId, verdict: Verdict) {
         let Some(open) = self.requests.get(&id) else { return };
         let (port, seq) = (open.port.clone(), open.seq);
+        let Call { rid, class, .. } = &*open.call;
+        let spare = open.call.deadline.saturating_sub(clock::now());
+        tracing::trace!(rid, class, attempts = open.attempts, spare, "answer {}", verdict.name());
         if self.close(id) {
             port.answer(seq, verdict);
         }
@@ -336,13 +339,16 @@
             self.answer(out.id, verdict);
         }
         let End { status, note, waited, load, .. } = end;
+        let elapsed = clock::now().saturating_sub(out.sent);
+        let rid = &out.attempt.call.rid;
+        tracing::trace!(rid, number = out.number, member = %spelt(out.member), elapsed, "end {status:?} {note:?}");
         let closed = self.let_go(out.id, end.ticket);
         self.event(Event::Outcome(Outcome {
             id: out.id,
             attempt: out.number,
             member: out.member,
             status,
-            elapsed: clock::now().saturating_sub(out.sent),
+            elapsed,
             closed,
             note,
             waited,
@@ -509,6 +515,22 @@
             }));
             return;
         }
+        let (source, held) =
+            (attempt.terms.source.map_or_else(String::new, spelt), attempt.terms.mode.held_only);
+        let Call { rid, class, object, part, size_kb, .. } = &*attempt.call;
+        let member_name = spelt(member);
+        tracing::trace!(
+            rid,
+            class,
+            object,
+            part,
+            size_kb,
+            number,
+            member = member_name,
+            source,
+            held,
+            "attempt"
+        );
         open.out.push(ticket);
         self.attempts.insert(ticket, Out { id, number, member, sent: now, attempt });
         self.wake(until, Due::Attempt(ticket));
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -80,6 +80,16 @@
 }
 
 impl Verdict {
+    /// One word for the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Verdict::Served(_) => "served",
+            Verdict::Holds => "holds",
+            Verdict::Refused { .. } => "refused",
+            Verdict::Failed => "failed",
+        }
+    }
+
     /// Bytes of its body.
     pub fn bytes(&self) -> usize {
         if let Verdict::Served(body) = self { body.len() } else { 0 }
--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -29,6 +29,8 @@
 /// An answer that has begun comes whole in a few milliseconds; one that gets no further for so long is cut
 /// off, and its connection is of no more use.
 const STALL: Duration = Duration::from_millis(300);
+/// Weight of an answer, or of a connection that broke under attempts, in the running share of the latter.
+const BREAK_LEARN: f64 = 0.05;
 /// How often idle connections are looked for.
 const SWEEP: Micros = 1_000_000;
 
@@ -100,6 +102,8 @@
     next_probe: u64,
     /// When anything was last heard, by any connection.
     heard: Micros,
+    /// Running share of answers that came as the end of their connection.
+    breaks: f64,
     retired: bool,
 }
 
@@ -117,6 +121,7 @@
             next_line: 0,
             next_probe: 0,
             heard: 0,
+            breaks: 0.0,
             retired: false,
         };
         shared.tasks.spawn(peer.run()).detach();
@@ -192,9 +197,11 @@
         let _ = self.shared.director.send(Message::Ended(end)).await;
     }
 
-    /// A connection that can take this id: an idle one, else a new one while descriptors are plenty, else the
-    /// least used. Guards against one spoilt answer or reset that ends all that shares its connection. An id
-    /// stands once on a connection at most, as its answers can't be told apart.
+    /// A connection that can take this id: an idle one, else a new one while descriptors are plenty and what a
+    /// break is likely to end on a shared one costs more than the handshake, else the least used. Guards
+    /// against one spoilt answer or reset that ends all that shares its connection, and, where handshakes are
+    /// priced, against a fleet that opens one for each request in a busy moment. An id stands once on a
+    /// connection at most, as its answers can't be told apart.
     fn line_for(&mut self, id: &[u8]) -> Option<u64> {
         let streams = self.shared.catalogue.streams_per_conn;
         let takes = |l: &Line| {
@@ -208,9 +215,11 @@
         };
         let able = self.lines.iter().filter(|(_, l)| takes(l));
         let found = able.min_by_key(|(n, l)| (l.streams.len(), !l.up, **n));
-        let found = found.map(|(n, l)| (*n, l.streams.is_empty()));
+        let found = found.map(|(n, l)| (*n, l.streams.len()));
+        let plenty = self.shared.descriptors.are_plenty();
+        let cheaper = |streams: usize| streams as f64 * self.breaks < self.shared.catalogue.handshake_price;
         match found {
-            Some((n, idle)) if idle || !self.shared.descriptors.are_plenty() => return Some(n),
+            Some((n, streams)) if streams == 0 || !plenty || cheaper(streams) => return Some(n),
             _ => {}
         }
         let Some(descriptor) = self.shared.descriptors.take() else {
@@ -312,6 +321,7 @@
         let now = clock::now();
         (line.last_used, line.silent) = (now, false);
         self.heard = now;
+        self.breaks -= BREAK_LEARN * self.breaks;
         let answer = match resp::decode(&frame) {
             Ok(answer) => answer,
             Err(e) => return self.down(number, &e.into()).await,
@@ -352,6 +362,9 @@
     /// what was may have run.
     async fn down(&mut self, number: u64, why: &io::Error) {
         let Some(line) = self.lines.remove(&number) else { return };
+        if line.up && !line.streams.is_empty() {
+            self.breaks += BREAK_LEARN * (1.0 - self.breaks);
+        }
         if !line.streams.is_empty() || why.kind() == io::ErrorKind::InvalidData {
             let n = line.streams.len();
             tracing::info!(member = %self.name(), "connection ended with {n} attempts out: {why}");
--- a/silverspindle/tests/actors.rs
+++ b/silverspindle/tests/actors.rs
@@ -174,6 +174,38 @@
     });
 }
 
+/// Guards against a fleet that opens a connection for each request in a busy moment, where handshakes are
+/// priced: what is out shares one, until it breaks so often that a shared one loses more than that.
+#[test]
+fn priced_handshakes_are_spared_until_connections_break() {
+    run(async |tasks| {
+        let mut options = settings();
+        options["deductions"] = serde_json::json!({"handshake": 0.08});
+        let world = World::with(tasks, 9, &options);
+        let peer = world.peer();
+        let mut ticket = 0;
+        let mut pair = async || {
+            let mut lines = Vec::new();
+            for _ in 0..2 {
+                ticket += 1;
+                peer.send(Order::Send(world.attempt(ticket, &format!("{ticket:016x}")))).await.unwrap();
+                lines.push(world.cache.next().await.1);
+            }
+            lines
+        };
+        // Two out at a time end with one break: after two breaks the third pair has connections of its own.
+        for shared in [true, true, false] {
+            let lines = pair().await;
+            assert_eq!(port(&lines[0]) == port(&lines[1]), shared);
+            (&*lines[0]).write_all(b"noise\r\n").await.unwrap();
+            assert_eq!(world.end().await.1, Status::Reset);
+            if shared {
+                assert_eq!(world.end().await.1, Status::Reset);
+            }
+        }
+    });
+}
+
 #[test]
 fn a_connection_carries_so_many_streams_and_descriptors_are_kept() {
     run(async |tasks| {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -22,6 +22,8 @@
     pub streams_per_conn: usize,
     /// A connection idle for so long is closed; 0: not told.
     pub idle_close: Micros,
+    /// What a new connection costs, in first tries; 0: nothing.
+    pub handshake_price: f64,
 }
 
 impl Catalogue {
@@ -38,6 +40,7 @@
             kinds,
             streams_per_conn: limits.number("streams_per_conn") as usize,
             idle_close: limits.micros("idle_close_ms"),
+            handshake_price: Part::of(options, "deductions").number("handshake"),
         }
     }
 }
