--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use crate::hashing::{hash, mix, unit};
 use crate::interface::*;
 
 mod report;
@@ -11,13 +12,13 @@
 const GENERATION: usize = 4096;
 const QUIET: Micros = 10_000_000;
 /// A member over this multiple of its share of the open requests is passed over (design page's default), but
-/// so many never make it overfull: with few requests shares mean nothing.
+/// not for so few.
 const OVERFULL: f64 = 2.0;
 const FEW_OPEN: f64 = 4.0;
 /// Part of a cold member's budget that is used; the rest is for chance and for clocks that differ.
 const COLD_MARGIN: f64 = 0.7;
-/// Further attempts earned by each answer in time, and how many may be saved up: a fault that hits all must
-/// not double the load, one that hits a third may be answered in full.
+/// Further attempts earned by each answer in time, and how many may be saved up: a fault of a third may be
+/// answered in full, one of all must not double the load.
 const RETRY_EARN: f64 = 0.5;
 const RETRY_SAVE: f64 = 10.0;
 /// An attempt is overdue at the mean time to an answer and so many mean deviations (as TCP's time-out); it
@@ -47,15 +48,13 @@
 const LATE_UNSIZED: f64 = 0.4;
 const LATE_FEW: f64 = 0.02;
 const LATE_LEARN: f64 = 0.1;
-/// With several directors at a location, each sees few answers: one counts for so many at most (measured:
-/// 2 was less, 4 too jumpy where sizes aren't told).
+/// With several directors at a location, an answer stands for so many at most (2 was less, 4 too jumpy).
 const STANDS_FOR_MOST: f64 = 3.0;
 /// Weight of a new reading in a running mean; of a rise in what members serve, which capacity bounds anyway.
 const LEARN: f64 = 0.05;
 const RATE_UP: f64 = 0.3;
 /// A copy of the director's own goes before the caches while its way out takes no more of the aim than this
-/// beyond its own sending time: more for one that no cache was seen to hold for so long, as that would be a
-/// fill.
+/// beyond its own sending time: more for one that no cache was seen to hold for so long.
 const OWN_UNSEEN: Micros = 5_000_000;
 const OWN_FILL: f64 = 0.5;
 const OWN_HIT: f64 = 0.05;
@@ -71,17 +70,6 @@
 const ASK_AGAIN: Micros = 500_000;
 const ASK_TOKEN: u64 = 1;
 
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
-/// The same at every director and after every start.
-fn hash(text: &str) -> u64 {
-    mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3)))
-}
-
 // ---- 1. The filter ----
 
 /// Two ageing generations of object ids (the paper's Algorithm 1, with sets for its Bloom filters).
@@ -185,7 +173,7 @@
     turn: f64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Attempt {
     member: MemberId,
     source: Option<MemberId>,
@@ -311,13 +299,12 @@
             _ => self.peers.values_mut().for_each(|p| p.entry.lifecycle = Lifecycle::Gone),
         }
         let own = self.draw(u64::MAX);
-        let turn = |id: MemberId| (mix(own ^ id.0) >> 11) as f64 / (1u64 << 53) as f64;
         for entry in members {
             let peer = self.peers.entry(entry.id).or_default();
             if peer.entry.started != entry.started {
                 // A new process: what its forerunner did says nothing of it.
                 let sent = std::mem::take(&mut peer.sent);
-                let (listed, turn) = (now, turn(entry.id));
+                let (listed, turn) = (now, unit(own ^ entry.id.0));
                 *peer = Peer { open: peer.open, fills: peer.fills, sent, listed, turn, ..Peer::default() };
             }
             peer.entry = entry;
@@ -370,8 +357,8 @@
             .iter()
             .filter_map(|id| self.peers.get(id))
             .map(|p| {
-                let unit = (mix(key ^ mix(p.entry.id.0 + 1)) >> 11) as f64 / (1u64 << 53) as f64;
-                (-(unit.max(1e-12).ln()) / (self.weight(&p.entry) * self.ramp(now, &p.entry)), p.entry.id)
+                let drawn = unit(key ^ mix(p.entry.id.0 + 1));
+                (-(drawn.max(1e-12).ln()) / (self.weight(&p.entry) * self.ramp(now, &p.entry)), p.entry.id)
             })
             .collect();
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -416,10 +403,9 @@
         }
     }
 
-    /// A fault of a member. Guards against dead, cut off, slow and broken ones: one that fails much, and much
-    /// more than others of its sort, is set aside, longer each time, then tried by a trickle. Not when all
-    /// fail alike: the cause lies elsewhere and their work would jam the rest. Harm: half at once is met
-    /// late.
+    /// Guards against dead, cut off, slow and broken members: one that fails much, much more than others of
+    /// its sort, is set aside, longer each time, then tried by a trickle. Not when all fail alike: the cause
+    /// lies elsewhere and their work would jam the rest. Harm: half at once is met late.
     fn fault(&mut self, now: Micros, id: MemberId, weight: f64, out: &mut Vec<Action>) {
         let sort = self.peers.get(&id).and_then(|p| self.sort(&p.entry));
         let alike = sort.map_or(&[][..], |sort| &self.ready[sort]).iter().filter(|other| **other != id);
@@ -554,11 +540,9 @@
         own.wait as f64 <= spare && now + own.wait < request.valid_until
     }
 
-    /// The paper's test: seen lately, then kept at the middle rank; else passed through. One of several
-    /// directors at a location sees only its part of the requests: what it sees first others have seen with
-    /// about the chance of their part. Then the copy is kept on trial, at the lowest rank, which pushes out
-    /// no popular one. Also shortens the refill after restarts. Harm: trial copies of objects that never come
-    /// again push out each other.
+    /// The paper's test: seen lately, then kept at the middle rank; else passed through. What one of several
+    /// directors at a location sees first, others have seen with about the chance of their part: then the copy
+    /// is kept on trial, at the lowest rank. Harm: trial copies that never come again push out each other.
     fn keep(&mut self, now: Micros, key: u64, write: bool) -> Keep {
         if write {
             return Keep::Pass;
@@ -604,11 +588,10 @@
         (self.aim(&open.request) as f64 * (late + self.copies_won * (early.min(late) - late))) as Micros
     }
 
-    /// No answer for long: the attempt counts as lost, takes no place among those out, and gets a second copy
-    /// where allowed; the first runs on. Guards against answers that never come: lost on the way, from
-    /// stalled or very slow members; a source whose fills hang is told by comparison. The copy only looks
-    /// where the member is well, which costs no second fill. Harm: doubles late work, so none is made while
-    /// fills come late; the retry budget bounds it.
+    /// Guards against answers that never come: an attempt without one for long counts as lost, takes no place
+    /// among those out, and gets a second copy where allowed; the first runs on. A source whose fills hang is
+    /// told by comparison. The copy only looks where the member is well, which costs no second fill. Harm:
+    /// doubles late work, so none is made while fills come late; the retry budget bounds it.
     fn overdue(&mut self, now: Micros, token: u64, out: &mut Vec<Action>) {
         let Some((id, attempt)) = self.watched.remove(&token) else { return };
         let Some(mut open) = self.open.remove(&id) else { return };
@@ -665,8 +648,7 @@
         let class = self.class(open.request.class);
         let write = open.request.write || class.write;
         let chance = self.draw(1024) as f64 / 1024.0;
-        // A copy is a copy of one part: the parts of an object spread over the caches (a departure of ours;
-        // the object stays the filter's id and the parent's key). Acts for classes listed as segmented.
+        // Parts of segmented objects spread over the caches; filter and parent go by the object.
         let spread = if class.segmented { mix(open.key ^ mix(open.request.part + 1)) } else { open.key };
         let caches = self.ranked(now, spread, CACHES);
         let able = |p: &Peer| self.may_send(now, open, p, &class) && p.pace.room(p.open, chance);
@@ -730,11 +712,10 @@
 
     /// Guards against a jam that feeds itself: a link shared by too many transfers makes all of them late.
     /// What a cache may hold of ours falls while its own copies come late and rises while they come in time;
-    /// more is refused at once. Also answers slow caches and bursts. Harm: large objects can hold it down.
-    /// The same for fills, all together: by a parent's copy, sharing the location's link in, and those that
-    /// may go on to the origin. Also guards against failing sources. While the second limit is used up,
-    /// parents give only what they hold; while the first is, caches do. On a miss there a fill is sent or
-    /// joined if there is room. Harm: a look costs a round trip.
+    /// more is refused at once. Harm: large objects can hold it down. The same for fills, all together, which
+    /// share the location's link in, and for those that may go on to the origin. While the second limit is
+    /// used up, parents give only what they hold; while the first is, caches do. On a miss there a fill is
+    /// sent or joined if there is room. Harm: a look costs a round trip.
     fn pace(&mut self, now: Micros, open: &Open, attempt: &Attempt, o: &Outcome) {
         let aim = self.aim(&open.request);
         // A time-out counts where the attempt had time: clients of little patience say nothing of a jam.
@@ -768,8 +749,7 @@
             Status::Full | Status::Error if !told || SOURCE_FAULTS.contains(&o.note) => true,
             _ => return,
         };
-        // A parent whose link is full makes the fills through it late, and no others': its own limit falls,
-        // and what is over it goes by the next one. What it held itself tells, as the origin may be late.
+        // A parent's own limit goes by what it held itself, as else the origin may be late.
         let by_its_copy = told && (attempt.held || o.note == Some(Note::Filled));
         if let Some(p) = attempt.source.and_then(|id| self.peers.get_mut(&id)).filter(|_| by_its_copy) {
             p.pace.tell(now, p.fills, late, many, 1.0);
@@ -799,10 +779,9 @@
         attempt.ended = true;
         let proven = [Status::Full, Status::ConnectFailed, Status::Moot, Status::Miss];
         attempt.may_have_run = !proven.contains(&o.status);
-        let attempt = &open.attempts[o.attempt as usize];
-        self.pace(now, &open, attempt, &o);
+        let attempt = *attempt;
+        self.pace(now, &open, &attempt, &o);
         self.release(&mut open.attempts[o.attempt as usize]);
-        let attempt = &open.attempts[o.attempt as usize];
         let hit = matches!(o.note, Some(Note::Hit | Note::Stale));
         if let Some(p) = attempt.source.filter(|_| hit).and_then(|s| self.peers.get_mut(&s)) {
             // Nothing was asked of the source.
@@ -811,25 +790,22 @@
             }
         }
         if o.status == Status::Ok {
-            self.learn(now, &open, attempt, &o);
+            self.learn(now, &open, &attempt, &o);
             let cancel = |a: &Attempt| self.settings.cancel && o.closed && !a.ended;
             let rest = open.attempts.iter().enumerate().filter(|(_, a)| cancel(a));
             out.extend(rest.map(|(n, _)| Action::Cancel { id: o.id, attempt: n as u32 }));
         }
         let late = o.elapsed > self.aim(&open.request);
-        self.judge(now, attempt, &o, late, out);
-        // Guards against blaming members for requests that nobody can use: an error counts once another
-        // member has answered the request well; where two erred it is given up. Harm: an ill one among ill
-        // ones is told late.
+        self.judge(now, &attempt, &o, late, out);
+        // Guards against blaming members for requests nobody can use: an error counts once another member
+        // has answered the request well; where two erred it is given up.
         if o.status == Status::Ok {
             let erred = std::mem::take(&mut open.erred);
             erred.into_iter().filter(|m| *m != o.member).for_each(|m| self.fault(now, m, SOFT, out));
         } else if o.status == Status::Error && o.note.is_none() && self.settings.tells == Tells::All {
             open.erred.push(o.member);
         }
-        let attempt = &open.attempts[o.attempt as usize];
-        // Where notes don't tell, a refusal or an error speaks against the source first: it is the one that
-        // differs from object to object; the cache follows if it comes again.
+        // Where notes don't tell, a refusal or an error speaks against the source first, then the cache.
         let untold = self.settings.tells != Tells::All && matches!(o.status, Status::Full | Status::Error);
         let again = open.attempts.iter().filter(|a| a.member == o.member).count() > 1;
         let source_fault = SOURCE_FAULTS.contains(&o.note);
@@ -970,8 +946,7 @@
         let zone = s.zone_directors.get(s.zone).copied().unwrap_or(s.directors);
         let sharers = f64::from(if parent { s.directors } else { zone }.max(1));
         let multiple = if parent { s.parent_fall_multiple } else { s.fall_multiple };
-        // What it does when warm, for this director: by its weight, which counts transfers, or, where
-        // weights say nothing, what warm ones were seen to take.
+        // What it does when warm, for this director: by its weight, else what warm ones were seen to take.
         let told = matches!(s.weights, Weights::Nominal | Weights::Rough);
         let warm = if told { self.weight(&p.entry) / sharers } else { self.warm_rate[usize::from(parent)] };
         let window = s.fall_window as f64 / 1e6;
@@ -997,8 +972,7 @@
         p.sent.push_back((now, work));
     }
 
-    /// Learns what a warm cache (0) or parent (1) takes, from what they served: what was merely sent, or
-    /// turned away, would take an overload for capacity. Cold ones count by the part they have.
+    /// Learns what a warm cache (0) or parent (1) takes, from what they served; cold ones count by part.
     fn served(&mut self, now: Micros, work: [f64; 2]) {
         self.rate_sum = [self.rate_sum[0] + work[0], self.rate_sum[1] + work[1]];
         let span = now.saturating_sub(self.rate_from);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 struct Readme;
 
 pub mod choice;
+mod hashing;
 pub mod interface;
 pub mod settings;
 
