--- a/src/choice.rs
+++ b/src/choice.rs
@@ -544,8 +544,8 @@
         own.wait as f64 <= spare && now + own.wait < request.valid_until
     }
 
-    /// The paper's test: seen lately, then kept at the middle rank; else passed through. Others here have seen
-    /// it with about the chance of their part: then it is kept on trial, at the lowest rank.
+    /// The paper's test: seen lately, then kept at the middle rank; else passed through. Others here have
+    /// seen it with about the chance of their part: then it is kept on trial, at the lowest rank.
     fn keep(&mut self, now: Micros, key: u64, write: bool) -> Keep {
         if write {
             return Keep::Pass;
