A parent set aside stays a source where no origin is listed

Change: they give way only where an origin is listed. The fleet test asserts it and fails without it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -726,7 +726,7 @@
         let origin = self.ready[ORIGIN].first().copied();
         let able = |p: &Peer| self.within_cold_budget(now, p, self.work_of(&open.request));
         let has_room = |p: &Peer| able(p) && p.pace.room(p.fills, chance);
-        let trusted = |found: &(MemberId, u8)| found.1 > 1;
+        let trusted = |found: &(MemberId, u8)| found.1 > u8::from(origin.is_some());
         let parent = self.pick(now, &parents, &open.bad, |p| p.fills, has_room).filter(trusted);
         let parent =
             parent.or_else(|| self.pick(now, &parents, &open.bad, |p| p.fills, able).filter(trusted));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -94,4 +94,8 @@
     let sources: Vec<_> =
         (100..120).flat_map(|id| sends(&w.ask(id, &format!("p{id}")))).map(|s| s.source).collect();
     assert!(sources.iter().filter(|s| **s == MemberId(20)).count() >= 18, "{sources:?}");
+    // Without an origin in the list it is better than nothing.
+    let origin = Member { lifecycle: Lifecycle::Gone, ..member(20, ORIGIN) };
+    w.tell(Event::Members { kind: ListKind::Delta, members: vec![origin] });
+    assert_eq!(sent(&w.ask(200, "q")).source, MemberId(11));
 }
