--- a/silverspindle/tests/exchange.rs
+++ b/silverspindle/tests/exchange.rs
@@ -19,6 +19,7 @@
 use silverspindle_conf::{Conf, Files};
 use silverspindle_knowledge::protocol::{self, Message, Offer, VERSION};
 use silverspindle_knowledge::*;
+use silverspindle_standins::ports::Port;
 
 /// A folder of keys for n0, n1 and more, new for each test.
 struct Office(PathBuf);
@@ -61,10 +62,13 @@
     }
 }
 
-/// A port that was free a moment ago, on an address of this test alone.
+/// A port for a router that starts later, held for the test's life: other runs of these tests ask for ports too.
 fn free() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.78:0").unwrap();
-    listener.local_addr().unwrap()
+    static HELD: std::sync::Mutex<Vec<Port>> = std::sync::Mutex::new(Vec::new());
+    let port = Port::hold([127, 0, 0, 78]).unwrap();
+    let address = port.address;
+    HELD.lock().unwrap().push(port);
+    address
 }
 
 /// A router of this name before these caches, with its coordinator's listener.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod codec;
 pub mod coordinator;
 pub mod office;
+pub mod ports;
 pub mod trial;
 
 /// Microseconds.
--- a/standins/src/trial.rs
+++ b/standins/src/trial.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write as _;
 use std::fs;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
@@ -21,6 +21,7 @@
 use crate::coordinator::Coordinator;
 use crate::office::{Counts, Office, Plan, rest};
 pub use crate::office::{Fault, HEAD};
+use crate::ports::Port;
 use crate::{Micros, SECOND};
 
 /// Objects there are, and how unequal clients' liking is (Zipf's exponent).
@@ -148,6 +149,8 @@
     config: PathBuf,
     conf: Option<PathBuf>,
     log: PathBuf,
+    /// Its ports, held also while it is down.
+    _ports: [Rc<Port>; 2],
 }
 
 impl Start {
@@ -171,9 +174,9 @@
     }
 }
 
-/// An address of this router alone whose port was free a moment ago.
-fn free(router: u8) -> io::Result<SocketAddr> {
-    TcpListener::bind(SocketAddr::from(([127, 0, 1, 10 + router], 0)))?.local_addr()
+/// A port on an address of this router alone, held for it.
+fn free(router: u8) -> io::Result<Rc<Port>> {
+    Port::hold([127, 0, 1, 10 + router]).map(Rc::new)
 }
 
 fn settings(routers: u8, index: u8) -> Value {
@@ -222,7 +225,8 @@
     let members: Vec<Value> = office.members().iter().map(Member::json).collect();
     let mut starts = Vec::new();
     for (n, name) in (0..options.routers).zip(&names) {
-        let listen = free(n)?;
+        let (port, exchange) = (free(n)?, exchanges[usize::from(n)].clone());
+        let listen = port.address;
         let file = json!({
             "name": name, "listen": listen.to_string(), "seed": format!("{:x}", options.seed * 100 + u64::from(n)),
             "coordinator": coordinator.to_string(), "settings": settings(options.routers, n),
@@ -234,12 +238,12 @@
         match options.inherit {
             Inherit::No => {}
             Inherit::Exchange => {
-                let _ = writeln!(conf, "exchange-listen {}", exchanges[usize::from(n)]);
+                let _ = writeln!(conf, "exchange-listen {}", exchange.address);
                 let _ = writeln!(conf, "exchange-authority '{keys_text}/authority.pem'");
                 let _ = writeln!(conf, "exchange-certificate '{keys_text}/{name}.pem'");
                 let _ = writeln!(conf, "exchange-key '{keys_text}/{name}.key'");
                 for (other, at) in names.iter().zip(&exchanges).filter(|(other, _)| *other != name) {
-                    let _ = writeln!(conf, "donor {other} {at}");
+                    let _ = writeln!(conf, "donor {other} {}", at.address);
                 }
             }
             Inherit::Snapshot => {
@@ -250,7 +254,8 @@
         fs::write(&path, &conf)?;
         let conf = (!conf.is_empty()).then_some(path);
         let log = folder.join(format!("{name}.log"));
-        starts.push((Start { program: options.program.clone(), config, conf, log }, listen));
+        let start = Start { program: options.program.clone(), config, conf, log, _ports: [port, exchange] };
+        starts.push((start, listen));
     }
     Ok(starts)
 }
