Agreement's core on Raft, followers and confirmed time, with a swarm that checks it by seed

Need: the operators want copies of the program to hold together while some break, stall or lose contact; nothing was decided together so far. Nothing of the program uses it yet.

--- /dev/null
+++ b/agreement/src/wire.rs
@@ -0,0 +1,239 @@
+//! What routers say to each other about decisions, as bodies of the exchange's frames.
+
+use std::fmt;
+
+use raft::eraftpb as pb;
+use serde::{Deserialize, Serialize};
+
+use crate::Micros;
+use crate::decision::{Proposal, ProposalId, Verdict, bounds};
+use crate::disk::{self, Entry, Snapshot};
+use crate::node::Status;
+
+/// The longest frame, whole.
+pub const MOST_FRAME: usize = bounds::FRAME;
+/// A frame goes in pieces of so many bytes.
+pub const PIECE: usize = 48 * 1024;
+
+/// What is said.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// An elector without a fleet: its disk, and what it has promised.
+    Forming {
+        /// Its disk's identity.
+        id: u64,
+        /// The set that it has promised to form a fleet with.
+        promise: Option<Vec<(String, u64)>>,
+    },
+    /// The answer of one that has a fleet: the set that it began with, empty where it does not know.
+    Formed {
+        /// See the frame.
+        set: Vec<(String, u64)>,
+    },
+    /// Between electors.
+    Raft(RaftMessage),
+    /// Somebody wants a change.
+    Propose(Proposal),
+    /// An elector hands a proposal to the leader.
+    Forward(Proposal),
+    /// What became of a proposal; none: not known, ask again by the same id.
+    Settled {
+        /// Which.
+        id: ProposalId,
+        /// What became of it.
+        verdict: Option<Verdict>,
+    },
+    /// What is the latest?
+    Ask {
+        /// Counts the asker's questions.
+        seq: u64,
+        /// The asker's fleet; 0: none.
+        fleet: u64,
+        /// What it has applied, and the digest of it.
+        have: u64,
+        /// See `have`.
+        digest: u64,
+        /// Its disk, where it is named as an elector and has no seat.
+        seat: Option<u64>,
+        /// How old its confirmation is.
+        age: Option<Micros>,
+        /// Its life.
+        life: u64,
+    },
+    /// As of `age` before this answer was written, `number` was the latest.
+    Answer {
+        /// The question's.
+        seq: u64,
+        /// The fleet.
+        fleet: u64,
+        /// How old the word is, by the answerer's clock, stretched by its drift.
+        age: Micros,
+        /// The latest number then.
+        number: u64,
+        /// The digest at the asker's number, where it is remembered.
+        at_have: Option<u64>,
+        /// Proposals from the asker's number on, by number; an empty one is a leader's first.
+        entries: Vec<(u64, Vec<u8>)>,
+        /// Instead of entries, for who is too far behind.
+        snapshot: Option<Vec<u8>>,
+    },
+    /// How does the fleet stand?
+    AskStatus,
+    /// So, as this router sees it.
+    StatusIs(Box<Status>),
+}
+
+/// A message of Raft.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RaftMessage {
+    kind: u8,
+    /// To whom, and from whom, by their disks' identity.
+    pub to: u64,
+    /// See `to`.
+    pub from: u64,
+    term: u64,
+    log_term: u64,
+    index: u64,
+    entries: Vec<Entry>,
+    commit: u64,
+    commit_term: u64,
+    snapshot: Option<Snapshot>,
+    request_snapshot: u64,
+    reject: bool,
+    reject_hint: u64,
+    context: Vec<u8>,
+    priority: i64,
+}
+
+const KINDS: [pb::MessageType; 14] = [
+    pb::MessageType::MsgAppend,
+    pb::MessageType::MsgAppendResponse,
+    pb::MessageType::MsgRequestVote,
+    pb::MessageType::MsgRequestVoteResponse,
+    pb::MessageType::MsgSnapshot,
+    pb::MessageType::MsgHeartbeat,
+    pb::MessageType::MsgHeartbeatResponse,
+    pb::MessageType::MsgTransferLeader,
+    pb::MessageType::MsgTimeoutNow,
+    pb::MessageType::MsgReadIndex,
+    pb::MessageType::MsgReadIndexResp,
+    pb::MessageType::MsgRequestPreVote,
+    pb::MessageType::MsgRequestPreVoteResponse,
+    pb::MessageType::MsgUnreachable,
+];
+
+impl RaftMessage {
+    pub(crate) fn of(m: &pb::Message) -> Option<Self> {
+        let kind = KINDS.iter().position(|kind| *kind == m.get_msg_type())? as u8;
+        let snapshot = (m.get_msg_type() == pb::MessageType::MsgSnapshot)
+            .then(|| disk::snapshot_of_raft(m.get_snapshot()));
+        Some(Self {
+            kind,
+            to: m.to,
+            from: m.from,
+            term: m.term,
+            log_term: m.log_term,
+            index: m.index,
+            entries: m.entries.iter().map(disk::of_raft).collect(),
+            commit: m.commit,
+            commit_term: m.commit_term,
+            snapshot,
+            request_snapshot: m.request_snapshot,
+            reject: m.reject,
+            reject_hint: m.reject_hint,
+            context: m.context.to_vec(),
+            priority: m.priority,
+        })
+    }
+
+    /// As Raft reads it; none where no elector of ours can have sent it: Raft would take it for a broken invariant.
+    pub(crate) fn to_raft(&self, last: u64) -> Option<pb::Message> {
+        let kind = *KINDS.get(usize::from(self.kind)).filter(|k| **k != pb::MessageType::MsgUnreachable)?;
+        let follows = self
+            .entries
+            .iter()
+            .zip(self.index.saturating_add(1)..)
+            .all(|(e, index)| e.index == index && e.term <= self.term && e.kind <= 2);
+        let sorted = self.entries.is_sorted_by_key(|e| e.term);
+        let good = match kind {
+            pb::MessageType::MsgAppend => follows && sorted,
+            pb::MessageType::MsgHeartbeat => self.entries.is_empty() && self.commit <= last,
+            pb::MessageType::MsgSnapshot => {
+                self.snapshot.as_ref().is_some_and(|s| s.index > 0 && !s.voters.is_empty())
+            }
+            pb::MessageType::MsgReadIndex | pb::MessageType::MsgReadIndexResp => self.entries.len() == 1,
+            _ => self.entries.is_empty(),
+        };
+        if !good || self.from == 0 || (self.term == 0 && kind != pb::MessageType::MsgReadIndex) {
+            return None;
+        }
+        let mut m = pb::Message::default();
+        m.set_msg_type(kind);
+        (m.to, m.from, m.term, m.log_term, m.index) =
+            (self.to, self.from, self.term, self.log_term, self.index);
+        m.entries = self.entries.iter().map(disk::to_raft).collect::<Vec<_>>().into();
+        (m.commit, m.commit_term) = (self.commit, self.commit_term);
+        if let Some(snapshot) = &self.snapshot {
+            m.set_snapshot(disk::snapshot_to_raft(snapshot));
+        }
+        (m.request_snapshot, m.reject, m.reject_hint) =
+            (self.request_snapshot, self.reject, self.reject_hint);
+        m.context = self.context.clone().into();
+        m.priority = self.priority;
+        Some(m)
+    }
+}
+
+/// Why a peer's bytes are no frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Malformed {
+    /// More bytes than any frame has.
+    TooLong,
+    /// It can't be read.
+    Body,
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Malformed::TooLong => write!(f, "a frame longer than {MOST_FRAME} bytes"),
+            Malformed::Body => f.write_str("a frame that can't be read"),
+        }
+    }
+}
+
+/// Spells a frame in pieces, each with a first byte that is 1 in the last one.
+pub fn pieces(frame: &Frame) -> Vec<Vec<u8>> {
+    let bytes = postcard::to_stdvec(frame).unwrap_or_default();
+    let count = bytes.len().div_ceil(PIECE).max(1);
+    let mut chunks = bytes.chunks(PIECE);
+    let piece = |n: usize, chunk: &[u8]| [&[u8::from(n + 1 == count)], chunk].concat();
+    (0..count).map(|n| piece(n, chunks.next().unwrap_or_default())).collect()
+}
+
+/// Puts pieces together again.
+#[derive(Debug, Default)]
+pub struct Assembler {
+    bytes: Vec<u8>,
+}
+
+impl Assembler {
+    /// Takes a piece; a frame where it was the last.
+    pub fn piece(&mut self, piece: &[u8]) -> Result<Option<Frame>, Malformed> {
+        let (last, bytes) = piece.split_first().ok_or(Malformed::Body)?;
+        if self.bytes.len() + bytes.len() > MOST_FRAME {
+            return Err(Malformed::TooLong);
+        }
+        self.bytes.extend_from_slice(bytes);
+        match last {
+            0 => Ok(None),
+            _ => {
+                let whole = std::mem::take(&mut self.bytes);
+                match postcard::take_from_bytes(&whole) {
+                    Ok((frame, [])) => Ok(Some(frame)),
+                    _ => Err(Malformed::Body),
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,83 @@
+//! The lab's command line.
+
+use std::ops::Range;
+use std::process::ExitCode;
+use std::time::Instant;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use silverspindle_lab::swarm::{self, Options, Without};
+
+/// Many routers' real cores on a made-up clock and network
+#[derive(Parser)]
+#[command(name = "silverspindle-lab", version)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Short runs with faults by seed, checked at every event; exits with 1 where one breaks
+    Swarm {
+        /// Which routers' part
+        what: What,
+        /// Seeds, the last not among them
+        #[arg(long, value_parser = seeds, default_value = "0..1000")]
+        seeds: Range<u64>,
+        /// Routers; the first 1, 3 or 5 are electors, by the seed
+        #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u16).range(1..=2000))]
+        routers: u16,
+        /// Take a guard out of the routers: the checks must then find a breach
+        #[arg(long)]
+        without: Option<Guard>,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum What {
+    /// The log of decisions and its confirmation
+    Agreement,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Guard {
+    /// The look at the confirmation's age
+    Fence,
+    /// Writes before words
+    Sync,
+    /// A quorum's word
+    Quorum,
+    /// Once through all retries
+    Dedupe,
+}
+
+fn seeds(text: &str) -> Result<Range<u64>, String> {
+    let parts = text.split_once("..").and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
+    parts.filter(|range: &Range<u64>| !range.is_empty()).ok_or_else(|| "takes A..B, as in 0..1000".to_owned())
+}
+
+fn main() -> ExitCode {
+    let Command::Swarm { what: What::Agreement, seeds, routers, without } = Line::parse().command;
+    let without = without.map(|guard| match guard {
+        Guard::Fence => Without::Fence,
+        Guard::Sync => Without::Sync,
+        Guard::Quorum => Without::Quorum,
+        Guard::Dedupe => Without::Dedupe,
+    });
+    let options = Options { routers: usize::from(routers), without };
+    let began = Instant::now();
+    let all = swarm::many(seeds.clone(), &options);
+    let took = began.elapsed().as_secs_f64();
+    println!("{}", all.summary());
+    println!("{:.0} seeds a second, {took:.1} s", all.runs as f64 / took);
+    let Some((seed, broken)) = &all.first else { return ExitCode::SUCCESS };
+    let (electors, faults) = swarm::scenario(*seed, &options);
+    println!("seed {seed}, {electors} electors: {broken}");
+    let fewest = swarm::shrink(*seed, &options, electors, faults);
+    println!("shortest scenario, {} faults:", fewest.len());
+    fewest.iter().for_each(|fault| println!("  {fault}"));
+    if let Some(broken) = swarm::play(*seed, &options, electors, &fewest).broken {
+        println!("  {broken}");
+    }
+    ExitCode::FAILURE
+}
