--- a/conf/src/keys.rs
+++ b/conf/src/keys.rs
@@ -22,6 +22,8 @@
     Count(u64, u64),
     /// A name, then an address and a port.
     Peer,
+    /// A name, as in a certificate.
+    Name,
 }
 
 /// A value as read.
@@ -35,6 +37,8 @@
     Number(u64),
     /// See [`Kind::Peer`].
     Peer(String, SocketAddr),
+    /// See [`Kind::Name`].
+    Name(String),
 }
 
 /// A directive.
@@ -74,7 +78,7 @@
 }
 
 /// Parts of the file, with the directives of each.
-pub const PARTS: [(&str, &[Key]); 3] = [
+pub const PARTS: [(&str, &[Key]); 4] = [
     (
         "Exchange of knowledge between routers, on TCP with mutual TLS 1.3. A router gives when 'exchange-listen' is\n\
          set and asks when there are donors; both need the three files that 'silverspindle keys' makes.",
@@ -119,6 +123,51 @@
             key("snapshot-size", Kind::Size(10_000, 1 << 30), "The largest that is written, and read back.").or("8MB"),
         ],
     ),
+    (
+        "What the routers agree on. On where electors are named, by the same lines at every router; needs the three\n\
+         files of the exchange, and at an elector 'exchange-listen' and 'agree-directory'.",
+        &[
+            Key {
+                repeats: true,
+                restart: true,
+                ..key(
+                    "agree-elector",
+                    Kind::Peer,
+                    "A router that votes: the name in its certificate, and its exchange-listen. 1, 3 or 5 of them.",
+                )
+                .like("n1 127.0.0.1:7465")
+            },
+            Key {
+                restart: true,
+                ..key("agree-directory", Kind::Path, "Where an elector keeps term, vote and log; a lasting disk.")
+                    .like("/var/lib/silverspindle")
+            },
+            Key {
+                restart: true,
+                ..key(
+                    "agree-within",
+                    Kind::Duration(SECOND / 2, HOUR / 60),
+                    "Nobody acts on an overtaken decision for longer; the same at every router.",
+                )
+                .or("2s")
+            },
+            Key {
+                repeats: true,
+                restart: true,
+                ..key("agree-operator", Kind::Name, "A certificate's name that may propose what it likes.").like("staff")
+            },
+            Key {
+                restart: true,
+                ..key("agree-callers", Kind::Count(1, 1024), "Connections of followers and operators that an elector holds.")
+                    .or("128")
+            },
+            Key {
+                restart: true,
+                ..key("agree-records", Kind::Path, "Writes what it acted on, a JSON line each, for a later check.")
+                    .like("/var/log/silverspindle/acts.json")
+            },
+        ],
+    ),
     (
         "How fast another router's word loses weight: after so long it counts half.",
         &[
@@ -172,6 +221,14 @@
     (near.0 <= 3 && near.0 < near.1.len() / 2).then_some(near.1)
 }
 
+fn good_name(name: &str) -> Result<(), String> {
+    let good = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    match !name.is_empty() && name.len() <= 63 && name.chars().all(good) {
+        true => Ok(()),
+        false => Err(format!("{name:?} is no name: letters, digits, '-', '_', '.', 63 at most")),
+    }
+}
+
 fn value(kind: Kind, words: &[String]) -> Result<Value, String> {
     let one = |what: &str| match words {
         [word] if !word.is_empty() => Ok(word.as_str()),
@@ -205,12 +262,13 @@
             let n = text.parse().map_err(|_| format!("{text:?} is no whole number"))?;
             within(n, least, most, |n| n.to_string())
         }
+        Kind::Name => {
+            let name = one("a name")?;
+            good_name(name).map(|()| Value::Name(name.to_owned()))
+        }
         Kind::Peer => match words {
             [name, at] => {
-                let good = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
-                if name.is_empty() || name.len() > 63 || !name.chars().all(good) {
-                    return Err(format!("{name:?} is no name: letters, digits, '-', '_', '.', 63 at most"));
-                }
+                good_name(name)?;
                 Ok(Value::Peer(name.clone(), address(at)?))
             }
             _ => Err("takes a name, then an address and a port".to_owned()),
@@ -237,6 +295,7 @@
         (Value::Address(a), _) => a.to_string(),
         (Value::Path(p), _) => shell_words::quote(&p.to_string_lossy()).into_owned(),
         (Value::Peer(name, a), _) => format!("{name} {a}"),
+        (Value::Name(name), _) => name.clone(),
         (Value::Number(n), Kind::Duration(..)) => duration(*n),
         (Value::Number(n), Kind::Size(..)) => size_text(*n),
         (Value::Number(n), _) => n.to_string(),
--- a/conf/src/settings.rs
+++ b/conf/src/settings.rs
@@ -14,6 +14,8 @@
     pub exchange: Option<Exchange>,
     /// Snapshots; none: off.
     pub snapshot: Option<Snapshot>,
+    /// What the routers agree on; none: off.
+    pub agreement: Option<Agreement>,
     /// How fast another's word loses weight.
     pub half_lives: HalfLives,
     given: Given,
@@ -67,6 +69,25 @@
     pub most: u64,
 }
 
+/// What the routers agree on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Agreement {
+    /// Who votes, by the names in their certificates.
+    pub electors: Vec<(String, SocketAddr)>,
+    /// PEM files, the exchange's.
+    pub files: Files,
+    /// Where an elector keeps its log.
+    pub directory: Option<PathBuf>,
+    /// The stated time.
+    pub within: Micros,
+    /// Certificates' names that may propose anything.
+    pub operators: Vec<String>,
+    /// Connections of others that an elector holds.
+    pub callers: usize,
+    /// Where its acts are written.
+    pub records: Option<PathBuf>,
+}
+
 /// After so long another's word counts half, by what it is about: the knowledge store's own terms.
 pub use silverspindle_knowledge::store::HalfLives;
 
@@ -85,30 +106,52 @@
         Some((_, Value::Path(p))) => Some(p.clone()),
         _ => None,
     };
-    let peers = given.get("donor").map_or(&[][..], Vec::as_slice);
-    let mut donors: Vec<(String, SocketAddr)> = Vec::new();
-    for (line, value) in peers {
-        let Value::Peer(name, at) = value else { continue };
-        if donors.iter().any(|(other, _)| other == name) {
-            let problem = format!("{name} stands there already");
-            faults.push(Fault { line: *line, key: "donor".to_owned(), problem });
+    let mut peers = |key: &str| {
+        let mut peers: Vec<(String, SocketAddr)> = Vec::new();
+        for (line, value) in given.get(key).map_or(&[][..], Vec::as_slice) {
+            let Value::Peer(name, at) = value else { continue };
+            if peers.iter().any(|(other, _)| other == name) {
+                let problem = format!("{name} stands there already");
+                faults.push(Fault { line: *line, key: key.to_owned(), problem });
+            }
+            peers.push((name.clone(), *at));
         }
-        donors.push((name.clone(), *at));
+        peers
+    };
+    let (donors, electors) = (peers("donor"), peers("agree-elector"));
+    let needs = one("exchange-listen").or(one("donor"));
+    let agrees = one("agree-elector");
+    if let Some((line, _)) = agrees.filter(|_| ![1, 3, 5].contains(&electors.len())) {
+        let problem = format!("{} of them stand there; 1, 3 or 5 can vote", electors.len());
+        faults.push(Fault { line: *line, key: "agree-elector".to_owned(), problem });
     }
-    let asked_for = one("exchange-listen").or(peers.first());
-    let needs = asked_for.filter(|_| address("exchange-listen").is_some() || !donors.is_empty());
     let files = ["exchange-authority", "exchange-certificate", "exchange-key"];
-    if let Some((line, _)) = needs {
+    if let Some((line, _)) = needs.or(agrees) {
         for missing in files.iter().filter(|name| path(name).is_none()) {
             let problem = format!("is missing: the exchange on line {line} needs it");
             faults.push(Fault { line: *line, key: (*missing).to_owned(), problem });
         }
     }
     let [authority, certificate, key] = files.map(|name| path(name).unwrap_or_default());
+    let files = Files { authority, certificate, key };
+    let operators = given.get("agree-operator").map_or(&[][..], Vec::as_slice);
+    let name = |(_, value): &(usize, Value)| match value {
+        Value::Name(name) => Some(name.clone()),
+        _ => None,
+    };
     Conf {
+        agreement: agrees.map(|_| Agreement {
+            electors,
+            files: files.clone(),
+            directory: path("agree-directory"),
+            within: number("agree-within"),
+            operators: operators.iter().filter_map(name).collect(),
+            callers: number("agree-callers") as usize,
+            records: path("agree-records"),
+        }),
         exchange: needs.map(|_| Exchange {
             listen: address("exchange-listen"),
-            files: Files { authority, certificate, key },
+            files,
             donors,
             at_once: number("donors-at-once") as usize,
             ask_for: number("ask-for"),
@@ -149,11 +192,12 @@
 
     /// Directives that differ in the other file and need a restart to take effect.
     pub fn need_restart(&self, other: &Conf) -> Vec<&'static str> {
-        let values = |conf: &Conf, name: &str| -> Vec<Value> {
-            conf.given.get(name).map_or_else(Vec::new, |all| all.iter().map(|(_, v)| v.clone()).collect())
+        let values = |conf: &Conf, key: &keys::Key| -> Vec<Value> {
+            let given = conf.given.get(key.name).map(|all| all.iter().map(|(_, v)| v.clone()).collect());
+            given.unwrap_or_else(|| keys::default(key).into_iter().collect())
         };
-        let differs = |name: &str| values(self, name) != values(other, name);
-        keys::all().filter(|key| key.restart && differs(key.name)).map(|key| key.name).collect()
+        let differs = |key: &keys::Key| values(self, key) != values(other, key);
+        keys::all().filter(|key| key.restart && differs(key)).map(|key| key.name).collect()
     }
 }
 
--- a/knowledge/src/protocol.rs
+++ b/knowledge/src/protocol.rs
@@ -73,6 +73,13 @@
     Items(Vec<Item>),
     /// That was all.
     End,
+    /// Instead of a newcomer's question: this connection carries what routers agree on.
+    Open {
+        /// Who it is.
+        me: Source,
+    },
+    /// A piece of what is said there.
+    Piece(Vec<u8>),
 }
 
 /// What a donor will give.
@@ -123,6 +130,8 @@
         Message::Busy { after } => versioned(3, version, after),
         Message::Items(items) => frame(4, |out| body(items, out)),
         Message::End => frame(5, |out| out),
+        Message::Open { me } => versioned(6, version, me),
+        Message::Piece(piece) => frame(7, |out| [out, piece.clone()].concat()),
     }
 }
 
@@ -138,6 +147,8 @@
         3 => Message::Busy { after: read(versioned_body(rest)?)? },
         4 => Message::Items(read(rest)?),
         5 if rest.is_empty() => Message::End,
+        6 => Message::Open { me: read(versioned_body(rest)?)? },
+        7 => Message::Piece(rest.to_vec()),
         kind => return Err(Malformed::Kind(kind)),
     })
 }
--- /dev/null
+++ b/silverspindle/src/agreement/mod.rs
@@ -0,0 +1,411 @@
+//! What routers agree on, on sockets: the core of `silverspindle-agreement` between the exchange's connections and an
+//! elector's disk. Off unless the operators' file names electors.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender, TrySendError};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use bitternhold::Micros;
+use futures_lite::future;
+use silverspindle_agreement::{
+    Action, Change, Disk, Event, Fence, Frame, Guards, Node, Proposal, ProposalId, Refusal, Reply, Terms,
+    Verdict,
+};
+use silverspindle_conf::Agreement as Conf;
+use silverspindle_knowledge::{InstanceId, Source};
+
+pub mod links;
+pub mod records;
+pub mod staff;
+pub mod store;
+
+use links::{Connector, Link};
+use records::{Records, steady};
+pub use store::Fault;
+use store::{Store, draw};
+
+/// Frames that may wait at the core, and on a connection; what is over is lost, as on a bad network.
+const INBOX: usize = 1024;
+const OUTBOX: usize = 64;
+/// Connections of callers with one name: staff's commands at a time.
+const OF_ONE_NAME: usize = 16;
+/// Steady clocks run wrong by so many parts in a million at most: a bad crystal's tenfold.
+const DRIFT_PPM: u64 = 1000;
+/// A proposal is tried for so many stated times before its maker hears that its outcome is not known.
+const PATIENCE: Micros = 3;
+/// Its own joining is proposed again after so long.
+const JOIN_AGAIN: Duration = Duration::from_secs(1);
+/// So often it is looked whether an older process has let the disk go.
+const HELD_AGAIN: Duration = Duration::from_millis(200);
+
+/// All on. Only a debug build, for the tests of the checker, lets one be taken out.
+fn guards() -> Guards {
+    let mut guards = Guards::default();
+    if cfg!(debug_assertions) {
+        match std::env::var("SILVERSPINDLE_WITHOUT").as_deref() {
+            Ok("fence") => guards.fence = false,
+            Ok("quorum") => guards.quorum = false,
+            Ok("dedupe") => guards.dedupe = false,
+            _ => {}
+        }
+    }
+    guards
+}
+
+/// Descriptors that it may take: callers, links to electors, the disk.
+pub fn descriptors(conf: &Conf) -> usize {
+    conf.callers + conf.electors.len() + crate::knowledge::exchange::AT_THE_DOOR_AGREED + 2
+}
+
+enum Input {
+    Heard { from: String, frame: Frame },
+    Propose { proposal: Proposal, reply: Sender<Reply> },
+}
+
+/// Callers' connections by name, each with its number.
+type Callers = BTreeMap<String, Vec<(u64, Sender<Frame>)>>;
+
+/// The way to the core, for the exchange and for who proposes; clones are the same.
+#[derive(Clone)]
+pub struct Handle {
+    inbox: Sender<Input>,
+    callers: Rc<RefCell<Callers>>,
+    calls: Rc<Cell<u64>>,
+    most: usize,
+    /// The life under which it is on the roll.
+    life: Rc<Cell<Option<u64>>>,
+    /// The guard that whoever acts asks.
+    pub fence: Fence,
+    /// Its acts' records, where they are written.
+    pub records: Option<Rc<Records>>,
+}
+
+/// A caller's connection; taken off the list when dropped.
+pub struct Caller {
+    handle: Handle,
+    name: String,
+    number: u64,
+    /// What goes to it.
+    pub frames: Receiver<Frame>,
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        let mut callers = self.handle.callers.borrow_mut();
+        if let Some(all) = callers.get_mut(&self.name) {
+            all.retain(|(number, _)| *number != self.number);
+            if all.is_empty() {
+                callers.remove(&self.name);
+            }
+        }
+    }
+}
+
+impl Handle {
+    /// A connection of the peer with this name in its certificate. Of too many under one name the oldest ends:
+    /// its peer has most likely given it up. None: there are too many of all names.
+    pub fn caller(&self, name: &str) -> Option<Caller> {
+        let mut callers = self.callers.borrow_mut();
+        if callers.values().map(Vec::len).sum::<usize>() >= self.most {
+            return None;
+        }
+        let (send, frames) = async_channel::bounded(OUTBOX);
+        self.calls.set(self.calls.get() + 1);
+        let all = callers.entry(name.to_owned()).or_default();
+        if all.len() >= OF_ONE_NAME {
+            all.remove(0);
+        }
+        all.push((self.calls.get(), send));
+        drop(callers);
+        Some(Caller { handle: self.clone(), name: name.to_owned(), number: self.calls.get(), frames })
+    }
+
+    /// A frame of a peer. Lost where too many wait.
+    pub fn heard(&self, from: &str, frame: Frame) {
+        let _ = self.inbox.try_send(Input::Heard { from: from.to_owned(), frame });
+    }
+
+    /// Proposes a change of this router's own; none: its outcome is not known.
+    pub async fn propose(&self, proposal: Proposal) -> Reply {
+        let (reply, outcome) = async_channel::bounded(1);
+        self.inbox.send(Input::Propose { proposal, reply }).await.ok()?;
+        outcome.recv().await.ok().flatten()
+    }
+
+    /// An attempt goes out now: what it is done on, for the records.
+    pub fn act(&self) {
+        if let Some(records) = &self.records {
+            records.act(&self.fence);
+        }
+    }
+}
+
+impl std::fmt::Debug for Handle {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "agreement at {:?}", self.fence.latest())
+    }
+}
+
+/// The actor round the core.
+pub struct Actor {
+    node: Node,
+    store: Option<Store>,
+    inbox: Receiver<Input>,
+    handle: Handle,
+    electors: BTreeMap<String, SocketAddr>,
+    links: HashMap<String, Link>,
+    connector: Connector,
+    tasks: Rc<LocalExecutor<'static>>,
+    waiting: HashMap<u64, Sender<Reply>>,
+    tokens: u64,
+    out: Vec<Action>,
+    said: Option<(silverspindle_agreement::Role, Option<String>)>,
+    lease: Micros,
+}
+
+impl Actor {
+    /// Reads the disk where this router is named as an elector. A disk that can't be used takes the router out of
+    /// what is agreed, with the reason as error: it serves on by itself.
+    pub fn new(
+        conf: &Conf,
+        me: Source,
+        name: &str,
+        connector: Connector,
+        tasks: &Rc<LocalExecutor<'static>>,
+    ) -> Result<Self, Fault> {
+        let named = conf.electors.iter().any(|(elector, _)| elector == name);
+        let (store, disk): (Option<Store>, Option<Disk>) = match (&conf.directory, named) {
+            (Some(directory), true) => {
+                let (store, disk) = Store::open(directory, name)?;
+                (Some(store), Some(disk))
+            }
+            (None, true) => return Err(Fault::Disk("agree-directory: is missing".to_owned())),
+            (_, false) => (None, None),
+        };
+        let terms = Terms {
+            name: name.to_owned(),
+            life: me.incarnation,
+            electors: conf.electors.iter().map(|(name, _)| name.clone()).collect(),
+            operators: conf.operators.clone(),
+            lease: conf.within,
+            drift_ppm: DRIFT_PPM,
+            patience: PATIENCE * conf.within,
+            seed: draw().map_err(Fault::Disk)?,
+            guards: guards(),
+        };
+        let node = Node::new(terms, disk, steady());
+        let (send, inbox) = async_channel::bounded(INBOX);
+        let records = conf.records.as_ref().map(|path| Records::open(path, name, me.incarnation));
+        let records = records.transpose().map_err(Fault::Disk)?;
+        let handle = Handle {
+            inbox: send,
+            callers: Rc::default(),
+            calls: Rc::default(),
+            most: conf.callers,
+            life: Rc::default(),
+            fence: node.fence().clone(),
+            records: records.map(Rc::new),
+        };
+        Ok(Self {
+            node,
+            store,
+            inbox,
+            handle,
+            electors: conf.electors.iter().cloned().collect(),
+            links: HashMap::new(),
+            connector,
+            tasks: tasks.clone(),
+            waiting: HashMap::new(),
+            tokens: 0,
+            out: Vec::new(),
+            said: None,
+            lease: conf.within,
+        })
+    }
+
+    /// The way to it.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Runs until the disk fails; the confirmation runs out then, and nothing agreed is acted on any more.
+    pub async fn run(mut self) {
+        loop {
+            let due = self.node.due().saturating_sub(steady());
+            let tick = async {
+                Timer::after(Duration::from_micros(due)).await;
+                None
+            };
+            let input = async { self.inbox.recv().await.ok() };
+            let event = match future::or(input, tick).await {
+                None => Event::Tick,
+                Some(Input::Heard { from, frame }) => Event::Heard { from, frame },
+                Some(Input::Propose { proposal, reply }) => {
+                    self.tokens += 1;
+                    self.waiting.insert(self.tokens, reply);
+                    Event::Propose { token: self.tokens, proposal }
+                }
+            };
+            self.node.handle(steady(), event, &mut self.out);
+            let mut out = std::mem::take(&mut self.out);
+            for action in out.drain(..) {
+                if let Err(e) = self.carry_out(action).await {
+                    tracing::error!("agreement: {e}; this router takes no part in it until a restart");
+                    return;
+                }
+            }
+            self.out = out;
+            self.say();
+        }
+    }
+
+    async fn carry_out(&mut self, action: Action) -> Result<(), String> {
+        match action {
+            Action::Write(write) => {
+                if let Some(store) = self.store.clone() {
+                    blocking::unblock(move || store.write(&write)).await?;
+                }
+            }
+            Action::Send { to, frame } => self.send(&to, frame),
+            Action::Applied(applied) => {
+                tracing::debug!(number = applied.number, "agreed, digest {:016x}", applied.digest);
+                if let Some(records) = &self.handle.records {
+                    let outcome =
+                        applied.outcome.map(|(id, v)| (id.to_string(), matches!(v, Verdict::Made(_))));
+                    records.applied(applied.number, applied.digest, outcome);
+                }
+            }
+            Action::Answer { token, reply } => {
+                if let Some(waiting) = self.waiting.remove(&token) {
+                    let _ = waiting.try_send(reply);
+                }
+            }
+            Action::Shout(what) => tracing::warn!("agreement: {what}"),
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, to: &str, frame: Frame) {
+        let Some(address) = self.electors.get(to) else {
+            // Frames name the question that they answer: each of the peer's connections picks out its own.
+            for (_, caller) in self.handle.callers.borrow().get(to).into_iter().flatten() {
+                // A caller that does not read loses frames; the core asks and answers again by itself.
+                let _ = caller.try_send(frame.clone());
+            }
+            return;
+        };
+        let link = self.links.entry(to.to_owned()).or_insert_with(|| {
+            let (send, frames) = async_channel::bounded(OUTBOX);
+            let link = links::run(
+                self.connector.clone(),
+                to.to_owned(),
+                *address,
+                frames,
+                self.handle.clone(),
+                self.lease,
+            );
+            self.tasks.spawn(link).detach();
+            Link { frames: send }
+        });
+        if let Err(TrySendError::Full(_)) = link.frames.try_send(frame) {
+            tracing::trace!(peer = to, "a frame is lost: the peer does not take them");
+        }
+    }
+
+    /// Says who leads when that changes.
+    fn say(&mut self) {
+        let now = (self.node.role(), self.node.leader());
+        if self.said.as_ref() != Some(&now) {
+            let leader = now.1.as_deref().unwrap_or("nobody known");
+            if now.0 != silverspindle_agreement::Role::Follower {
+                tracing::info!(number = self.node.fleet().number, "agreement: {:?}, led by {leader}", now.0);
+            }
+            self.said = Some(now);
+        }
+    }
+}
+
+/// What the operators' file lacks for a router of this name.
+pub fn lacks(conf: &silverspindle_conf::Conf, name: &str) -> Option<String> {
+    let agreement = conf.agreement.as_ref()?;
+    if !agreement.electors.iter().any(|(elector, _)| elector == name) {
+        return None;
+    }
+    let listens = conf.exchange.as_ref().is_some_and(|e| e.listen.is_some());
+    let lacks = |key: &str| Some(format!("{key}: is missing: {name} is named as an elector"));
+    match (listens, &agreement.directory) {
+        (false, _) => lacks("exchange-listen"),
+        (_, None) => lacks("agree-directory"),
+        _ => None,
+    }
+}
+
+/// Takes part for as long as the router lives: waits for the disk where an older process of this name still holds
+/// it, joins, and tells `ready` the way to the core.
+pub async fn take_part(
+    conf: Conf,
+    me: Source,
+    name: String,
+    connector: Connector,
+    tasks: Rc<LocalExecutor<'static>>,
+    ready: impl FnOnce(Handle),
+) {
+    let mut said = false;
+    let actor = loop {
+        match Actor::new(&conf, me, &name, connector.clone(), &tasks) {
+            Ok(actor) => break actor,
+            Err(Fault::Held) => {
+                if !std::mem::replace(&mut said, true) {
+                    tracing::info!("agreement: another process holds this elector's disk; waiting for it");
+                }
+                Timer::after(HELD_AGAIN).await;
+            }
+            Err(Fault::Disk(e)) => {
+                return tracing::error!("agreement: {e}; this router takes no part in it until a restart");
+            }
+        }
+    };
+    ready(actor.handle());
+    tasks.spawn(join(actor.handle(), name, me.incarnation)).detach();
+    actor.run().await;
+}
+
+/// Puts this router on the roll, once its core has an elector to talk to.
+async fn join(handle: Handle, name: String, mut life: u64) {
+    loop {
+        let id = ProposalId(InstanceId::of(&name).0, life);
+        let change = Change::Join { name: name.clone(), life };
+        let builds_on = handle.fence.latest().map_or(0, |c| c.number);
+        let proposal = Proposal { id, builds_on, by: name.clone(), change };
+        match handle.propose(proposal).await {
+            Some(Verdict::Made(number)) => {
+                handle.life.set(Some(life));
+                return tracing::info!(number, "agreement: on the roll");
+            }
+            // The Unix clock has gone back since then: lives count up all the same.
+            Some(Verdict::Refused(_, Refusal::OlderLife(later))) => life = later + 1,
+            // What it builds on has grown old meanwhile: proposed as another one.
+            Some(Verdict::Refused(_, Refusal::TooOld(_))) => life += 1,
+            Some(Verdict::Refused(_, refusal)) => {
+                return tracing::info!("agreement: not put on the roll: {refusal}");
+            }
+            None => {
+                Timer::after(JOIN_AGAIN).await;
+            }
+        }
+    }
+}
+
+/// Says on the roll that this life ends by itself.
+pub async fn leave(handle: Handle, name: String) {
+    let Some(life) = handle.life.get() else { return };
+    let id = ProposalId(!InstanceId::of(&name).0, life);
+    let builds_on = handle.fence.latest().map_or(0, |c| c.number);
+    let change = Change::Leave { name: name.clone(), life };
+    handle.propose(Proposal { id, builds_on, by: name, change }).await;
+}
--- /dev/null
+++ b/silverspindle/src/agreement/records.rs
@@ -0,0 +1,70 @@
+//! Records of acts: a JSON line each, enough to prove or refute afterwards that nobody acted on an overtaken decision.
+//! Times are of the steady clock that counts suspended time, in microseconds.
+
+use std::cell::{Cell, RefCell};
+use std::fs::{File, OpenOptions};
+use std::io::Write;
+use std::path::Path;
+
+use bitternhold::Micros;
+use rustix::time::{ClockId, clock_gettime};
+use serde_json::json;
+use silverspindle_agreement::Fence;
+
+/// Acts nearer to each other are one record, as are times without a confirmation.
+const APART: Micros = 5_000;
+
+/// The steady clock, which goes on while the machine sleeps.
+pub fn steady() -> Micros {
+    let time = clock_gettime(ClockId::Boottime);
+    (time.tv_sec as u64).saturating_mul(1_000_000) + (time.tv_nsec as u64) / 1000
+}
+
+/// A router's record file.
+#[derive(Debug)]
+pub struct Records {
+    file: RefCell<File>,
+    router: String,
+    life: u64,
+    last: Cell<(Micros, Option<u64>)>,
+}
+
+impl Records {
+    /// Appends to a file.
+    pub fn open(path: &Path, router: &str, life: u64) -> Result<Self, String> {
+        let file = OpenOptions::new().create(true).append(true).open(path);
+        let file = file.map_err(|e| format!("{}: {e}", path.display()))?;
+        let last = Cell::new((0, None));
+        Ok(Self { file: RefCell::new(file), router: router.to_owned(), life, last })
+    }
+
+    fn line(&self, value: &serde_json::Value) {
+        // One write a line: a kill leaves whole lines, but for the last.
+        if let Err(e) = self.file.borrow_mut().write_all(format!("{value}\n").as_bytes()) {
+            tracing::warn!("records: {e}");
+        }
+    }
+
+    /// A number was applied here.
+    pub fn applied(&self, number: u64, digest: u64, outcome: Option<(String, bool)>) {
+        let (id, made) = outcome.map_or((None, None), |(id, made)| (Some(id), Some(made)));
+        self.line(&json!({"kind": "applied", "router": self.router, "life": self.life, "number": number,
+            "digest": format!("{digest:016x}"), "at": steady(), "id": id, "made": made}));
+    }
+
+    /// An attempt goes out: on which number the router acts, if on any.
+    pub fn act(&self, fence: &Fence) {
+        let now = steady();
+        let may = fence.may_act(now);
+        let (at, number) = self.last.get();
+        if now < at + APART && number == may.map(|(number, ..)| number) {
+            return;
+        }
+        self.last.set((now, may.map(|(number, ..)| number)));
+        match may {
+            Some((number, digest, age)) => self.line(&json!({"kind": "act", "router": self.router,
+                "life": self.life, "number": number, "digest": format!("{digest:016x}"), "at": now, "age": age})),
+            None => self.line(&json!({"kind": "held", "router": self.router, "life": self.life, "at": now})),
+        }
+    }
+}
--- /dev/null
+++ b/silverspindle/src/agreement/staff.rs
@@ -0,0 +1,262 @@
+//! Staff's side: `silverspindle fleet`, through the exchange with a certificate that the routers' files name as an
+//! operator's. What can't be known is said, not waited for in silence.
+
+use std::cell::RefCell;
+use std::fmt::Write as _;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::future;
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::pem::PemObject;
+use serde_json::{Value, json};
+use silverspindle_agreement::{Change, Frame, Proposal, ProposalId, Reply, Role, Seat, Status, Verdict};
+use silverspindle_conf::{Agreement, Conf};
+use silverspindle_knowledge::{InstanceId, Source};
+
+use super::links::{self, Connector};
+use super::store::draw;
+use crate::clock;
+use crate::knowledge::exchange::within;
+use crate::knowledge::keys::{self, Tls};
+
+/// An elector that does not say how it stands within that is not heard.
+const STATUS: Duration = Duration::from_secs(2);
+/// Beyond the electors' own patience with a proposal, for the way.
+const WAY: Duration = Duration::from_secs(1);
+
+/// Who asks, and whom.
+pub struct Staff {
+    name: String,
+    agreement: Agreement,
+    connector: Connector,
+}
+
+/// How each elector stands, or why it was not heard.
+pub type Heard = Vec<(String, Result<Status, String>)>;
+
+impl Staff {
+    /// By the operators' file of staff: their certificate and the electors.
+    pub fn new(conf: &Conf) -> Result<Self, String> {
+        let agreement = conf.agreement.clone().ok_or("the operators' file names no agree-elector")?;
+        let certificate = &agreement.files.certificate;
+        let der = CertificateDer::from_pem_file(certificate)
+            .map_err(|e| format!("{}: {e}", certificate.display()))?;
+        let name = keys::about(&der)?.names.into_iter().next().ok_or("the certificate names nobody")?;
+        let me = Source { instance: InstanceId::of(&name), incarnation: clock::now() };
+        let tls = Rc::new(RefCell::new(Tls::read(&agreement.files)?));
+        Ok(Self { name, connector: Connector { me, tls }, agreement })
+    }
+
+    async fn ask<T>(
+        &self,
+        (name, at): &(String, SocketAddr),
+        frame: Frame,
+        patience: Duration,
+        mut good: impl FnMut(Frame) -> Option<T>,
+    ) -> io::Result<T> {
+        let mut stream = self.connector.connect(name, *at).await?;
+        links::write(&mut stream, &frame).await?;
+        let found = RefCell::new(None);
+        let (tell, told) = async_channel::bounded::<()>(1);
+        let read = async {
+            let each = |frame| {
+                if let Some(answer) = good(frame) {
+                    *found.borrow_mut() = Some(answer);
+                    let _ = tell.try_send(());
+                }
+            };
+            links::read(stream, each).await?;
+            Err(io::Error::other(
+                "closed without an answer: is the agreement on there, and this name an operator's?",
+            ))
+        };
+        let answered = async {
+            let _ = told.recv().await;
+            Ok(())
+        };
+        within(patience, "answer", future::or(answered, read)).await?;
+        found.take().ok_or_else(|| io::Error::other("no answer"))
+    }
+
+    /// How each elector stands.
+    pub async fn status(&self) -> Heard {
+        let together = LocalExecutor::new();
+        let one = async |elector: &(String, SocketAddr)| {
+            let status = |frame| if let Frame::StatusIs(status) = frame { Some(*status) } else { None };
+            let one = self.ask(elector, Frame::AskStatus, STATUS, status).await;
+            (elector.0.clone(), one.map_err(|e| e.to_string()))
+        };
+        let asked: Vec<_> = self.agreement.electors.iter().map(|e| together.spawn(one(e))).collect();
+        let mut all = Vec::new();
+        together
+            .run(async {
+                for answer in asked {
+                    all.push(answer.await);
+                }
+            })
+            .await;
+        all
+    }
+
+    /// Proposes a change, through one elector after the other, the same proposal each time.
+    pub async fn propose(
+        &self,
+        change: Change,
+        id: Option<ProposalId>,
+    ) -> Result<(ProposalId, Reply), String> {
+        let id = match id {
+            Some(id) => id,
+            None => ProposalId(self.connector.me.instance.0, draw()?),
+        };
+        let heard = self.status().await;
+        let known = heard.iter().filter_map(|(_, s)| s.as_ref().ok()).map(|s| s.number).max();
+        let Some(builds_on) = known else {
+            let why = heard.into_iter().map(|(name, s)| format!("{name}: {}", s.err().unwrap_or_default()));
+            return Err(format!("no elector is heard: {}", why.collect::<Vec<_>>().join("; ")));
+        };
+        let proposal = Proposal { id, builds_on, by: self.name.clone(), change };
+        let patience = Duration::from_micros(self.agreement.within) * super::PATIENCE as u32 + WAY;
+        for elector in &self.agreement.electors {
+            let settled = |frame| match frame {
+                Frame::Settled { id: which, verdict } if which == id => Some(verdict),
+                _ => None,
+            };
+            match self.ask(elector, Frame::Propose(proposal.clone()), patience, settled).await {
+                Ok(Some(verdict)) => return Ok((id, Some(verdict))),
+                Ok(None) => Timer::after(Duration::from_millis(100)).await,
+                Err(e) => {
+                    eprintln!("{}: {e}", elector.0);
+                    continue;
+                }
+            };
+        }
+        Ok((id, None))
+    }
+
+    /// The change that gives or takes a seat, by the name of its router.
+    pub async fn seat(&self, name: &str, admit: bool) -> Result<Change, String> {
+        let heard = self.status().await;
+        let best = heard.into_iter().filter_map(|(_, s)| s.ok()).max_by_key(|s| s.number);
+        let best = best.ok_or("no elector is heard")?;
+        let seat = match admit {
+            true => best
+                .waiting
+                .iter()
+                .find(|(n, _)| n == name)
+                .map(|(name, id)| Seat::Admit { name: name.clone(), id: *id }),
+            // Of two disks of one name the older one goes: the newer is the one that runs.
+            false => best
+                .electors
+                .iter()
+                .filter(|(_, n, _)| n == name)
+                .map(|(id, ..)| Seat::Dismiss { id: *id })
+                .next(),
+        };
+        seat.map(Change::Seat).ok_or_else(|| match admit {
+            true => format!("{name} does not wait for a seat: does it run, with agree-directory and its own agree-elector line?"),
+            false => format!("{name} has no seat"),
+        })
+    }
+}
+
+/// Whether somebody leads with a quorum's fresh word.
+pub fn leader(heard: &Heard) -> Option<&Status> {
+    let leads = |s: &&Status| s.role == Role::Leader && s.age.is_some_and(|age| age < s.lease);
+    heard.iter().filter_map(|(_, s)| s.as_ref().ok()).find(leads)
+}
+
+fn age(age: Option<u64>) -> String {
+    age.map_or("never".to_owned(), |age| format!("{} ms", age / 1000))
+}
+
+/// How the fleet stands, for a person.
+pub fn text(heard: &Heard) -> String {
+    let mut out = String::new();
+    let _ = writeln!(
+        out,
+        "{:<12} {:<9} {:>6} {:>8} {:<16} {:>10}",
+        "elector", "role", "term", "number", "digest", "confirmed"
+    );
+    for (name, status) in heard {
+        let _ = match status {
+            Ok(s) => writeln!(
+                out,
+                "{name:<12} {:<9} {:>6} {:>8} {:016x} {:>10}{}",
+                format!("{:?}", s.role).to_lowercase(),
+                s.term,
+                s.number,
+                s.digest,
+                age(s.age),
+                if s.stopped { "  stopped: its outcomes differ" } else { "" }
+            ),
+            Err(e) => writeln!(out, "{name:<12} not heard: {e}"),
+        };
+    }
+    match leader(heard) {
+        Some(s) => {
+            let _ = writeln!(out, "fleet {:016x}, led by {}, {} decisions", s.fleet, s.name, s.number);
+        }
+        None => out.push_str(
+            "no quorum: nothing can be decided, and what was agreed is acted on only until the \
+                              confirmations run out\n",
+        ),
+    }
+    let best = heard.iter().filter_map(|(_, s)| s.as_ref().ok()).max_by_key(|s| s.number);
+    let Some(best) = best else { return out };
+    for (name, life, left) in &best.roll {
+        let latest = heard.iter().filter_map(|(_, s)| s.as_ref().ok()).flat_map(|s| &s.heard);
+        let latest = latest.filter(|(n, ..)| n == name).min_by_key(|(.., since)| *since);
+        let _ = write!(out, "{name:<12} life {life}{}", if *left { ", has left" } else { "" });
+        let _ = match latest {
+            Some((_, _, number, digest, confirmed, since)) => writeln!(
+                out,
+                ", at {number} {digest:016x}, confirmed {}, heard {} ms ago",
+                age(*confirmed),
+                since / 1000
+            ),
+            None => writeln!(out),
+        };
+    }
+    for (name, id) in &best.waiting {
+        let _ = writeln!(
+            out,
+            "{name:<12} waits for a seat with disk {id:016x}: silverspindle fleet electors admit {name}"
+        );
+    }
+    out
+}
+
+/// The same as JSON.
+pub fn json(heard: &Heard) -> Value {
+    let one = |(name, status): &(String, Result<Status, String>)| match status {
+        Ok(s) => json!({"elector": name, "role": format!("{:?}", s.role).to_lowercase(), "term": s.term,
+            "fleet": format!("{:016x}", s.fleet), "leader": s.leader, "number": s.number,
+            "digest": format!("{:016x}", s.digest), "age_us": s.age, "lease_us": s.lease, "stopped": s.stopped,
+            "electors": s.electors.iter().map(|(id, n, votes)| json!({"disk": format!("{id:016x}"), "name": n, "votes": votes})).collect::<Vec<_>>(),
+            "roll": s.roll.iter().map(|(n, life, left)| json!({"name": n, "life": life, "left": left})).collect::<Vec<_>>(),
+            "notes": s.notes.iter().map(|(topic, number)| json!({"topic": topic, "number": number})).collect::<Vec<_>>(),
+            "heard": s.heard.iter().map(|(n, life, number, digest, age, since)| json!({"name": n, "life": life, "number": number,
+                "digest": format!("{digest:016x}"), "age_us": age, "since_us": since})).collect::<Vec<_>>(),
+            "waiting": s.waiting.iter().map(|(n, id)| json!({"name": n, "disk": format!("{id:016x}")})).collect::<Vec<_>>()}),
+        Err(e) => json!({"elector": name, "not_heard": e}),
+    };
+    json!({"quorum": leader(heard).is_some(), "electors": heard.iter().map(one).collect::<Vec<_>>()})
+}
+
+/// What became of a proposal, for a person, and whether it is as wanted.
+pub fn outcome(id: ProposalId, reply: &Reply) -> Result<String, String> {
+    match reply {
+        Some(Verdict::Made(number)) => Ok(format!("made as decision {number} (proposal {id})")),
+        Some(Verdict::Refused(number, refusal)) => {
+            Err(format!("refused at {number}: {refusal} (proposal {id})"))
+        }
+        None => Err(format!(
+            "not known: no quorum answers in time. It may still be made. Ask again by: --id {id}"
+        )),
+    }
+}
--- a/silverspindle/src/knowledge/exchange.rs
+++ b/silverspindle/src/knowledge/exchange.rs
@@ -11,7 +11,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use bitternhold::Micros;
-use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, future};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, future};
 use futures_rustls::{TlsAcceptor, TlsConnector};
 use rustls::pki_types::{CertificateDer, ServerName};
 use silverspindle_conf::Exchange;
@@ -22,20 +22,25 @@
 
 use super::Steady;
 use super::keys::{self, Tls};
+use crate::agreement;
 use crate::framing::{self, Messages};
 use crate::traffic::Message;
 
 /// A connection not up by then has failed; the same for the handshake on it, and for the first frame.
-const CONNECT: Duration = Duration::from_secs(1);
-const HANDSHAKE: Duration = Duration::from_secs(2);
+pub(crate) const CONNECT: Duration = Duration::from_secs(1);
+pub(crate) const HANDSHAKE: Duration = Duration::from_secs(2);
 /// Half a frame without more for so long is a stop.
-const STALL: Duration = Duration::from_secs(1);
+pub(crate) const STALL: Duration = Duration::from_secs(1);
 /// A whole exchange takes no longer, however it drips.
 const WHOLE: Duration = Duration::from_secs(10);
 /// Connections of newcomers that may be before their first frame; a bound on descriptors besides those served.
 const AT_THE_DOOR: usize = 4;
+/// As many more where routers agree on things: electors come back behind all their followers.
+pub(crate) const AT_THE_DOOR_AGREED: usize = 16;
 /// With more messages waiting than this the director has clients to serve.
 const BUSY: usize = 8;
+/// Who it is, with room to spare.
+const MOST_FIRST: usize = 1024;
 /// How often certificates are looked at.
 const WATCH: Duration = Duration::from_secs(12 * 3600);
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
@@ -46,7 +51,11 @@
     gives + conf.at_once.min(conf.donors.len())
 }
 
-async fn within<T>(time: Duration, what: &str, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+pub(crate) async fn within<T>(
+    time: Duration,
+    what: &str,
+    work: impl Future<Output = io::Result<T>>,
+) -> io::Result<T> {
     let late = async {
         Timer::after(time).await;
         Err(io::Error::new(io::ErrorKind::TimedOut, format!("no {what} in time")))
@@ -54,7 +63,7 @@
     future::or(work, late).await
 }
 
-fn measure(buffer: &[u8]) -> Result<usize, framing::Malformed> {
+pub(crate) fn measure(buffer: &[u8]) -> Result<usize, framing::Malformed> {
     protocol::measure(buffer).map_err(|_| framing::Malformed("a frame longer than any may be"))
 }
 
@@ -67,6 +76,19 @@
     frames.next().await?.ok_or_else(closed)
 }
 
+/// The first frame of a connection and nothing behind it: what it opens may have come along with it.
+async fn first(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<Vec<u8>> {
+    let mut bytes = vec![0; 4];
+    stream.read_exact(&mut bytes).await?;
+    let length = measure(&bytes)?;
+    if length > MOST_FIRST {
+        return Err(malformed(Malformed::Length(length as u64 - 4)));
+    }
+    bytes.resize(length, 0);
+    stream.read_exact(&mut bytes[4..]).await?;
+    Ok(bytes)
+}
+
 /// The name in a peer's certificate, for the log.
 fn peer(certificates: Option<&[CertificateDer<'static>]>) -> String {
     let about = certificates.and_then(|all| keys::about(all.first()?).ok());
@@ -77,11 +99,14 @@
 pub struct Hub {
     me: Source,
     steady: Steady,
-    tls: RefCell<Tls>,
+    /// Read anew on SIGHUP; what routers agree on goes by the same.
+    pub tls: Rc<RefCell<Tls>>,
     conf: RefCell<Exchange>,
     giving: RefCell<Giving>,
     at_the_door: Cell<usize>,
     director: Sender<Message>,
+    /// What routers agree on, where that is on.
+    agreement: RefCell<Option<agreement::Handle>>,
 }
 
 impl Hub {
@@ -95,14 +120,20 @@
         Ok(Rc::new(Self {
             me,
             steady,
-            tls: RefCell::new(Tls::read(&conf.files)?),
+            tls: Rc::new(RefCell::new(Tls::read(&conf.files)?)),
             giving: RefCell::new(Giving::new(conf.give_rate, conf.newcomers)),
             conf: RefCell::new(conf),
             at_the_door: Cell::new(0),
             director,
+            agreement: RefCell::new(None),
         }))
     }
 
+    /// Connections that open for it carry what routers agree on from now on.
+    pub fn agree(&self, handle: agreement::Handle) {
+        *self.agreement.borrow_mut() = Some(handle);
+    }
+
     /// Takes new settings and reads the keys anew. A fault keeps the old ones.
     pub fn reload(&self, conf: &Exchange) {
         match Tls::read(&conf.files) {
@@ -134,27 +165,43 @@
                     continue;
                 }
             };
-            if self.at_the_door.get() >= AT_THE_DOOR {
+            let agreed = self.agreement.borrow().as_ref().map_or(0, |_| AT_THE_DOOR_AGREED);
+            if self.at_the_door.get() >= AT_THE_DOOR + agreed {
                 // Who is turned away here has no certificate shown yet; a newcomer comes again by itself.
                 continue;
             }
             self.at_the_door.set(self.at_the_door.get() + 1);
             let hub = self.clone();
             let serve = async move {
-                if let Err(e) = within(WHOLE, "end", hub.serve(stream)).await {
-                    tracing::warn!(peer = %from, "a newcomer was not served: {e}");
+                match within(WHOLE, "end", hub.serve(stream)).await {
+                    Ok(None) => {}
+                    // It lives as long as its peer likes, bounded in number by the handle.
+                    Ok(Some((stream, name, caller))) => {
+                        let heard = |frame| hub.heard(&name, frame);
+                        if let Err(e) = agreement::links::both(stream, &caller.frames, None, heard).await {
+                            tracing::debug!(peer = name, "agreement: {e}");
+                        }
+                    }
+                    Err(e) => tracing::warn!(peer = %from, "a newcomer was not served: {e}"),
                 }
             };
             tasks.spawn(serve).detach();
         }
     }
 
-    async fn serve(&self, stream: Async<TcpStream>) -> io::Result<()> {
+    fn heard(&self, from: &str, frame: silverspindle_agreement::Frame) {
+        if let Some(handle) = &*self.agreement.borrow() {
+            handle.heard(from, frame);
+        }
+    }
+
+    /// Serves a newcomer whole, or takes a connection in that stays.
+    async fn serve(&self, stream: Async<TcpStream>) -> io::Result<Option<Staying>> {
+        let _ = stream.get_ref().set_nodelay(true);
         let hello = async {
             let acceptor = TlsAcceptor::from(self.tls.borrow().server.clone());
             let mut stream = within(HANDSHAKE, "handshake", acceptor.accept(stream)).await?;
-            let mut frames = Messages::new(&mut stream, measure, 1024).or_stall(STALL);
-            let hello = within(CONNECT, "first frame", frame(&mut frames)).await?;
+            let hello = within(CONNECT, "first frame", first(&mut stream)).await?;
             Ok::<_, io::Error>((stream, hello))
         };
         let door = Door(&self.at_the_door);
@@ -163,7 +210,15 @@
         let name = peer(stream.get_ref().1.peer_certificates());
         let me = match protocol::decode(&hello) {
             Ok(Frame::Hello { me }) if me.instance == InstanceId::of(&name) => me,
-            Ok(Frame::Hello { .. }) => return Err(io::Error::other("the name is not the certificate's")),
+            Ok(Frame::Open { me }) if me.instance == InstanceId::of(&name) => {
+                let handle = self.agreement.borrow().clone();
+                let handle = handle.ok_or_else(|| io::Error::other("this router agrees on nothing"))?;
+                let caller = handle.caller(&name).ok_or_else(|| io::Error::other("too many callers"))?;
+                return Ok(Some((stream, name, caller)));
+            }
+            Ok(Frame::Hello { .. } | Frame::Open { .. }) => {
+                return Err(io::Error::other("the name is not the certificate's"));
+            }
             Ok(_) => return Err(malformed(Malformed::Kind(hello[4]))),
             Err(why) => {
                 // So that a peer of another version learns which one is spoken here.
@@ -175,7 +230,7 @@
         let admitted = self.giving.borrow().admit(me.instance, self.steady.now());
         if let Err(after) = admitted {
             stream.write_all(&protocol::encode(&Frame::Busy { after }, VERSION)).await?;
-            return stream.close().await;
+            return stream.close().await.map(|()| None);
         }
         let (reply, items) = async_channel::bounded(1);
         let gone = |_| io::Error::other("the router is ending");
@@ -197,7 +252,7 @@
         }
         let ms = (self.steady.up() - up) / 1000;
         tracing::info!(peer = name, "gave {count} items, {} bytes, in {ms} ms", transfer.bytes);
-        stream.close().await
+        stream.close().await.map(|()| None)
     }
 
     /// Asks donors, from the start on until enough is known.
@@ -293,6 +348,9 @@
     }
 }
 
+/// A connection that stays: its stream, the name in its certificate, its place on the list.
+type Staying = (futures_rustls::server::TlsStream<Async<TcpStream>>, String, agreement::Caller);
+
 enum Answer {
     Busy(Micros),
     Whole { offer: Offer, items: Vec<Item>, transit: Micros },
--- a/silverspindle/src/lib.rs
+++ b/silverspindle/src/lib.rs
@@ -5,6 +5,7 @@
 //! bounded mailboxes in the terms of [`traffic`]. The codecs ([`thrift`], [`resp`], [`feed`]) are pure and
 //! know no sockets.
 
+pub mod agreement;
 pub mod config;
 pub mod coordinator;
 pub mod copies;
--- a/silverspindle/src/main.rs
+++ b/silverspindle/src/main.rs
@@ -5,10 +5,12 @@
 
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
+use silverspindle::agreement::staff::{self, Staff};
 use silverspindle::config::{Config, read_conf};
 use silverspindle::knowledge::keys;
 use silverspindle::{logging, serve};
-use silverspindle_standins::trial;
+use silverspindle_agreement::{Change, ProposalId, Verdict};
+use silverspindle_standins::{rig, trial};
 
 const ENVIRONMENT: &str = "\
 Environment:
@@ -73,10 +75,36 @@
         /// Drain a box, slow the head office, restart a box and purge on the way
         #[arg(long)]
         rough: bool,
+        /// The routers agree on decisions, with relays between them; judged from their records
+        #[arg(long)]
+        agree: bool,
+        /// With --agree: electors, 1, 3 or 5 (3, or 1 where there are fewer routers)
+        #[arg(long)]
+        electors: Option<u8>,
+        /// With --agree: what goes wrong, a file of lines AT LASTS KIND or 'random' by the seed
+        #[arg(long, value_name = "SCRIPT|random")]
+        faults: Option<String>,
+        /// With --agree: the stated time, in milliseconds
+        #[arg(long, default_value_t = 2000, value_parser = clap::value_parser!(u64).range(500..=60_000))]
+        within_ms: u64,
     },
     /// Keys for the exchange between routers
     #[command(subcommand)]
     Keys(Keys),
+    /// What the routers agree on: how it stands, and staff's changes to it
+    Fleet {
+        /// Staff's operators' file: their certificate and the agree-elector lines; without it that of LB_CONF
+        #[arg(long, value_name = "FILE", global = true)]
+        conf: Option<PathBuf>,
+        /// Answer in JSON
+        #[arg(long, global = true)]
+        json: bool,
+        /// The proposal's id, to ask for the outcome of an earlier call
+        #[arg(long, global = true)]
+        id: Option<ProposalId>,
+        #[command(subcommand)]
+        what: Fleet,
+    },
     /// Print the completion of the command line for a shell
     Completion {
         /// Which one
@@ -108,6 +136,46 @@
     Office,
 }
 
+#[derive(Subcommand)]
+enum Fleet {
+    /// Who leads, each router's number, digest, life and how old its confirmation is; fails without a quorum
+    Status,
+    /// Put a router on the roll before it has started
+    Join {
+        /// Its name
+        name: String,
+    },
+    /// Strike a router off the roll
+    Forget {
+        /// Its name
+        name: String,
+    },
+    /// Set a topic's text
+    Note {
+        /// Which topic
+        topic: String,
+        /// Its text
+        text: String,
+    },
+    /// Change the electors, one at a time
+    #[command(subcommand)]
+    Electors(Electors),
+}
+
+#[derive(Subcommand)]
+enum Electors {
+    /// Give a seat to a router that is named in the file and waits for one; it votes once it is level
+    Admit {
+        /// Its name
+        name: String,
+    },
+    /// Take a router's seat away
+    Dismiss {
+        /// Its name
+        name: String,
+    },
+}
+
 #[derive(Subcommand)]
 enum Keys {
     /// Make the office's authority: authority.pem and authority.key
@@ -164,7 +232,37 @@
             let again = || (Config::read(&environment), read_conf(file.as_deref()));
             serve::serve(config, conf, again).map_err(io)?;
         }
-        Command::Try { seconds, routers, rate, seed, kill, trouble, inherit, rough } => {
+        Command::Try { seconds, routers, rate, seed, agree: true, electors, faults, within_ms, .. } => {
+            let electors = electors.unwrap_or(if routers < 3 { 1 } else { 3 }).min(routers);
+            let faults = match faults.as_deref() {
+                None => vec![],
+                Some("random") => rig::random(seed, routers, electors, seconds),
+                Some(file) => {
+                    let text = std::fs::read_to_string(file).map_err(|e| one(format!("{file}: {e}")))?;
+                    rig::script(&text).map_err(|e| one(format!("{file}: {e}")))?
+                }
+            };
+            let program = std::env::current_exe().map_err(io)?;
+            let lease = within_ms * 1000;
+            let options = rig::Options {
+                program,
+                routers,
+                electors,
+                seconds,
+                seed,
+                rate,
+                lease,
+                faults,
+                without: None,
+            };
+            let tasks = std::rc::Rc::new(async_executor::LocalExecutor::new());
+            let outcome = async_io::block_on(tasks.run(rig::play(&tasks, &options))).map_err(io)?;
+            print!("{}", rig::report(&options, &outcome));
+            if !outcome.is_good() {
+                return Err(one("a promise was broken".to_owned()));
+            }
+        }
+        Command::Try { seconds, routers, rate, seed, kill, trouble, inherit, rough, .. } => {
             let inherit = match inherit {
                 Inherit::No => trial::Inherit::No,
                 Inherit::Exchange => trial::Inherit::Exchange,
@@ -197,6 +295,11 @@
             keys::issue(&folder, &name, days).map_err(one)?
         }
         Command::Keys(Keys::Show { file }) => print!("{}", keys::show(&file).map_err(one)?),
+        Command::Fleet { conf, json, id, what } => {
+            let conf = read_conf(named(conf).as_deref())?;
+            let staff = Staff::new(&conf).map_err(one)?;
+            async_io::block_on(fleet(&staff, what, json, id)).map_err(one)?;
+        }
         Command::Completion { shell } => {
             clap_complete::generate(shell, &mut Line::command(), "silverspindle", &mut out);
         }
@@ -205,6 +308,41 @@
     Ok(())
 }
 
+async fn fleet(staff: &Staff, what: Fleet, json: bool, id: Option<ProposalId>) -> Result<(), String> {
+    let change = match what {
+        Fleet::Status => {
+            let heard = staff.status().await;
+            match json {
+                true => println!("{}", staff::json(&heard)),
+                false => print!("{}", staff::text(&heard)),
+            }
+            return staff::leader(&heard).map(|_| ()).ok_or_else(|| "no quorum".to_owned());
+        }
+        Fleet::Join { name } => Change::Join { name, life: 0 },
+        Fleet::Forget { name } => Change::Forget { name },
+        Fleet::Note { topic, text } => Change::Note { topic, body: text.into_bytes() },
+        Fleet::Electors(Electors::Admit { name }) => staff.seat(&name, true).await?,
+        Fleet::Electors(Electors::Dismiss { name }) => staff.seat(&name, false).await?,
+    };
+    let (id, reply) = staff.propose(change, id).await?;
+    let said = staff::outcome(id, &reply);
+    if json {
+        let (made, number) = match &reply {
+            Some(Verdict::Made(number)) => (Some(true), Some(*number)),
+            Some(Verdict::Refused(number, _)) => (Some(false), Some(*number)),
+            None => (None, None),
+        };
+        let text = said.clone().unwrap_or_else(|e| e);
+        println!(
+            "{}",
+            serde_json::json!({"id": id.to_string(), "made": made, "number": number, "text": text})
+        );
+        return said.map(|_| ());
+    }
+    println!("{}", said?);
+    Ok(())
+}
+
 fn main() -> ExitCode {
     match run(Line::parse().command) {
         Ok(()) => ExitCode::SUCCESS,
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -12,7 +12,9 @@
 use bitternhold::ListKind;
 use futures_lite::future;
 use silverspindle_conf::Conf;
+use silverspindle_knowledge::{InstanceId, Source};
 
+use crate::agreement::{self, links::Connector};
 use crate::config::Config;
 use crate::coordinator::Coordinator;
 use crate::copies::Copies;
@@ -20,7 +22,7 @@
 use crate::drain::Drain;
 use crate::front::{Front, most_clients};
 use crate::knowledge::exchange::{self, Hub};
-use crate::knowledge::{Knowledge, snapshots};
+use crate::knowledge::{Knowledge, keys::Tls, snapshots};
 use crate::management::Management;
 use crate::traffic::{Board, Descriptors, Message, Shared};
 use crate::upgrade::Beside;
@@ -51,6 +53,9 @@
     conf: RefCell<Conf>,
     hub: Option<Rc<Hub>>,
     director: Sender<Message>,
+    agreed: Rc<RefCell<Option<agreement::Handle>>>,
+    name: String,
+    tasks: Rc<LocalExecutor<'static>>,
 }
 
 impl Router {
@@ -65,14 +70,14 @@
         let exchanges = conf.exchange.as_ref().map_or(0, exchange::descriptors);
         // The second address: its listener and the calls it holds at a time.
         let calls = config.management.map_or(0, |_| crate::management::MOST_CALLS + 1);
+        let board = Rc::new(Board::default());
+        let agrees = conf.agreement.as_ref().map_or(0, agreement::descriptors);
         let shared = Rc::new(Shared {
             catalogue: catalogue.clone(),
-            board: Rc::new(Board::default()),
-            descriptors: Descriptors::new(
-                config
-                    .sockets
-                    .saturating_sub(most_clients(config.sockets) + OTHER_DESCRIPTORS + exchanges + calls),
-            ),
+            board: board.clone(),
+            descriptors: Descriptors::new(config.sockets.saturating_sub(
+                most_clients(config.sockets) + OTHER_DESCRIPTORS + exchanges + agrees + calls,
+            )),
             director: mailbox.clone(),
             tasks: tasks.clone(),
         });
@@ -108,6 +113,29 @@
             tasks.spawn(own.clone().watch()).detach();
             hub = Some(own);
         }
+        let agreed: Rc<RefCell<Option<agreement::Handle>>> = Rc::default();
+        if let Some(terms) = conf.agreement.clone() {
+            if let Some(lacks) = agreement::lacks(&conf, &config.name) {
+                return Err(io::Error::new(io::ErrorKind::InvalidInput, format!("operators' file: {lacks}")));
+            }
+            let instance = InstanceId::of(&config.name);
+            let me = who.map_or(Source { instance, incarnation: clock::now() }, |(me, _)| me);
+            let tls = match &hub {
+                Some(hub) => hub.tls.clone(),
+                None => Rc::new(RefCell::new(Tls::read(&terms.files).map_err(io::Error::other)?)),
+            };
+            let (hub, board, all) = (hub.clone(), board, agreed.clone());
+            let ready = move |handle: agreement::Handle| {
+                if let Some(hub) = hub {
+                    hub.agree(handle.clone());
+                }
+                board.agree(handle.clone());
+                *all.borrow_mut() = Some(handle);
+            };
+            let connector = Connector { me, tls };
+            let part = agreement::take_part(terms, me, config.name.clone(), connector, tasks.clone(), ready);
+            tasks.spawn(part).detach();
+        }
         tasks.spawn(director.run(news, messages)).detach();
         let (moves, moved) = async_channel::bounded(MOVES);
         let coordinator = Coordinator { address: config.coordinator, last, news: tell, moves: moved };
@@ -139,6 +167,9 @@
             conf: RefCell::new(conf),
             hub,
             director: to_director,
+            agreed,
+            name: config.name,
+            tasks: tasks.clone(),
         })
     }
 
@@ -175,6 +206,9 @@
     pub async fn end(&self) {
         self.drain.borrow_mut().end(clock::now());
         let _ = self.front.nudger().try_send(());
+        if let Some(handle) = self.agreed.borrow().clone() {
+            self.tasks.spawn(agreement::leave(handle, self.name.clone())).detach();
+        }
         if self.beside.as_ref().is_some_and(Beside::succeeded) {
             tracing::info!("a younger process serves on {}: it takes the new connections", self.address);
             self.front.stop_accepting();
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -17,7 +17,7 @@
 
 use crate::copies;
 use crate::feed::{Purged, hex};
-use crate::{clock, resp};
+use crate::{agreement, clock, resp};
 
 /// A request, whatever protocol it came by.
 #[derive(Debug)]
@@ -183,12 +183,18 @@
 /// What was told last of the members and of purges, for a last look at the moment of writing.
 #[derive(Debug, Default)]
 pub struct Board {
+    agreed: RefCell<Option<agreement::Handle>>,
     ready: RefCell<BTreeSet<MemberId>>,
     purges: RefCell<HashMap<Purged, (u64, Micros)>>,
     told: Cell<u64>,
 }
 
 impl Board {
+    /// What routers agree on is in force from now on.
+    pub fn agree(&self, handle: agreement::Handle) {
+        *self.agreed.borrow_mut() = Some(handle);
+    }
+
     /// A member takes work or does not.
     pub fn set_ready(&self, id: MemberId, ready: bool) {
         match ready {
@@ -220,11 +226,15 @@
     pub(crate) fn allows(&self, attempt: &Attempt, to: MemberId) -> bool {
         let purges = self.purges.borrow();
         let since = |what| purges.get(&what).is_some_and(|(told, _)| *told > attempt.decided);
-        clock::now() < attempt.until
+        let allows = clock::now() < attempt.until
             && self.is_ready(to)
             && attempt.terms.source.is_none_or(|source| self.is_ready(source))
             && !since(Purged::Group(attempt.call.group))
-            && !attempt.call.key().is_some_and(|key| since(Purged::Object(key)))
+            && !attempt.call.key().is_some_and(|key| since(Purged::Object(key)));
+        if let Some(agreed) = self.agreed.borrow().as_ref().filter(|_| allows) {
+            agreed.act();
+        }
+        allows
     }
 }
 
--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -2,8 +2,9 @@
 #![allow(dead_code)]
 
 use std::future::Future;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
@@ -55,8 +56,18 @@
     async_io::block_on(tasks.run(futures_lite::future::or(work(&tasks), hangs)))
 }
 
+/// A loopback address of this test alone. Routers of tests that end, here or in another run beside this one, go on
+/// connecting to ports that they were told; on a shared address such a port may be this test's by then, and the
+/// stray connection be taken for a router's.
+pub fn ip() -> Ipv4Addr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    thread_local!(static OWN: u32 = std::process::id() << 4 | NEXT.fetch_add(1, Ordering::Relaxed) & 15);
+    let [_, a, b, c] = OWN.with(|own| own.to_be_bytes());
+    Ipv4Addr::new(127, a | 128, b, c.clamp(1, 254))
+}
+
 pub fn listen() -> (Async<TcpListener>, SocketAddr) {
-    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let listener = Async::<TcpListener>::bind((ip(), 0)).unwrap();
     let address = listener.get_ref().local_addr().unwrap();
     (listener, address)
 }
@@ -83,7 +94,7 @@
 }
 
 pub fn configuration(members: &[Value], coordinator: SocketAddr) -> Value {
-    json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7", "coordinator": coordinator.to_string(),
+    json!({"name": "n0", "listen": format!("{}:0", ip()), "seed": "7", "coordinator": coordinator.to_string(),
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "flow_bytes_per_s": 310000,
         "link_bytes_per_s": 1240000, "settings": settings(),
         "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"revision": 1, "complete": true, "members": members}}]}})
@@ -235,7 +246,8 @@
 pub fn record(id: u32, state: u8, address: SocketAddr) -> Vec<u8> {
     let kind = if id == 99 { 2 } else { 0 };
     let mut r = id.to_be_bytes().to_vec();
-    r.extend([127, 0, 0, 1]);
+    let IpAddr::V4(ip) = address.ip() else { panic!("{address}") };
+    r.extend(ip.octets());
     r.extend(address.port().to_be_bytes());
     r.extend([state, 1, kind, 0, 0]);
     r.extend(10_000u32.to_be_bytes());
--- a/silverspindle/tests/exchange.rs
+++ b/silverspindle/tests/exchange.rs
@@ -65,7 +65,7 @@
 /// A port for a router that starts later, held for the test's life: other runs of these tests ask for ports too.
 fn free() -> SocketAddr {
     static HELD: std::sync::Mutex<Vec<Port>> = std::sync::Mutex::new(Vec::new());
-    let port = Port::hold([127, 0, 0, 78]).unwrap();
+    let port = Port::hold(ip()).unwrap();
     let address = port.address;
     HELD.lock().unwrap().push(port);
     address
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,10 +1,13 @@
 //! The parties that a router meets, on loopback: see the README.
 
+pub mod checker;
 pub mod clients;
 pub mod codec;
 pub mod coordinator;
 pub mod office;
 pub mod ports;
+pub mod relay;
+pub mod rig;
 pub mod trial;
 
 /// Microseconds.
--- /dev/null
+++ b/standins/src/rig.rs
@@ -0,0 +1,812 @@
+//! The rig: several processes of the program that agree, between relays and under traffic, while some of them are
+//! killed, frozen or cut off. What it came to is judged by [`checker`] from what the processes wrote down.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp, Zipf};
+use rand_pcg::Pcg64Mcg;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+use silverspindle_wire::clock;
+
+use crate::checker::{self, Findings, Told};
+use crate::clients::{BUDGET, Clients, Tally};
+use crate::codec::Member;
+use crate::coordinator::Coordinator;
+use crate::office::{Office, Plan, rest};
+use crate::relay::{Relay, Way};
+use crate::trial::{self, LIKING, OBJECTS, Router, Start, WRITES, free, run, well};
+use crate::{Micros, SECOND};
+
+const MS: Micros = 1000;
+/// A quorum is there so soon after the start, and a decision is at all routers so soon after all has healed; ends
+/// far beyond what is promised, for waits that are for an event.
+const GENEROUS: Micros = 30 * SECOND;
+const LOOK_AGAIN: Micros = 20 * MS;
+
+/// Whom a fault is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Who {
+    /// The router of this number.
+    Router(usize),
+    /// Whoever leads when it begins.
+    Leader,
+    /// All of them.
+    All,
+}
+
+/// What is left of a killed elector's disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rest {
+    /// What it had synced.
+    Whole,
+    /// Nothing.
+    Empty,
+    /// Half of its file.
+    Torn,
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// SIGKILL; started again when the fault ends.
+    Kill(Who, Rest),
+    /// SIGSTOP, and SIGCONT.
+    Freeze(Who),
+    /// What the first sends to the second on its own connections does not arrive; the other way is open.
+    Hold(usize, usize),
+    /// Connections both ways are reset and refused.
+    Cut(usize, usize),
+    /// What goes either way takes so much longer.
+    Late(usize, usize, Micros),
+    /// So many bytes a second either way.
+    Slow(usize, usize, u64),
+    /// The next piece from the one to the other breaks in its middle.
+    Tear(usize, usize),
+    /// These hear none of the others, and the other way round.
+    Split(BTreeSet<usize>),
+}
+
+/// A fault, from a time on and for so long.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// From the start of traffic.
+    pub at: Micros,
+    /// For so long.
+    pub lasts: Micros,
+    /// What.
+    pub kind: Kind,
+}
+
+/// What is tried.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The router's program.
+    pub program: PathBuf,
+    /// Routers, and of them electors, the first ones.
+    pub routers: u8,
+    /// See `routers`.
+    pub electors: u8,
+    /// How long traffic and faults last.
+    pub seconds: u64,
+    /// For all that is drawn.
+    pub seed: u64,
+    /// Items a second.
+    pub rate: f64,
+    /// The stated time.
+    pub lease: Micros,
+    /// What goes wrong.
+    pub faults: Vec<Fault>,
+    /// A guard taken out of all routers; only a debug build of the program lets that be.
+    pub without: Option<&'static str>,
+}
+
+/// What it came to.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// By the records.
+    pub findings: Findings,
+    /// What else was not as promised.
+    pub failures: Vec<String>,
+    /// Of each router's clients, and whether the router was frozen or killed on the way.
+    pub tallies: Vec<(Tally, bool)>,
+    /// Times that a router began to lead.
+    pub leaders: u64,
+    /// From the healing to the next decision, and until all routers had it.
+    pub recovered: (Micros, Micros),
+    /// From a leader's kill to the first decision after it.
+    pub failovers: Vec<Micros>,
+    /// Staff's calls: made, refused, not known.
+    pub calls: [u64; 3],
+    /// Processor time of each router, in microseconds, and how long it ran.
+    pub used: Vec<(Micros, Micros)>,
+}
+
+impl Outcome {
+    /// Whether every promise was kept.
+    pub fn is_good(&self) -> bool {
+        self.findings.breaches.is_empty() && self.failures.is_empty()
+    }
+}
+
+fn time(text: &str) -> Option<Micros> {
+    let (number, unit) =
+        text.strip_suffix("ms").map(|n| (n, MS)).or(text.strip_suffix('s').map(|n| (n, SECOND)))?;
+    Some((number.parse::<f64>().ok()? * unit as f64) as Micros)
+}
+
+fn router(text: &str) -> Option<usize> {
+    text.strip_prefix('n')?.parse().ok()
+}
+
+fn who(text: &str) -> Option<Who> {
+    match text {
+        "leader" => Some(Who::Leader),
+        "all" => Some(Who::All),
+        _ => router(text).map(Who::Router),
+    }
+}
+
+/// Reads a script: `AT LASTS KIND ...` a line, as in `2s 3s kill leader`, `2s 1s freeze n1`, `1s 1s hold n0 n1`, `1s 1s
+/// cut n0 n1`, `1s 1s late n0 n1 200ms`, `1s 1s slow n0 n1 2000`, `1s 0s tear n0 n1`, `1s 3s split n0,n1`, `1s 1s kill
+/// n2 empty`.
+pub fn script(text: &str) -> Result<Vec<Fault>, String> {
+    let mut faults = Vec::new();
+    for (n, line) in (1..).zip(text.lines()) {
+        let line = line.split('#').next().unwrap_or("");
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let [at, lasts, rest @ ..] = &words[..] else {
+            if words.is_empty() {
+                continue;
+            }
+            return Err(format!("line {n}: takes AT LASTS KIND"));
+        };
+        let kind = match rest {
+            ["kill", whom] => who(whom).map(|w| Kind::Kill(w, Rest::Whole)),
+            ["kill", whom, "empty"] => who(whom).map(|w| Kind::Kill(w, Rest::Empty)),
+            ["kill", whom, "torn"] => who(whom).map(|w| Kind::Kill(w, Rest::Torn)),
+            ["freeze", whom] => who(whom).map(Kind::Freeze),
+            ["hold", a, b] => router(a).zip(router(b)).map(|(a, b)| Kind::Hold(a, b)),
+            ["cut", a, b] => router(a).zip(router(b)).map(|(a, b)| Kind::Cut(a, b)),
+            ["tear", a, b] => router(a).zip(router(b)).map(|(a, b)| Kind::Tear(a, b)),
+            ["late", a, b, by] => {
+                router(a).zip(router(b)).zip(time(by)).map(|((a, b), by)| Kind::Late(a, b, by))
+            }
+            ["slow", a, b, by] => {
+                router(a).zip(router(b)).zip(by.parse().ok()).map(|((a, b), by)| Kind::Slow(a, b, by))
+            }
+            ["split", side] => side.split(',').map(router).collect::<Option<_>>().map(Kind::Split),
+            _ => None,
+        };
+        let fault = time(at).zip(time(lasts)).zip(kind).map(|((at, lasts), kind)| Fault { at, lasts, kind });
+        faults.push(fault.ok_or_else(|| format!("line {n}: {line:?} is no fault"))?);
+    }
+    faults.sort_by_key(|f| f.at);
+    Ok(faults)
+}
+
+/// Faults drawn by a seed, all ended by then.
+pub fn random(seed: u64, routers: u8, electors: u8, seconds: u64) -> Vec<Fault> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x0bad_5eed);
+    let (routers, electors, end) = (usize::from(routers), usize::from(electors), seconds * SECOND);
+    let mut faults = Vec::new();
+    for _ in 0..rng.random_range(2..=6) {
+        let at = rng.random_range(SECOND..end.max(2 * SECOND) - SECOND / 2);
+        let lasts = rng.random_range(300 * MS..5 * SECOND).min(end.saturating_sub(at));
+        let (elector, one) = (rng.random_range(0..electors), rng.random_range(0..routers));
+        let other = (one + rng.random_range(1..routers.max(2))) % routers;
+        let kind = match rng.random_range(0..14) {
+            0..=1 => Kind::Kill(Who::Leader, Rest::Whole),
+            2 => Kind::Kill(Who::Router(one), Rest::Whole),
+            3 => Kind::Kill(Who::All, Rest::Whole),
+            4..=5 => Kind::Freeze(Who::Leader),
+            6 => Kind::Freeze(Who::Router(one)),
+            7 => Kind::Hold(one, elector),
+            8 => Kind::Cut(one, elector),
+            9 => Kind::Late(one, elector, rng.random_range(10 * MS..400 * MS)),
+            10 => Kind::Slow(one, elector, rng.random_range(500..20_000)),
+            11 => Kind::Tear(one, elector),
+            _ => Kind::Split([one, other].into()),
+        };
+        faults.push(Fault { at, lasts, kind });
+    }
+    faults.sort_by_key(|f| f.at);
+    faults
+}
+
+/// A router and an elector that it sends to.
+type Pair = (usize, usize);
+type Relays = BTreeMap<Pair, Rc<Relay>>;
+
+/// The rig while it runs.
+struct Rig {
+    options: Options,
+    folder: PathBuf,
+    tasks: Rc<LocalExecutor<'static>>,
+    starts: Vec<Start>,
+    routers: RefCell<Vec<Option<Router>>>,
+    began: RefCell<Vec<Micros>>,
+    /// By router and elector.
+    relays: Relays,
+    /// Faults on each relay that are not over, by fault; the last one counts.
+    ways: RefCell<BTreeMap<Pair, Vec<(usize, Way)>>>,
+    told: RefCell<Vec<Told>>,
+    out: RefCell<Outcome>,
+    touched: RefCell<BTreeSet<usize>>,
+    torn: RefCell<BTreeSet<usize>>,
+    down: RefCell<BTreeMap<usize, u32>>,
+    frozen: RefCell<BTreeMap<usize, u32>>,
+}
+
+fn signal(router: &Router, signal: Signal) {
+    let _ = kill_process(Pid::from_child(&router.child), signal);
+}
+
+/// Processor time that a process has used, from the kernel's account; ticks of a hundredth of a second.
+fn used(pid: u32) -> Option<Micros> {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+    Some(ticks * 10 * MS)
+}
+
+impl Rig {
+    fn staff(&self, elector: usize) -> PathBuf {
+        self.folder.join(format!("staff{elector}.conf"))
+    }
+
+    /// Runs staff's command; what it printed in JSON, and whether it was well.
+    async fn command(&self, elector: usize, args: &[&str]) -> (Value, bool) {
+        let mut command = Command::new(&self.options.program);
+        command.args(["fleet", "--json", "--conf"]).arg(self.staff(elector)).args(args);
+        match blocking::unblock(move || command.output()).await {
+            Ok(out) => {
+                let text = String::from_utf8_lossy(&out.stdout);
+                (serde_json::from_str(text.trim()).unwrap_or(Value::Null), out.status.success())
+            }
+            Err(_) => (Value::Null, false),
+        }
+    }
+
+    async fn leader(&self) -> Option<usize> {
+        let (status, _) = self.command(0, &["status"]).await;
+        let all = status["electors"].as_array()?;
+        let leads = all.iter().filter(|e| e["role"] == "leader").max_by_key(|e| e["term"].as_u64())?;
+        router(leads["elector"].as_str()?)
+    }
+
+    /// One call of staff, by one or two electors at once.
+    async fn call(&self, n: u64, electors: &[usize], topic: &str) -> Option<u64> {
+        let id = format!("{:016x}{n:016x}", self.options.seed | 1 << 60);
+        let text = n.to_string();
+        let mut made = None;
+        let args = ["note", topic, &text, "--id", &id];
+        let all = LocalExecutor::new();
+        let calls: Vec<_> = electors.iter().map(|e| all.spawn(self.command(*e, &args))).collect();
+        all.run(async {
+            for call in calls {
+                let (said, _) = call.await;
+                let told =
+                    Told { id: id.clone(), made: said["made"].as_bool(), number: said["number"].as_u64() };
+                let which = match told.made {
+                    Some(true) => 0,
+                    Some(false) => 1,
+                    None => 2,
+                };
+                self.out.borrow_mut().calls[which] += 1;
+                made = made.or(told.number.filter(|_| told.made == Some(true)));
+                self.told.borrow_mut().push(told);
+            }
+        })
+        .await;
+        made
+    }
+
+    fn start(&self, n: usize) -> io::Result<()> {
+        self.routers.borrow_mut()[n] = Some(self.starts[n].clone().go()?);
+        self.began.borrow_mut()[n] = clock::now();
+        Ok(())
+    }
+
+    fn kill(&self, n: usize, rest: Rest) {
+        let router = self.routers.borrow_mut()[n].take();
+        if let Some(router) = router {
+            self.account(n, &router);
+            drop(router);
+        }
+        let folder = self.folder.join(format!("n{n}"));
+        let files = fs::read_dir(folder).into_iter().flatten().flatten();
+        for file in files.map(|f| f.path()).filter(|f| f.extension().is_some_and(|e| e == "agreement")) {
+            match rest {
+                Rest::Whole => {}
+                Rest::Empty => drop(fs::remove_file(file)),
+                Rest::Torn => {
+                    self.torn.borrow_mut().insert(n);
+                    let half = fs::metadata(&file).map_or(0, |m| m.len() / 2);
+                    let opened = fs::OpenOptions::new().write(true).open(&file);
+                    let _ = opened.and_then(|f| f.set_len(half));
+                }
+            }
+        }
+    }
+
+    fn account(&self, n: usize, router: &Router) {
+        if let Some(used) = used(router.child.id()) {
+            let ran = clock::now().saturating_sub(self.began.borrow()[n]);
+            let mut out = self.out.borrow_mut();
+            out.used.resize(self.starts.len(), (0, 0));
+            out.used[n] = (out.used[n].0 + used, out.used[n].1 + ran);
+        }
+    }
+
+    /// A relay's way by the latest of the faults on it that are not over.
+    fn way(&self, fault: usize, pair: (usize, usize), way: Option<Way>) {
+        let Some(relay) = self.relays.get(&pair) else { return };
+        let mut ways = self.ways.borrow_mut();
+        let all = ways.entry(pair).or_default();
+        all.retain(|(other, _)| *other != fault);
+        all.extend(way.map(|way| (fault, way)));
+        let now = all.last().map_or(Way::Open, |(_, way)| *way);
+        relay.ways[0].set(now);
+        // A hold is one way; all else is both.
+        relay.ways[1].set(if now == Way::Held { Way::Open } else { now });
+    }
+
+    fn whom(&self, who: Who, leader: Option<usize>) -> Vec<usize> {
+        match who {
+            Who::Router(n) => vec![n],
+            Who::Leader => leader.into_iter().collect(),
+            Who::All => (0..self.starts.len()).collect(),
+        }
+    }
+
+    async fn fault(&self, number: usize, fault: &Fault) {
+        let both = |a: usize, b: usize| [(a, b), (b, a)];
+        let leads = matches!(fault.kind, Kind::Kill(Who::Leader, _) | Kind::Freeze(Who::Leader));
+        let leader = if leads { self.leader().await } else { None };
+        let ends = |ways: &[((usize, usize), Way)], begins: bool| {
+            ways.iter().for_each(|(pair, way)| self.way(number, *pair, begins.then_some(*way)));
+        };
+        let ways: Vec<((usize, usize), Way)> = match &fault.kind {
+            Kind::Hold(a, b) => vec![((*a, *b), Way::Held)],
+            Kind::Cut(a, b) => both(*a, *b).map(|pair| (pair, Way::Cut)).to_vec(),
+            Kind::Late(a, b, by) => both(*a, *b).map(|pair| (pair, Way::Late(*by))).to_vec(),
+            Kind::Slow(a, b, by) => both(*a, *b).map(|pair| (pair, Way::Slow(*by))).to_vec(),
+            Kind::Split(side) => {
+                let apart = self.relays.keys().filter(|(a, b)| side.contains(a) != side.contains(b));
+                apart.map(|pair| (*pair, Way::Cut)).collect()
+            }
+            _ => vec![],
+        };
+        ends(&ways, true);
+        let mut killed = Vec::new();
+        let mut frozen = Vec::new();
+        match &fault.kind {
+            Kind::Kill(who, rest) => {
+                killed = self.whom(*who, leader);
+                let at = clock::now();
+                for n in &killed {
+                    self.touched.borrow_mut().insert(*n);
+                    *self.down.borrow_mut().entry(*n).or_default() += 1;
+                    self.kill(*n, *rest);
+                }
+                if leader.is_some() {
+                    self.failover(at);
+                }
+            }
+            Kind::Freeze(who) => {
+                frozen = self.whom(*who, leader);
+                for n in &frozen {
+                    self.touched.borrow_mut().insert(*n);
+                    *self.frozen.borrow_mut().entry(*n).or_default() += 1;
+                    if let Some(router) = &self.routers.borrow()[*n] {
+                        signal(router, Signal::STOP);
+                    }
+                }
+            }
+            Kind::Tear(a, b) => {
+                if let Some(relay) = self.relays.get(&(*a, *b)) {
+                    relay.tear.set(true);
+                }
+            }
+            _ => {}
+        }
+        rest(fault.lasts).await;
+        ends(&ways, false);
+        for n in killed {
+            let mut down = self.down.borrow_mut();
+            let count = down.entry(n).or_default();
+            *count = count.saturating_sub(1);
+            if *count == 0
+                && let Err(e) = self.start(n)
+            {
+                self.out.borrow_mut().failures.push(format!("n{n} does not start: {e}"));
+            }
+        }
+        for n in frozen {
+            let mut frozen = self.frozen.borrow_mut();
+            let count = frozen.entry(n).or_default();
+            *count = count.saturating_sub(1);
+            if let Some(router) = self.routers.borrow()[n].as_ref().filter(|_| *count == 0) {
+                signal(router, Signal::CONT);
+            }
+        }
+    }
+
+    /// Watches the records for the first decision after a leader's kill.
+    fn failover(&self, killed: Micros) {
+        // Records have the steady clock, this has the Unix clock: both of this machine, compared once.
+        let offset = steady().wrapping_sub(clock::now());
+        let mut out = self.out.borrow_mut();
+        out.failovers.push(killed.wrapping_add(offset));
+    }
+
+    fn records(&self) -> Vec<Value> {
+        let read = |n: usize| fs::read_to_string(self.folder.join(format!("n{n}.acts"))).unwrap_or_default();
+        (0..self.starts.len()).flat_map(|n| checker::lines(&read(n))).collect()
+    }
+
+    /// The latest number that each router has recorded.
+    fn numbers(&self) -> Vec<u64> {
+        let mut numbers = vec![0; self.starts.len()];
+        for record in self.records() {
+            let n = record["router"].as_str().and_then(router);
+            if let Some(number) = n.and_then(|n| numbers.get_mut(n)) {
+                *number = record["number"].as_u64().unwrap_or(0).max(*number);
+            }
+        }
+        numbers
+    }
+}
+
+/// The clock that records have.
+fn steady() -> Micros {
+    // Uptime, in hundredths of a second, counts suspended time as well.
+    let text = fs::read_to_string("/proc/uptime").unwrap_or_default();
+    let seconds = text.split_whitespace().next().and_then(|t| t.parse::<f64>().ok());
+    (seconds.unwrap_or(0.0) * 1e6) as Micros
+}
+
+fn prepare(
+    options: &Options,
+    folder: &Path,
+    tasks: &Rc<LocalExecutor<'static>>,
+    office: &Office,
+    coordinator: &Coordinator,
+) -> io::Result<(Vec<(Start, std::net::SocketAddr)>, Relays)> {
+    let names: Vec<String> = (0..options.routers).map(|n| format!("n{n}")).collect();
+    let keys = folder.join("keys").display().to_string();
+    run(&options.program, &["keys", "init", &keys])?;
+    for name in names.iter().map(String::as_str).chain(["staff"]) {
+        run(&options.program, &["keys", "issue", &keys, name])?;
+    }
+    let ports = (0..options.routers).map(free).collect::<io::Result<Vec<_>>>()?;
+    let electors: Vec<usize> = (0..usize::from(options.electors)).collect();
+    let members: Vec<Value> = office.members().iter().map(Member::json).collect();
+    let files = |name: &str| {
+        format!(
+            "exchange-authority '{keys}/authority.pem'\nexchange-certificate '{keys}/{name}.pem'\nexchange-key \
+             '{keys}/{name}.key'\nagree-within {}ms\n",
+            options.lease / MS
+        )
+    };
+    let (mut starts, mut relays) = (Vec::new(), BTreeMap::new());
+    for (n, name) in (0..options.routers).zip(&names) {
+        let (port, exchange) = (free(n)?, ports[usize::from(n)].clone());
+        let listen = port.address;
+        let old = trial::Options {
+            program: options.program.clone(),
+            seconds: options.seconds,
+            seed: options.seed,
+            routers: options.routers,
+            rate: options.rate,
+            inherit: trial::Inherit::No,
+            script: vec![],
+        };
+        let file = trial::configuration(name, listen, &old, n, coordinator.address, &members);
+        let config = folder.join(format!("{name}.json"));
+        fs::write(&config, file.to_string())?;
+        fs::create_dir_all(folder.join(name))?;
+        let mut conf = files(name);
+        let _ = writeln!(conf, "exchange-listen {}\nagree-operator staff", exchange.address);
+        let _ = writeln!(conf, "agree-records '{}/{name}.acts'", folder.display());
+        let _ = writeln!(conf, "agree-directory '{}/{name}'", folder.display());
+        for elector in &electors {
+            let at = match *elector == usize::from(n) {
+                true => exchange.address,
+                false => {
+                    let relay = Relay::start(tasks, ports[*elector].address)?;
+                    relays.insert((usize::from(n), *elector), relay.clone());
+                    relay.address
+                }
+            };
+            let _ = writeln!(conf, "agree-elector n{elector} {at}");
+        }
+        let path = folder.join(format!("{name}.conf"));
+        fs::write(&path, &conf)?;
+        let log = folder.join(format!("{name}.log"));
+        let env = options.without.map(|guard| ("SILVERSPINDLE_WITHOUT", guard));
+        let start = Start {
+            program: options.program.clone(),
+            config,
+            conf: Some(path),
+            log,
+            env,
+            _ports: [port, exchange],
+        };
+        starts.push((start, listen));
+    }
+    for first in &electors {
+        let mut conf = files("staff");
+        for n in 0..electors.len() {
+            let elector = (first + n) % electors.len();
+            let _ = writeln!(conf, "agree-elector n{elector} {}", ports[elector].address);
+        }
+        fs::write(folder.join(format!("staff{first}.conf")), conf)?;
+    }
+    Ok((starts, relays))
+}
+
+async fn until<T>(what: &str, mut good: impl AsyncFnMut() -> Option<T>) -> io::Result<T> {
+    let last = clock::now() + GENEROUS;
+    loop {
+        if let Some(found) = good().await {
+            return Ok(found);
+        }
+        if clock::now() > last {
+            return Err(io::Error::other(format!("{what}: not within {} s", GENEROUS / SECOND)));
+        }
+        rest(LOOK_AGAIN).await;
+    }
+}
+
+/// Runs it to its end. Ends the processes that it started, also where it fails.
+pub async fn play(tasks: &Rc<LocalExecutor<'static>>, options: &Options) -> io::Result<Outcome> {
+    let folder = tempfile::tempdir()?;
+    let office = Office::start(tasks, Plan { boxes: 4, box_room: 800, parents: 2, parent_room: 4000 })?;
+    let coordinator = Coordinator::start(tasks)?;
+    let (starts, relays) = prepare(options, folder.path(), tasks, &office, &coordinator)?;
+    let clients: Vec<Rc<Clients>> =
+        (0..).zip(&starts).map(|(n, (_, listen))| Clients::new(n, *listen)).collect();
+    let count = starts.len();
+    let rig = Rc::new(Rig {
+        options: options.clone(),
+        folder: folder.path().to_owned(),
+        tasks: tasks.clone(),
+        starts: starts.into_iter().map(|(start, _)| start).collect(),
+        routers: RefCell::new((0..count).map(|_| None).collect()),
+        began: RefCell::new(vec![0; count]),
+        relays,
+        ways: RefCell::default(),
+        told: RefCell::default(),
+        out: RefCell::default(),
+        touched: RefCell::default(),
+        torn: RefCell::default(),
+        down: RefCell::default(),
+        frozen: RefCell::default(),
+    });
+    for n in 0..count {
+        rig.start(n)?;
+    }
+    for (clients, start) in clients.iter().zip(&rig.starts) {
+        well(clients, &start.log).await?;
+    }
+    until("a first quorum", async || rig.command(0, &["status"]).await.1.then_some(())).await?;
+    let played = traffic(&rig, &clients).await;
+    let healed = match played {
+        Ok(()) => heal(&rig, &clients).await,
+        Err(e) => Err(e),
+    };
+    if let Err(e) = healed {
+        let numbers = rig.numbers();
+        let tails = (0..count).map(|n| {
+            let log = fs::read_to_string(&rig.starts[n].log).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            format!("n{n}:\n{}", lines[lines.len().saturating_sub(12)..].join("\n"))
+        });
+        let tails: Vec<String> = tails.collect();
+        rig.out.borrow_mut().failures.push(format!("{e}; numbers {numbers:?}\n{}", tails.join("\n")));
+    }
+    end(&rig).await;
+    let records = rig.records();
+    let mut out = rig.out.take();
+    out.findings = checker::check(&records, &rig.told.borrow(), options.lease, count);
+    let mut decided: BTreeMap<u64, Micros> = BTreeMap::new();
+    for record in records.iter().filter(|r| r["kind"] == "applied" && r["made"] == true) {
+        if let (Some(number), Some(at)) = (record["number"].as_u64(), record["at"].as_u64()) {
+            let first = decided.entry(number).or_insert(at);
+            *first = at.min(*first);
+        }
+    }
+    let after = |killed: &Micros| decided.values().filter(|at| *at > killed).min().map(|at| at - killed);
+    out.failovers = out.failovers.iter().filter_map(after).collect();
+    for n in 0..count {
+        let log = fs::read_to_string(&rig.starts[n].log).unwrap_or_default();
+        out.leaders += log.lines().filter(|l| l.contains("agreement: Leader")).count() as u64;
+        let faulty = log.lines().find(|l| l.contains("panicked") || l.contains("outcomes differ"));
+        out.failures.extend(faulty.map(|l| format!("n{n}: {l}")));
+    }
+    let touched = rig.touched.borrow();
+    out.tallies =
+        clients.iter().enumerate().map(|(n, c)| (c.tally.borrow().clone(), touched.contains(&n))).collect();
+    for (n, (tally, touched)) in out.tallies.iter().enumerate() {
+        if !touched && !tally.is_good() {
+            let (lost, wrong) = (tally.lost, tally.wrong);
+            out.failures.push(format!("n{n}: {lost} items without an answer, {wrong} with a wrong one"));
+        }
+    }
+    Ok(out)
+}
+
+async fn traffic(rig: &Rc<Rig>, clients: &[Rc<Clients>]) -> io::Result<()> {
+    let options = &rig.options;
+    let mut random = Pcg64Mcg::seed_from_u64(options.seed);
+    let bad = |e: &dyn std::fmt::Display| io::Error::new(io::ErrorKind::InvalidInput, e.to_string());
+    let objects = Zipf::new(OBJECTS, LIKING).map_err(|e| bad(&e))?;
+    let gaps = Exp::new(options.rate / 1e6).map_err(|e| bad(&e))?;
+    let begin = clock::now();
+    let end = begin + options.seconds * SECOND;
+    let mut running = Vec::new();
+    for (number, fault) in options.faults.iter().cloned().enumerate() {
+        let own = rig.clone();
+        let late = async move {
+            rest(fault.at).await;
+            own.fault(number, &fault).await;
+        };
+        running.push(rig.tasks.spawn(late));
+    }
+    // Staff at work: a call every few tenths of a second, some of them impatient, by two electors at once.
+    let own = rig.clone();
+    let mut staff = Pcg64Mcg::seed_from_u64(options.seed ^ 0x57aff);
+    let calls = async move {
+        let (mut n, mut running) = (0, Vec::new());
+        while clock::now() < end {
+            n += 1;
+            let one = staff.random_range(0..usize::from(own.options.electors));
+            let two = (one + 1) % usize::from(own.options.electors);
+            let electors = if staff.random_range(0..4) == 0 { vec![one, two] } else { vec![one] };
+            let topic = format!("t{}", staff.random_range(0..6));
+            let rig = own.clone();
+            running.push(own.tasks.spawn(async move { rig.call(n, &electors, &topic).await }));
+            rest(staff.random_range(150 * MS..500 * MS)).await;
+        }
+        for call in running {
+            call.await;
+        }
+    };
+    let calls = rig.tasks.spawn(calls);
+    let (mut due, mut looked) = (begin, begin);
+    while due < end {
+        due += gaps.sample(&mut random) as Micros + 1;
+        clock::at(due).await;
+        if clock::now() >= looked + SECOND / 10 {
+            looked = clock::now();
+            clients.iter().for_each(|c| c.overdue());
+        }
+        let (object, write) = (objects.sample(&mut random) as u64, random.random_bool(WRITES));
+        let whose = clients[random.random_range(0..clients.len())].clone();
+        let object = object.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let own = rig.tasks.clone();
+        rig.tasks.spawn(async move { whose.send(&own, due, object, write).await }).detach();
+    }
+    for fault in running {
+        fault.await;
+    }
+    calls.await;
+    Ok(())
+}
+
+/// All faults are over: a decision is made and reaches all, and traffic goes on under it.
+async fn heal(rig: &Rc<Rig>, clients: &[Rc<Clients>]) -> io::Result<()> {
+    let began = clock::now();
+    let (mut n, electors) = (1 << 32, usize::from(rig.options.electors));
+    let number = until("a decision after the healing", async || {
+        n += 1;
+        rig.call(n, &[n as usize % electors], "healed").await
+    })
+    .await?;
+    let made = clock::now() - began;
+    // A disk that was torn keeps its router out until staff see to it: it serves by itself.
+    let torn = rig.torn.borrow().clone();
+    until("the decision at all routers", async || {
+        let numbers = rig.numbers();
+        let all = numbers.iter().enumerate().all(|(n, at)| *at >= number || torn.contains(&n));
+        all.then_some(())
+    })
+    .await?;
+    rig.out.borrow_mut().recovered = (made, clock::now() - began);
+    let last = clock::now() + BUDGET + SECOND;
+    while clients.iter().any(|c| c.open() > 0) && clock::now() < last {
+        rest(LOOK_AGAIN).await;
+        clients.iter().for_each(|c| c.overdue());
+    }
+    Ok(())
+}
+
+/// SIGTERM for all that run; each ends by itself, with 0.
+async fn end(rig: &Rc<Rig>) {
+    let running: Vec<(usize, Router)> = {
+        let mut routers = rig.routers.borrow_mut();
+        routers.iter_mut().enumerate().filter_map(|(n, r)| Some((n, r.take()?))).collect()
+    };
+    for (n, router) in &running {
+        rig.account(*n, router);
+        signal(router, Signal::TERM);
+    }
+    for (n, mut router) in running {
+        let ended = until("its end by SIGTERM", async || router.child.try_wait().ok().flatten()).await;
+        let problem = match ended {
+            Ok(status) if status.success() => continue,
+            Ok(status) => status.to_string(),
+            Err(e) => e.to_string(),
+        };
+        rig.out.borrow_mut().failures.push(format!("n{n}: {problem}"));
+    }
+}
+
+/// What it came to, for a person.
+pub fn report(options: &Options, outcome: &Outcome) -> String {
+    let mut out = String::new();
+    let found = &outcome.findings;
+    for fault in &options.faults {
+        let _ = writeln!(out, "{} ms for {} ms: {:?}", fault.at / MS, fault.lasts / MS, fault.kind);
+    }
+    let part = |share: usize| found.to_all.get(found.to_all.len() * share / 100).copied().unwrap_or(0) / MS;
+    let _ = writeln!(
+        out,
+        "decisions {}, of them {} proposals made; to all routers: median {} ms, 95 % {} ms, longest {} ms",
+        found.decided,
+        found.made,
+        part(50),
+        part(95),
+        found.to_all.last().copied().unwrap_or(0) / MS
+    );
+    let [made, refused, unknown] = outcome.calls;
+    let _ = writeln!(out, "staff's calls: {made} made, {refused} refused, {unknown} not known");
+    let _ = writeln!(
+        out,
+        "leader changes {}; {} acts, {} times held back",
+        outcome.leaders, found.acts, found.held
+    );
+    let _ = writeln!(
+        out,
+        "worst act on an overtaken decision {} ms of {} ms",
+        found.worst / MS,
+        options.lease / MS
+    );
+    let failovers: Vec<String> = outcome.failovers.iter().map(|t| (t / MS).to_string()).collect();
+    if !failovers.is_empty() {
+        let _ = writeln!(out, "leader killed to the next decision: {} ms", failovers.join(", "));
+    }
+    let (made, all) = outcome.recovered;
+    let _ = writeln!(out, "healed to the next decision {} ms, to all routers {} ms", made / MS, all / MS);
+    for (n, (tally, touched)) in outcome.tallies.iter().enumerate() {
+        let (used, ran) = outcome.used.get(n).copied().unwrap_or_default();
+        let _ = writeln!(
+            out,
+            "n{n}: {} items, {} served, {} refused, {} failed, {} cut, {} lost, {} wrong{}; {:.2} % of a core",
+            tally.sent,
+            tally.served,
+            tally.refused,
+            tally.failed,
+            tally.cut,
+            tally.lost,
+            tally.wrong,
+            if *touched { " (it was killed or frozen)" } else { "" },
+            100.0 * used as f64 / ran.max(1) as f64
+        );
+    }
+    for problem in found.breaches.iter().take(10).chain(&outcome.failures) {
+        let _ = writeln!(out, "BROKEN: {problem}");
+    }
+    out
+}
--- a/standins/src/trial.rs
+++ b/standins/src/trial.rs
@@ -25,10 +25,10 @@
 use crate::{Micros, SECOND};
 
 /// Objects there are, and how unequal clients' liking is (Zipf's exponent).
-const OBJECTS: f64 = 30_000.0;
-const LIKING: f64 = 0.9;
+pub(crate) const OBJECTS: f64 = 30_000.0;
+pub(crate) const LIKING: f64 = 0.9;
 /// Share of items that write.
-const WRITES: f64 = 0.03;
+pub(crate) const WRITES: f64 = 0.03;
 /// A router must be well by then.
 const READY: Micros = 10 * SECOND;
 const LOOK_AGAIN: Micros = 5_000;
@@ -137,30 +137,32 @@
 }
 
 /// A router's process; killed when dropped.
-struct Router {
-    child: Child,
+pub(crate) struct Router {
+    pub child: Child,
     start: Start,
 }
 
 /// What it takes to start one.
 #[derive(Clone)]
-struct Start {
-    program: PathBuf,
-    config: PathBuf,
-    conf: Option<PathBuf>,
-    log: PathBuf,
+pub(crate) struct Start {
+    pub program: PathBuf,
+    pub config: PathBuf,
+    pub conf: Option<PathBuf>,
+    pub log: PathBuf,
+    pub env: Option<(&'static str, &'static str)>,
     /// Its ports, held also while it is down.
-    _ports: [Rc<Port>; 2],
+    pub _ports: [Rc<Port>; 2],
 }
 
 impl Start {
-    fn go(self) -> io::Result<Router> {
+    pub fn go(self) -> io::Result<Router> {
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(&self.program);
         command.arg("serve").env("LB_CONFIG", &self.config).env_remove("LB_CONF").env_remove("LB_LISTEN");
         if let Some(conf) = &self.conf {
             command.arg("--conf").arg(conf);
         }
+        command.envs(self.env);
         let child =
             command.env_remove("LB_NAME").stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
         Ok(Router { child, start: self })
@@ -175,7 +177,7 @@
 }
 
 /// A port on an address of this router alone, held for it.
-fn free(router: u8) -> io::Result<Rc<Port>> {
+pub(crate) fn free(router: u8) -> io::Result<Rc<Port>> {
     Port::hold([127, 0, 1, 10 + router]).map(Rc::new)
 }
 
@@ -199,7 +201,7 @@
     })
 }
 
-fn run(program: &Path, args: &[&str]) -> io::Result<()> {
+pub(crate) fn run(program: &Path, args: &[&str]) -> io::Result<()> {
     let out = Command::new(program).args(args).output()?;
     match out.status.success() {
         true => Ok(()),
@@ -207,6 +209,22 @@
     }
 }
 
+/// What the platform tells a router.
+pub(crate) fn configuration(
+    name: &str,
+    listen: SocketAddr,
+    options: &Options,
+    n: u8,
+    coordinator: SocketAddr,
+    members: &[Value],
+) -> Value {
+    json!({
+        "name": name, "listen": listen.to_string(), "seed": format!("{:x}", options.seed * 100 + u64::from(n)),
+        "coordinator": coordinator.to_string(), "settings": settings(options.routers, n),
+        "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"revision": 1, "complete": true, "members": members}}]}
+    })
+}
+
 /// Writes what each router is started with.
 fn prepare(
     options: &Options,
@@ -227,11 +245,7 @@
     for (n, name) in (0..options.routers).zip(&names) {
         let (port, exchange) = (free(n)?, exchanges[usize::from(n)].clone());
         let listen = port.address;
-        let file = json!({
-            "name": name, "listen": listen.to_string(), "seed": format!("{:x}", options.seed * 100 + u64::from(n)),
-            "coordinator": coordinator.to_string(), "settings": settings(options.routers, n),
-            "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"revision": 1, "complete": true, "members": members}}]}
-        });
+        let file = configuration(name, listen, options, n, coordinator, &members);
         let config = folder.join(format!("{name}.json"));
         fs::write(&config, file.to_string())?;
         let mut conf = String::new();
@@ -254,13 +268,20 @@
         fs::write(&path, &conf)?;
         let conf = (!conf.is_empty()).then_some(path);
         let log = folder.join(format!("{name}.log"));
-        let start = Start { program: options.program.clone(), config, conf, log, _ports: [port, exchange] };
+        let start = Start {
+            program: options.program.clone(),
+            config,
+            conf,
+            log,
+            env: None,
+            _ports: [port, exchange],
+        };
         starts.push((start, listen));
     }
     Ok(starts)
 }
 
-async fn well(clients: &Rc<Clients>, log: &Path) -> io::Result<()> {
+pub(crate) async fn well(clients: &Rc<Clients>, log: &Path) -> io::Result<()> {
     let until = clock::now() + READY;
     while !clients.well().await {
         if clock::now() > until {
