--- a/agreement/src/wire.rs
+++ b/agreement/src/wire.rs
@@ -8,6 +8,7 @@
 use crate::Micros;
 use crate::decision::{Proposal, ProposalId, Verdict, bounds};
 use crate::disk::{self, Entry, Snapshot};
+use crate::fleet::Fleet;
 use crate::node::Status;
 
 /// The longest frame, whole.
@@ -15,6 +16,9 @@
 /// A frame goes in pieces of so many bytes.
 pub const PIECE: usize = 48 * 1024;
 
+/// No term and no number comes to this in any router's life; Raft counts on from what it is told.
+const FAR: u64 = 1 << 48;
+
 /// What is said.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
@@ -146,9 +150,26 @@
         })
     }
 
+    /// A snapshot that says who votes and what the fleet is, as of one number.
+    fn is_whole(snapshot: &Snapshot) -> bool {
+        let fleet = Fleet::read(&snapshot.data);
+        let all =
+            || snapshot.voters.iter().chain(&snapshot.learners).collect::<std::collections::BTreeSet<_>>();
+        (1..=FAR).contains(&snapshot.index)
+            && (1..=FAR).contains(&snapshot.term)
+            && !snapshot.voters.is_empty()
+            && all().len() == snapshot.voters.len() + snapshot.learners.len()
+            && fleet.is_some_and(|fleet| fleet.number == snapshot.index)
+    }
+
     /// As Raft reads it; none where no elector of ours can have sent it: Raft would take it for a broken invariant.
     pub(crate) fn to_raft(&self, last: u64) -> Option<pb::Message> {
         let kind = *KINDS.get(usize::from(self.kind)).filter(|k| **k != pb::MessageType::MsgUnreachable)?;
+        let far =
+            [self.term, self.log_term, self.index, self.commit, self.commit_term, self.request_snapshot];
+        if far.iter().any(|n| *n > FAR) {
+            return None;
+        }
         let follows = self
             .entries
             .iter()
@@ -158,9 +179,11 @@
         let good = match kind {
             pb::MessageType::MsgAppend => follows && sorted,
             pb::MessageType::MsgHeartbeat => self.entries.is_empty() && self.commit <= last,
-            pb::MessageType::MsgSnapshot => {
-                self.snapshot.as_ref().is_some_and(|s| s.index > 0 && !s.voters.is_empty())
+            pb::MessageType::MsgSnapshot => self.snapshot.as_ref().is_some_and(Self::is_whole),
+            pb::MessageType::MsgAppendResponse => {
+                self.entries.is_empty() && self.index <= last && self.reject_hint <= last
             }
+
             pb::MessageType::MsgReadIndex | pb::MessageType::MsgReadIndexResp => self.entries.len() == 1,
             _ => self.entries.is_empty(),
         };
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -17,6 +17,21 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// A while without faults, a decision a second: how long one takes to reach all, and what is sent
+    Calm {
+        /// Routers
+        #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u16).range(1..=2000))]
+        routers: u16,
+        /// Electors
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(1..=5))]
+        electors: u16,
+        /// Simulated seconds
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        /// Seeds, the last not among them
+        #[arg(long, value_parser = seeds, default_value = "0..5")]
+        seeds: Range<u64>,
+    },
     /// Short runs with faults by seed, checked at every event; exits with 1 where one breaks
     Swarm {
         /// Which routers' part
@@ -57,14 +72,25 @@
 }
 
 fn main() -> ExitCode {
-    let Command::Swarm { what: What::Agreement, seeds, routers, without } = Line::parse().command;
+    let (seeds, routers, without) = match Line::parse().command {
+        Command::Swarm { what: What::Agreement, seeds, routers, without } => (seeds, routers, without),
+        Command::Calm { routers, electors, seconds, seeds } => {
+            for seed in seeds {
+                let (routers, electors) = (usize::from(routers), usize::from(electors.min(routers)));
+                let began = Instant::now();
+                println!("{}", swarm::calm(routers, electors, seconds * 1_000_000, seed));
+                println!("  {:.1} s of this machine's time", began.elapsed().as_secs_f64());
+            }
+            return ExitCode::SUCCESS;
+        }
+    };
     let without = without.map(|guard| match guard {
         Guard::Fence => Without::Fence,
         Guard::Sync => Without::Sync,
         Guard::Quorum => Without::Quorum,
         Guard::Dedupe => Without::Dedupe,
     });
-    let options = Options { routers: usize::from(routers), without };
+    let options = Options { routers: usize::from(routers), without, calm: None };
     let began = Instant::now();
     let all = swarm::many(seeds.clone(), &options);
     let took = began.elapsed().as_secs_f64();
--- a/lab/src/swarm.rs
+++ b/lab/src/swarm.rs
@@ -92,11 +92,13 @@
     pub routers: usize,
     /// The guard that is taken out.
     pub without: Option<Without>,
+    /// No faults, and staff at work for so long: to measure, not to check. None: a scenario.
+    pub calm: Option<Micros>,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { routers: 8, without: None }
+        Self { routers: 8, without: None, calm: None }
     }
 }
 
@@ -123,6 +125,10 @@
     pub frames: u64,
     /// Simulated time.
     pub ended: Micros,
+    /// In calm: from a decision to the last router's having it.
+    pub to_all: Vec<Micros>,
+    /// In calm: frames and bytes that each router sent.
+    pub sent: Vec<(u64, u64)>,
 }
 
 enum What {
@@ -189,6 +195,8 @@
     digests: BTreeMap<u64, u64>,
     decided_at: BTreeMap<u64, Micros>,
     settled: BTreeMap<ProposalId, Verdict>,
+    /// In calm: how many routers have a number.
+    reached: BTreeMap<u64, usize>,
     told: BTreeMap<ProposalId, Verdict>,
     out: Outcome,
 }
@@ -233,9 +241,10 @@
 /// Plays a seed with these faults.
 pub fn play(seed: u64, options: &Options, electors: usize, faults: &[Fault]) -> Outcome {
     let mut swarm = Swarm::new(seed, *options, electors, faults);
+    let end = options.calm.unwrap_or(END);
     while swarm.out.broken.is_none() {
         let Some(((at, _), what)) = swarm.queue.pop_first() else { break };
-        if at > END {
+        if at > end {
             break;
         }
         swarm.now = at;
@@ -248,6 +257,36 @@
     swarm.end()
 }
 
+/// A calm while with so many electors, in words for a person.
+pub fn calm(routers: usize, electors: usize, time: Micros, seed: u64) -> String {
+    let options = Options { routers, without: None, calm: Some(time) };
+    let mut out = play(seed, &options, electors, &[]);
+    out.to_all.sort_unstable();
+    // The first seconds are the forming's and the joins'.
+    let part = |share: usize| out.to_all.get(out.to_all.len() * share / 100).copied().unwrap_or(0) / MS;
+    let rate = |range: std::ops::Range<usize>| {
+        let all = out.sent.get(range.clone()).unwrap_or_default();
+        let (frames, bytes) = all.iter().fold((0, 0), |(f, b), (g, c)| (f + g, b + c));
+        let each = (range.len().max(1) as u64 * time) as f64 / SECOND as f64;
+        (frames as f64 / each, bytes as f64 / each)
+    };
+    let (elector, follower) = (rate(0..electors), rate(electors..routers));
+    let broken = out.broken.map_or(String::new(), |what| format!("; BROKEN: {what}"));
+    format!(
+        "{routers} routers, {electors} electors, {} s, seed {seed}: {} decisions at all: median {} ms, 95 % {} ms, \
+         longest {} ms; an elector sends {:.1} frames and {:.0} bytes a second, a follower {:.1} and {:.0}{broken}",
+        time / SECOND,
+        out.to_all.len(),
+        part(50),
+        part(95),
+        out.to_all.last().copied().unwrap_or(0) / MS,
+        elector.0,
+        elector.1,
+        follower.0,
+        follower.1
+    )
+}
+
 /// What many runs came to.
 #[derive(Clone, Debug, Default)]
 pub struct Sum {
@@ -396,6 +435,7 @@
             digests: BTreeMap::new(),
             decided_at: BTreeMap::new(),
             settled: BTreeMap::new(),
+            reached: BTreeMap::new(),
             told: BTreeMap::new(),
             out: Outcome::default(),
         };
@@ -544,7 +584,11 @@
                 }
             }
         }
-        if self.now >= TROUBLE && self.healed.is_none() && self.out.broken.is_none() {
+        if self.options.calm.is_none()
+            && self.now >= TROUBLE
+            && self.healed.is_none()
+            && self.out.broken.is_none()
+        {
             self.healed = Some(self.now);
             self.call();
         }
@@ -616,6 +660,12 @@
             return;
         }
         let bytes = pieces(frame);
+        if self.options.calm.is_some() {
+            self.out.sent.resize(self.places.len(), (0, 0));
+            let all: usize = bytes.iter().map(|piece| piece.len() + 5).sum();
+            let (frames, sent) = self.out.sent[from];
+            self.out.sent[from] = (frames + 1, sent + all as u64);
+        }
         let copies = 1 + u32::from(self.loss > 0 && self.rng.random_range(0..10) == 0);
         for _ in 0..copies {
             let way = self.rng.random_range(100..2 * MS) + self.rng.random_range(0..=self.slow);
@@ -705,7 +755,11 @@
         if healed {
             self.last_call.get_or_insert((n, None));
         }
-        let pause = if healed { 700 * MS } else { self.rng.random_range(50 * MS..900 * MS) };
+        let pause = match (healed, self.options.calm) {
+            (true, _) => 700 * MS,
+            (_, Some(_)) => SECOND,
+            _ => self.rng.random_range(50 * MS..900 * MS),
+        };
         if healed && self.calls[call].settled {
             return;
         }
@@ -736,7 +790,14 @@
         if digest != applied.digest {
             self.broken(format!("n{n} has another outcome at {number} than was seen before"));
         }
-        self.decided_at.entry(number).or_insert(self.now);
+        let decided = *self.decided_at.entry(number).or_insert(self.now);
+        if self.options.calm.is_some() {
+            let reached = self.reached.entry(number).or_default();
+            *reached += 1;
+            if *reached == self.options.routers {
+                self.out.to_all.push(self.now - decided);
+            }
+        }
         if let Some((id, verdict)) = &applied.outcome {
             let first = self.settled.entry(*id).or_insert_with(|| verdict.clone()).clone();
             if first != *verdict {
@@ -799,7 +860,7 @@
     fn end(mut self) -> Outcome {
         self.out.decided = self.digests.last_key_value().map_or(0, |(number, _)| *number);
         self.out.ended = self.now;
-        if self.out.broken.is_some() {
+        if self.out.broken.is_some() || self.options.calm.is_some() {
             return self.out;
         }
         if !matches!(self.last_call, Some((_, Some(_)))) {
--- a/lab/tests/swarm.rs
+++ b/lab/tests/swarm.rs
@@ -9,7 +9,7 @@
     let all = many(0..600, &Options::default());
     assert_eq!(all.first, None, "{}", all.summary());
     assert!(all.worst.0 <= LEASE && all.acts > 100_000, "{}", all.summary());
-    let many_followers = many(0..8, &Options { routers: 60, without: None });
+    let many_followers = many(0..8, &Options { routers: 60, ..Options::default() });
     assert_eq!(many_followers.first, None);
 }
 
