--- a/silverspindle/tests/agreement.rs
+++ b/silverspindle/tests/agreement.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use std::fs;
-use std::io::{Read, Seek, SeekFrom, Write as _};
+use std::io::{BufRead, BufReader, Read, Seek, SeekFrom, Write as _};
 use std::path::PathBuf;
 
 use common::*;
@@ -157,3 +157,172 @@
         }
     }
 }
+
+fn child(folder: &std::path::Path, shell: &str) -> std::process::Command {
+    let mut command = std::process::Command::new("sh");
+    let line = format!(
+        "{shell} exec '{}' --ignored --exact writer_of_a_log --nocapture",
+        std::env::current_exe().unwrap().display()
+    );
+    command.args(["-c", &line]).env("LOG_FOLDER", folder).stderr(std::process::Stdio::null());
+    command
+}
+
+/// Writes a log as fast as it can, and says each number once it is durable; a process of its own for the tests below.
+#[test]
+#[ignore = "a process for the next tests"]
+fn writer_of_a_log() {
+    let folder = PathBuf::from(std::env::var("LOG_FOLDER").unwrap());
+    let (store, disk) = Store::open(&folder, "n0").unwrap();
+    let mut out = std::io::stdout().lock();
+    let next = disk.entries.len() as u64 + 1;
+    // A bound for where the test that started it was killed itself.
+    for index in next..next + 3000 {
+        let hard = Some(HardState { term: index, vote: disk.id, commit: 0 });
+        let entries = vec![Entry { data: vec![7; 4000], ..entry(index, 1) }];
+        match store.write(&Write { hard, entries, ..Write::default() }) {
+            Ok(()) => writeln!(out, "durable {index}").unwrap(),
+            Err(e) => return writeln!(out, "refused {e}").unwrap(),
+        }
+    }
+}
+
+/// The last number that was said to be durable.
+fn said(out: &[u8]) -> u64 {
+    let text = String::from_utf8_lossy(out);
+    let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
+    whole.lines().rev().find_map(|l| l.strip_prefix("durable ")?.parse().ok()).unwrap_or(0)
+}
+
+/// Guards against a vote or an entry that was told as kept and is not: killed at any point of its writes, an elector
+/// finds all that it had called durable, its log without a gap and term and vote with it.
+#[test]
+fn an_elector_killed_amid_its_writes_keeps_what_it_called_durable() {
+    let folder = folder();
+    drop(Store::open(folder.path(), "n0").unwrap());
+    for round in 0..40u64 {
+        let mut writer = child(folder.path(), "").stdout(std::process::Stdio::piped()).spawn().unwrap();
+        let mut rest = Vec::new();
+        let mut lines = BufReader::new(writer.stdout.take().unwrap());
+        while !rest.ends_with(b"\n") || said(&rest) == 0 {
+            assert!(lines.read_until(b'\n', &mut rest).unwrap() > 0, "it ended by itself");
+        }
+        // It writes by now; the point differs.
+        std::thread::sleep(std::time::Duration::from_micros(200 + round * 977 % 20_000));
+        writer.kill().unwrap();
+        lines.read_to_end(&mut rest).unwrap();
+        writer.wait().unwrap();
+        let last = said(&rest);
+        let (_, disk) = Store::open(folder.path(), "n0").unwrap();
+        let kept = disk.entries.len() as u64;
+        assert!(kept >= last, "{last} was durable, {kept} are there");
+        assert_eq!(disk.hard.term, kept);
+        assert!(disk.entries.keys().copied().eq(1..=kept));
+    }
+}
+
+/// A full disk is an error and not a torn log: what was durable is there when there is room again.
+#[test]
+fn a_full_disk_refuses_and_keeps_what_it_has() {
+    let folder = folder();
+    drop(Store::open(folder.path(), "n0").unwrap());
+    // No file grows over so many blocks of 512 bytes; the signal for it is ignored, so that the write fails.
+    let out = child(folder.path(), "trap '' XFSZ; ulimit -f 12000;").output().unwrap();
+    let text = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert!(text.contains("refused"), "{text}");
+    let last = said(&out.stdout);
+    let (_, disk) = Store::open(folder.path(), "n0").unwrap();
+    assert!(last > 0 && disk.entries.len() as u64 >= last && disk.hard.term >= last, "{last}");
+}
+
+// ---- Peers that have no business here.
+
+/// Another authority's certificate, another version, a frame that claims 3 GB, garbage: each ends its own connection,
+/// and the elector goes on deciding.
+#[test]
+fn a_foreign_peer_another_version_and_a_frame_of_3_gb_hurt_nobody() {
+    use futures_lite::{AsyncReadExt, AsyncWriteExt};
+    use silverspindle::agreement::staff::{self, Staff};
+    use silverspindle::knowledge::keys::{self, Tls};
+    use silverspindle_conf::Files;
+    use silverspindle_knowledge::protocol::{self, Message, VERSION};
+    use silverspindle_knowledge::{InstanceId, Source};
+    use silverspindle_standins::ports::Port;
+
+    let (folder, port) = (folder(), Port::hold(ip()).unwrap());
+    let office = |name: &str| {
+        let keys = folder.path().join(name);
+        keys::init(&keys, 100).unwrap();
+        ["n0", "staff"].iter().for_each(|who| keys::issue(&keys, who, 100).unwrap());
+        keys
+    };
+    let (own, foreign) = (office("own"), office("foreign"));
+    let files = |keys: &PathBuf, who: &str| Files {
+        authority: keys.join("authority.pem"),
+        certificate: keys.join(format!("{who}.pem")),
+        key: keys.join(format!("{who}.key")),
+    };
+    let conf = |who: &str, more: &str| {
+        let files = files(&own, who);
+        let text = format!(
+            "exchange-authority '{}'\nexchange-certificate '{}'\nexchange-key '{}'\nagree-elector n0 {}\n{more}",
+            files.authority.display(),
+            files.certificate.display(),
+            files.key.display(),
+            port.address
+        );
+        silverspindle_conf::read(&text).unwrap()
+    };
+    run(async |tasks| {
+        let (_coordinator, address) = listen();
+        let file = configuration(&[entry_of(address)], address);
+        let more = format!(
+            "exchange-listen {}\nagree-directory '{}'\nagree-operator staff",
+            port.address,
+            folder.path().display()
+        );
+        let _router =
+            silverspindle::serve::Router::start(config(&file).unwrap(), conf("n0", &more), tasks).unwrap();
+        let staff = Staff::new(&conf("staff", "")).unwrap();
+        while staff::leader(&staff.status().await).is_none() {}
+        let me = Source { instance: InstanceId::of("staff"), incarnation: 1 };
+        let open = |version| protocol::encode(&Message::Open { me }, version);
+        let liar = Source { instance: InstanceId::of("n0"), incarnation: 1 };
+        let cases: [(&str, &PathBuf, Vec<u8>); 6] = [
+            ("another authority", &foreign, open(VERSION)),
+            ("another version", &own, open(VERSION + 1)),
+            ("another's name", &own, protocol::encode(&Message::Open { me: liar }, VERSION)),
+            ("a frame of 3 GB", &own, [open(VERSION), 3_000_000_000u32.to_be_bytes().to_vec()].concat()),
+            ("garbage", &own, [open(VERSION), b"GET / HTTP/1.1\r\n\r\n".to_vec()].concat()),
+            (
+                "a piece that is none",
+                &own,
+                [open(VERSION), protocol::encode(&Message::Piece(vec![1, 99, 99]), VERSION)].concat(),
+            ),
+        ];
+        for (what, keys, bytes) in cases {
+            let tls = Tls::read(&files(keys, "staff")).unwrap();
+            let stream = async_io::Async::<std::net::TcpStream>::connect(port.address).await.unwrap();
+            let name = rustls::pki_types::ServerName::try_from("n0").unwrap();
+            let connector = futures_rustls::TlsConnector::from(tls.client.clone());
+            if let Ok(mut stream) = connector.connect(name, stream).await {
+                let _ = stream.write_all(&bytes).await;
+                let _ = stream.flush().await;
+                // Whatever comes, the end comes.
+                let mut rest = Vec::new();
+                let _ = stream.read_to_end(&mut rest).await;
+                assert!(rest.len() < 200, "{what}");
+            } else {
+                assert_eq!(what, "another authority");
+            }
+            let change =
+                silverspindle_agreement::Change::Note { topic: "still".to_owned(), body: what.into() };
+            let (id, reply) = staff.propose(change, None).await.unwrap();
+            assert!(staff::outcome(id, &reply).is_ok(), "{what}: {reply:?}");
+        }
+    });
+}
+
+fn entry_of(address: std::net::SocketAddr) -> serde_json::Value {
+    common::entry(99, "origin", address)
+}
