--- a/agreement/tests/core.rs
+++ b/agreement/tests/core.rs
@@ -16,7 +16,7 @@
         lease: LEASE,
         drift_ppm: 1000,
         patience: 3 * LEASE,
-        seed: name.bytes().map(u64::from).sum(),
+        seed: name.bytes().fold(7, |seed, b| seed * 131 + u64::from(b)),
         guards: Guards::default(),
     }
 }
@@ -30,9 +30,15 @@
     staff: Vec<(ProposalId, Option<Verdict>)>,
     shouts: Vec<String>,
     wholes: usize,
+    asked: std::collections::BTreeMap<String, u64>,
 }
 
 impl Net {
+    /// Questions so far, by asker.
+    fn asks(&self) -> Vec<u64> {
+        self.nodes.iter().map(|(name, _)| self.asked.get(name).copied().unwrap_or(0)).collect()
+    }
+
     fn new(electors: &[&str], followers: &[&str]) -> Self {
         let disk = |n: usize| Some(Disk::new(100 + n as u64));
         let mut nodes = Vec::new();
@@ -42,7 +48,15 @@
         for name in followers {
             nodes.push(((*name).to_owned(), Node::new(terms(name, electors), None, 0)));
         }
-        Self { now: 0, nodes, off: vec![], staff: vec![], shouts: vec![], wholes: 0 }
+        Self {
+            now: 0,
+            nodes,
+            off: vec![],
+            staff: vec![],
+            shouts: vec![],
+            wholes: 0,
+            asked: Default::default(),
+        }
     }
 
     fn node(&self, name: &str) -> &Node {
@@ -62,6 +76,9 @@
                         self.staff.push((id, verdict));
                     }
                     Action::Send { to, frame } => {
+                        if matches!(frame, Frame::Ask { .. }) {
+                            *self.asked.entry(name.clone()).or_default() += 1;
+                        }
                         if !self.off.contains(&name) && !self.off.contains(&to) {
                             queue.push((to, Event::Heard { from: name.clone(), frame }));
                         }
@@ -234,6 +251,30 @@
     assert_eq!(net.node(&leader).fence().may_act(net.now), None);
 }
 
+/// A hundred followers that lost their elector at once come back without a common beat: no twentieth of the time
+/// between two questions gets a fifth of them, now or a minute later.
+#[test]
+fn a_hundred_followers_come_back_without_a_common_beat() {
+    let names: Vec<String> = (0..100).map(|n| format!("f{n}")).collect();
+    let followers: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut net = Net::new(&["a"], &followers);
+    net.run(LEASE);
+    net.off.push("a".to_owned());
+    net.run(3 * LEASE);
+    net.off.clear();
+    for pause in [0, 60_000_000] {
+        net.run(pause);
+        let part = LEASE / 4 / 20;
+        for _ in 0..20 {
+            let before: Vec<u64> = net.asks();
+            net.run(part);
+            let asked = net.asks().iter().zip(&before).filter(|(now, before)| now > before).count();
+            assert!(asked <= 20, "{asked} of 100 in {part} us");
+        }
+    }
+    assert!(names.iter().all(|name| net.node(name).fence().may_act(net.now).is_some()));
+}
+
 fn cases() -> Cases {
     Cases { rng_seed: RngSeed::Fixed(24), failure_persistence: None, cases: 400, ..Cases::default() }
 }
