Work orders' core: machines go out in an order computed alike, with a swarm that checks it

Need: first slice of taking machines out for work: the core and its simulator. Change: work/ is a step from one agreed text to the next: orders, apart or together, a machine's stages, the next machine by what the routers bid, headroom and machines out at a time by place, electors never short of a quorum, the leader's turn after handing over, taking back when a place becomes short or staff say stop, refusals with their figures. A machine is out once every router on the roll has told that it acts on the asking and has nothing open there, or once nobody can act on what was overtaken (stated time and longest deadline). Questions to electors carry what routers tell of themselves, electors hand it on to the leader. (b) a machine taken back and asked again within one look of the leader kept its first turn's time: turns are counted in the agreed text. (c) who is struck off the roll acts on for a while: waited for as for who is not heard. Nothing of the program uses it yet.

--- a/agreement/src/decision.rs
+++ b/agreement/src/decision.rs
@@ -26,6 +26,10 @@
     pub const LOG: u64 = 2048;
     /// Proposals that an elector holds until they are settled.
     pub const PENDING: usize = 256;
+    /// Bytes of what a router tells of itself.
+    pub const REPORT: usize = 4096;
+    /// Bytes of what an elector hands on of others' telling, at a time.
+    pub const REPORTS: usize = 256 * 1024;
     /// Frames of all kinds are no longer, whatever they claim.
     pub const FRAME: usize = 1 << 20;
 }
--- a/agreement/src/fleet.rs
+++ b/agreement/src/fleet.rs
@@ -52,6 +52,8 @@
     pub roll: BTreeMap<String, Member>,
     /// Electors by their disks' identity.
     pub electors: BTreeMap<u64, Elector>,
+    /// The latest decision that struck a router off the roll; 0: none.
+    pub struck: u64,
     /// Texts by topic.
     pub notes: BTreeMap<String, Note>,
     /// What was settled lately, for who asks again; oldest first.
@@ -122,6 +124,7 @@
             }
             Change::Forget { name } => {
                 self.roll.remove(&name);
+                self.struck = number;
             }
             Change::Seat(Seat::Admit { name, id }) => {
                 self.electors.insert(id, Elector { name, votes: false, number });
--- a/agreement/src/node.rs
+++ b/agreement/src/node.rs
@@ -264,6 +264,9 @@
     pending: BTreeMap<ProposalId, Pending>,
     digests: VecDeque<(u64, u64)>,
     heard: BTreeMap<String, Heard>,
+    /// What this router tells of itself, and what others have told, by name.
+    report: Vec<u8>,
+    reports: BTreeMap<String, Vec<u8>>,
     waiting: BTreeMap<String, u64>,
     /// Leaders seen, for who counts changes.
     lead: u64,
@@ -312,6 +315,8 @@
             pending: BTreeMap::new(),
             digests: VecDeque::new(),
             heard: BTreeMap::new(),
+            report: Vec::new(),
+            reports: BTreeMap::new(),
             waiting: BTreeMap::new(),
             lead: 0,
             shouted: BTreeMap::new(),
@@ -367,6 +372,18 @@
         self.fleet.electors.get(&leader).map(|e| e.name.clone())
     }
 
+    /// What this router tells of itself from now on, to whoever leads; empty: nothing. Too long a one is not told.
+    pub fn tell(&mut self, report: Vec<u8>) {
+        self.report = if report.len() <= bounds::REPORT { report } else { Vec::new() };
+    }
+
+    /// What routers have told of themselves, this one among them.
+    pub fn reports(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        let own = Some((self.terms.name.as_str(), self.report.as_slice())).filter(|(_, own)| !own.is_empty());
+        let others = self.reports.iter().map(|(name, report)| (name.as_str(), report.as_slice()));
+        own.into_iter().chain(others)
+    }
+
     /// How the fleet stands.
     pub fn status(&self) -> Status {
         let roll = self.fleet.roll.iter().map(|(name, m)| (name.clone(), m.life, m.left));
@@ -591,11 +608,18 @@
                 self.propose(proposal, Origin::Peer(from.to_owned()), out);
             }
             Frame::Settled { id, verdict: Some(verdict) } if elector => self.settle(id, &verdict, out),
-            Frame::Ask { seq, fleet, have, digest, seat, age, life } => {
+            Frame::Ask { seq, fleet, have, digest, seat, age, life, reports } => {
                 if self.heard.len() < bounds::ROLL || self.heard.contains_key(from) {
                     let heard = Heard { life, have, digest, age, at: self.now };
                     self.heard.insert(from.to_owned(), heard);
                 }
+                for (name, report) in reports {
+                    // Of itself anybody, of others an elector; of who is on the roll.
+                    let may = name == from || (elector && name != self.terms.name);
+                    if may && report.len() <= bounds::REPORT && self.fleet.roll.contains_key(&name) {
+                        self.reports.insert(name, report);
+                    }
+                }
                 match seat {
                     Some(id) if elector => self.waiting.insert(from.to_owned(), id),
                     _ => self.waiting.remove(from),
@@ -932,7 +956,12 @@
         let jitter = self.rng.random_range(0..=every / 4);
         self.asking.next = self.now + every - jitter;
         let seated = self.raft.is_some();
-        if seated && self.fence.age(self.now).is_some_and(|age| age < self.terms.lease / 2) {
+        let tells = !self.report.is_empty() || !self.reports.is_empty();
+        let leader = self.leader().filter(|leader| seated && tells && *leader != self.terms.name);
+        if seated
+            && leader.is_none()
+            && self.fence.age(self.now).is_some_and(|age| age < self.terms.lease / 2)
+        {
             let compare = COMPARE * self.terms.lease;
             if self.now < self.asking.asked + compare {
                 return;
@@ -942,6 +971,8 @@
         if self.asking.open || seated {
             self.asking.target = (self.asking.target + 1) % electors.max(1);
         }
+        let lead = self.terms.electors.iter().position(|name| Some(name) == leader.as_ref());
+        self.asking.target = lead.unwrap_or(self.asking.target);
         for _ in 0..electors {
             if self.terms.electors[self.asking.target] != self.terms.name {
                 break;
@@ -962,10 +993,21 @@
             seat: self.disk.as_ref().map(|_| self.id),
             age: self.fence.age(self.now),
             life: self.terms.life,
+            reports: self.told(seated),
         };
         out.push(Action::Send { to: to.clone(), frame });
     }
 
+    /// What goes along with a question: its own telling, and from an elector what it was told.
+    fn told(&self, seated: bool) -> Vec<(String, Vec<u8>)> {
+        let mut size = 0;
+        let fits = |(name, report): &(&str, &[u8])| {
+            size += name.len() + report.len() + 8;
+            size <= bounds::REPORTS && (seated || *name == self.terms.name)
+        };
+        self.reports().take_while(fits).map(|(name, report)| (name.to_owned(), report.to_vec())).collect()
+    }
+
     fn learn(&mut self, entries: Numbered, snapshot: Option<Vec<u8>>, out: &mut Vec<Action>) {
         if let Some(fleet) = snapshot.and_then(|bytes| Fleet::read(&bytes))
             && fleet.number > self.fleet.number
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -52,6 +52,8 @@
 enum What {
     /// The log of decisions and its confirmation
     Agreement,
+    /// Machines taken out for work, on top of it
+    Work,
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -64,6 +66,12 @@
     Quorum,
     /// Once through all retries
     Dedupe,
+    /// Work: the wait until nobody uses a machine
+    Clear,
+    /// Work: the wait for who is not heard
+    Unreached,
+    /// Work: the headroom that a place keeps
+    Headroom,
 }
 
 fn seeds(text: &str) -> Result<Range<u64>, String> {
@@ -72,8 +80,8 @@
 }
 
 fn main() -> ExitCode {
-    let (seeds, routers, without) = match Line::parse().command {
-        Command::Swarm { what: What::Agreement, seeds, routers, without } => (seeds, routers, without),
+    let (what, seeds, routers, without) = match Line::parse().command {
+        Command::Swarm { what, seeds, routers, without } => (what, seeds, routers, without),
         Command::Calm { routers, electors, seconds, seeds } => {
             for seed in seeds {
                 let (routers, electors) = (usize::from(routers), usize::from(electors.min(routers)));
@@ -89,8 +97,12 @@
         Guard::Sync => Without::Sync,
         Guard::Quorum => Without::Quorum,
         Guard::Dedupe => Without::Dedupe,
+        Guard::Clear => Without::Clear,
+        Guard::Unreached => Without::Unreached,
+        Guard::Headroom => Without::Headroom,
     });
-    let options = Options { routers: usize::from(routers), without, calm: None };
+    let options =
+        Options { routers: usize::from(routers), without, calm: None, work: matches!(what, What::Work) };
     let began = Instant::now();
     let all = swarm::many(seeds.clone(), &options);
     let took = began.elapsed().as_secs_f64();
--- a/lab/src/swarm.rs
+++ b/lab/src/swarm.rs
@@ -2,6 +2,8 @@
 //! only what was synced, stalls and drift. A checker reads what the routers did, event by event; it knows what they
 //! promise and nothing of how.
 
+mod work;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
@@ -22,6 +24,8 @@
 const TROUBLE: Micros = 12 * SECOND;
 /// From the healing on, a new decision is made and everywhere within this time.
 pub const PROGRESS: Micros = 8 * SECOND;
+/// Work orders end within so much more.
+const WORK_ENDS: Micros = 20 * SECOND;
 /// A run ends by itself after so long.
 const END: Micros = TROUBLE + PROGRESS + SECOND;
 /// How often each router acts.
@@ -42,6 +46,12 @@
     Quorum,
     /// Once through all retries.
     Dedupe,
+    /// The wait until nobody uses a machine.
+    Clear,
+    /// The wait for who is not heard.
+    Unreached,
+    /// The headroom that a place keeps.
+    Headroom,
 }
 
 /// What goes wrong, at a time and for so long.
@@ -76,6 +86,8 @@
     Slow(u16),
     /// All electors die at once.
     All,
+    /// A box is dead; only where work orders are simulated.
+    Box(u32),
 }
 
 impl fmt::Display for Fault {
@@ -94,11 +106,13 @@
     pub without: Option<Without>,
     /// No faults, and staff at work for so long: to measure, not to check. None: a scenario.
     pub calm: Option<Micros>,
+    /// Work orders go on top of the agreement.
+    pub work: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { routers: 8, without: None, calm: None }
+        Self { routers: 8, without: None, calm: None, work: false }
     }
 }
 
@@ -141,6 +155,8 @@
     },
     Act(usize),
     Propose,
+    Lead(usize),
+    Staff,
     Fault(usize),
     Heal(usize),
     /// Writes that a disk was slow with are on it.
@@ -191,6 +207,7 @@
     healed: Option<Micros>,
     calls: Vec<Call>,
     last_call: Option<(usize, Option<u64>)>,
+    yard: work::Yard,
     // The checker's.
     digests: BTreeMap<u64, u64>,
     decided_at: BTreeMap<u64, Micros>,
@@ -222,6 +239,7 @@
             12 => Kind::Loss(rng.random_range(1..60)),
             13 => Kind::Slow(rng.random_range(5..400)),
             14 => Kind::All,
+            _ if options.work && rng.random() => Kind::Box(rng.random_range(1..=4)),
             _ => Kind::Lose(elector),
         };
         // Disks lost: a minority's at most, or there is nothing left to agree with.
@@ -241,7 +259,7 @@
 /// Plays a seed with these faults.
 pub fn play(seed: u64, options: &Options, electors: usize, faults: &[Fault]) -> Outcome {
     let mut swarm = Swarm::new(seed, *options, electors, faults);
-    let end = options.calm.unwrap_or(END);
+    let end = options.calm.unwrap_or(if options.work { END + WORK_ENDS } else { END });
     while swarm.out.broken.is_none() {
         let Some(((at, _), what)) = swarm.queue.pop_first() else { break };
         if at > end {
@@ -259,7 +277,7 @@
 
 /// A calm while with so many electors, in words for a person.
 pub fn calm(routers: usize, electors: usize, time: Micros, seed: u64) -> String {
-    let options = Options { routers, without: None, calm: Some(time) };
+    let options = Options { routers, without: None, calm: Some(time), work: false };
     let mut out = play(seed, &options, electors, &[]);
     out.to_all.sort_unstable();
     // The first seconds are the forming's and the joins'.
@@ -432,6 +450,7 @@
             healed: None,
             calls: vec![],
             last_call: None,
+            yard: work::Yard::default(),
             digests: BTreeMap::new(),
             decided_at: BTreeMap::new(),
             settled: BTreeMap::new(),
@@ -439,6 +458,9 @@
             told: BTreeMap::new(),
             out: Outcome::default(),
         };
+        if options.work {
+            swarm.begin_work();
+        }
         for n in 0..options.routers {
             swarm.start(n);
             let at = swarm.rng.random_range(0..ACT_EVERY);
@@ -518,6 +540,7 @@
     }
 
     fn crash(&mut self, n: usize) {
+        self.drop_uses(n);
         let place = &mut self.places[n];
         place.node = None;
         place.queue.clear();
@@ -560,6 +583,8 @@
                 self.at(at, What::Act(n));
             }
             What::Propose => self.call(),
+            What::Lead(n) => self.lead(n),
+            What::Staff => self.staff(),
             What::Fault(n) => self.fault(self.faults[n].kind, true),
             What::Heal(n) => {
                 self.fault(self.faults[n].kind, false);
@@ -596,6 +621,9 @@
 
     fn handle(&mut self, n: usize, event: Event) {
         let now = self.local(n);
+        if self.options.work {
+            self.report(n);
+        }
         let place = &mut self.places[n];
         if place.still > self.now || !place.after.is_empty() {
             // What waits at a process that stands still is bounded, as a socket's buffer is.
@@ -691,7 +719,7 @@
             Kind::Stall(n) => {
                 let life = self.places[n].life;
                 match begins {
-                    true => self.places[n].still = END * 2,
+                    true => self.places[n].still = END * 9,
                     false => {
                         self.places[n].still = self.now;
                         self.at(self.now, What::Go(n, life));
@@ -707,6 +735,13 @@
                 let apart = (0..all).flat_map(|a| (0..all).map(move |b| (a, b)));
                 pairs.extend(apart.filter(|(a, b)| side(*a) != side(*b)));
             }
+            Kind::Box(id) => {
+                if begins {
+                    self.yard.dead.insert(id);
+                } else {
+                    self.yard.dead.remove(&id);
+                }
+            }
             Kind::Loss(share) => self.loss = if begins { u32::from(share) } else { 0 },
             Kind::Slow(ms) => self.slow = if begins { Micros::from(ms) * MS } else { 0 },
         }
@@ -791,6 +826,9 @@
             self.broken(format!("n{n} has another outcome at {number} than was seen before"));
         }
         let decided = *self.decided_at.entry(number).or_insert(self.now);
+        if self.options.work {
+            self.decided_work(n, number);
+        }
         if self.options.calm.is_some() {
             let reached = self.reached.entry(number).or_default();
             *reached += 1;
@@ -830,6 +868,9 @@
                 let next = self.decided_at.range(number + 1..).map(|(_, at)| *at).min();
                 let late = next.map_or(0, |at| self.now.saturating_sub(at));
                 self.out.worst = self.out.worst.max(late);
+                if self.options.work {
+                    self.use_a_box(n);
+                }
                 if late > LEASE {
                     self.broken(format!("n{n} acts on {number}, overtaken for {} ms", late / MS));
                 }
@@ -841,7 +882,7 @@
                         .places
                         .iter()
                         .all(|p| p.node.as_ref().is_some_and(|node| node.fleet().number >= made));
-                    if all && self.all_may_act() {
+                    if all && self.all_may_act() && (!self.options.work || self.work_is_done()) {
                         self.out.recovered = self.now - healed;
                         self.last_call = Some((call, Some(self.now)));
                     }
--- a/lab/tests/swarm.rs
+++ b/lab/tests/swarm.rs
@@ -36,6 +36,38 @@
     }
 }
 
+fn work(without: Option<Without>) -> Options {
+    Options { without, work: true, ..Options::default() }
+}
+
+/// Machines taken out for work on top of the agreement: no request at a machine that is out, never more gone than may
+/// be, and all orders end once all has healed.
+#[test]
+fn no_seed_of_work_orders_breaks_a_promise() {
+    let all = many(0..400, &work(None));
+    assert_eq!(all.first, None, "{}", all.summary());
+}
+
+/// Seeds that once broke a promise: a router that acted before it was on the roll, where nobody waited for it.
+#[test]
+fn seeds_of_work_orders_that_once_broke_do_not() {
+    let (electors, faults) = scenario(52, &work(None));
+    assert_eq!(play(52, &work(None), electors, &faults).broken, None);
+}
+
+/// Each guard of the orders, and the fence below them, keeps out what the checks find without it.
+#[test]
+fn without_any_one_guard_of_work_the_swarm_finds_a_breach() {
+    for guard in [Without::Clear, Without::Unreached, Without::Headroom, Without::Fence] {
+        let options = work(Some(guard));
+        let found = (0..1000).find(|seed| {
+            let (electors, faults) = scenario(*seed, &options);
+            play(*seed, &options, electors, &faults).broken.is_some()
+        });
+        assert!(found.is_some(), "nothing breaks without {guard:?} in 1,000 seeds");
+    }
+}
+
 /// The same seed gives the same run; a scenario made shorter still breaks.
 #[test]
 fn a_seed_replays_and_shrinks() {
