Boxes and parents go out for work between processes: withheld, alone stop, staff's commands

Change: a router withholds asked and out machines over the coordinator's list (withheld.rs; told to the module as draining, the event that exists) and looks once more where the Board lets an attempt be written: also on the roll in this life, with a confirmation younger than the stated time, else nothing new goes out ('alone stop'). Whoever leads takes the steps; a machine is out after stated time and longest deadline. 'fleet work order|status|withdraw|back|stop|go'; status is as of its asking, by an elector that a quorum has confirmed since. 'work-out', 'work-headroom' turn it on. Seen on the way: a status as of some time ago would show a box out that is back: answered after a round begun since.

--- a/agreement/src/node.rs
+++ b/agreement/src/node.rs
@@ -261,6 +261,8 @@
     unmet: Option<(u64, Micros)>,
     asking: Asking,
     questions: BTreeMap<String, (u64, u64, u64)>,
+    /// Who asks for a topic's text, and since when: answered as of then or later.
+    note_questions: Vec<(String, String, Micros)>,
     pending: BTreeMap<ProposalId, Pending>,
     digests: VecDeque<(u64, u64)>,
     heard: BTreeMap<String, Heard>,
@@ -312,6 +314,7 @@
             rounds: 0,
             unmet: None,
             questions: BTreeMap::new(),
+            note_questions: Vec::new(),
             pending: BTreeMap::new(),
             digests: VecDeque::new(),
             heard: BTreeMap::new(),
@@ -657,6 +660,12 @@
                     self.asking.next = self.now;
                 }
             }
+            Frame::AskNote { topic } => {
+                let good = self.raft.is_some() && topic.len() <= bounds::NAME;
+                if good && self.note_questions.len() < bounds::PENDING {
+                    self.note_questions.push((from.to_owned(), topic, self.now));
+                }
+            }
             Frame::AskStatus => {
                 let status = Box::new(self.status());
                 out.push(Action::Send { to: from.to_owned(), frame: Frame::StatusIs(status) });
@@ -864,8 +873,9 @@
     /// An elector's own: a quorum's word, asked for now.
     fn confirm(&mut self, out: &mut Vec<Action>) {
         let age = self.fence.age(self.now);
-        let wanted =
-            age.is_none_or(|age| age >= self.terms.lease / CONFIRM_PART) || !self.questions.is_empty();
+        let wanted = age.is_none_or(|age| age >= self.terms.lease / CONFIRM_PART)
+            || !self.questions.is_empty()
+            || !self.note_questions.is_empty();
         let lost = self.round.is_none_or(|(_, asked)| self.now >= asked + self.terms.lease / ASK_PART);
         let Some(raft) = &mut self.raft else { return };
         if !self.terms.guards.quorum {
@@ -908,6 +918,21 @@
         if self.fence.is_stopped() || self.fleet.fleet == 0 {
             return;
         }
+        // Staff pull plugs by these words: not as of some time ago, but as of their asking.
+        for (to, topic, since) in std::mem::take(&mut self.note_questions) {
+            if latest.asked < since {
+                if self.now < since + self.terms.patience {
+                    self.note_questions.push((to, topic, since));
+                }
+                continue;
+            }
+            let note = self.fleet.notes.get(&topic);
+            let (number, body) = note.map_or((0, vec![]), |note| (note.number, note.body.clone()));
+            out.push(Action::Send {
+                to,
+                frame: Frame::NoteIs { topic, number, body, at: self.fleet.number },
+            });
+        }
         for (to, (seq, have, digest)) in std::mem::take(&mut self.questions) {
             let known =
                 self.digests.iter().rev().find(|(number, _)| *number == have).map(|(_, digest)| *digest);
--- a/agreement/src/wire.rs
+++ b/agreement/src/wire.rs
@@ -83,6 +83,22 @@
         /// Instead of entries, for who is too far behind.
         snapshot: Option<Vec<u8>>,
     },
+    /// What is a topic's text?
+    AskNote {
+        /// Which.
+        topic: String,
+    },
+    /// This, as of the latest number applied here; number 0: there is none.
+    NoteIs {
+        /// Which.
+        topic: String,
+        /// The decision that set it.
+        number: u64,
+        /// The text.
+        body: Vec<u8>,
+        /// The latest number applied.
+        at: u64,
+    },
     /// How does the fleet stand?
     AskStatus,
     /// So, as this router sees it.
--- a/conf/src/keys.rs
+++ b/conf/src/keys.rs
@@ -78,7 +78,7 @@
 }
 
 /// Parts of the file, with the directives of each.
-pub const PARTS: [(&str, &[Key]); 4] = [
+pub const PARTS: [(&str, &[Key]); 5] = [
     (
         "Exchange of knowledge between routers, on TCP with mutual TLS 1.3. A router gives when 'exchange-listen' is\n\
          set and asks when there are donors; both need the three files that 'silverspindle keys' makes.",
@@ -168,6 +168,22 @@
             },
         ],
     ),
+    (
+        "Taking machines out for work, in an order that the routers settle; on top of what they agree on, with the same\n\
+         lines at every router. A router whose confirmation has run out takes no new work then.",
+        &[
+            Key {
+                restart: true,
+                ..key("work-out", Kind::Count(1, 64), "So many machines of a place may be out at a time; off without.")
+                    .like("2")
+            },
+            Key {
+                restart: true,
+                ..key("work-headroom", Kind::Count(0, 400), "A place keeps its load and so much more, in per cent.")
+                    .or("25")
+            },
+        ],
+    ),
     (
         "How fast another router's word loses weight: after so long it counts half.",
         &[
--- a/conf/src/settings.rs
+++ b/conf/src/settings.rs
@@ -86,6 +86,17 @@
     pub callers: usize,
     /// Where its acts are written.
     pub records: Option<PathBuf>,
+    /// Taking machines out for work; none: off.
+    pub work: Option<Work>,
+}
+
+/// Taking machines out for work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Work {
+    /// Machines of a place that may be out at a time.
+    pub most_out: usize,
+    /// What a place keeps over its load, in thousandths.
+    pub headroom: u64,
 }
 
 /// After so long another's word counts half, by what it is about: the knowledge store's own terms.
@@ -125,6 +136,10 @@
         let problem = format!("{} of them stand there; 1, 3 or 5 can vote", electors.len());
         faults.push(Fault { line: *line, key: "agree-elector".to_owned(), problem });
     }
+    if let Some((line, _)) = one("work-out").filter(|_| agrees.is_none()) {
+        let problem = "needs agree-elector lines: the order of work is agreed".to_owned();
+        faults.push(Fault { line: *line, key: "work-out".to_owned(), problem });
+    }
     let files = ["exchange-authority", "exchange-certificate", "exchange-key"];
     if let Some((line, _)) = needs.or(agrees) {
         for missing in files.iter().filter(|name| path(name).is_none()) {
@@ -148,6 +163,10 @@
             operators: operators.iter().filter_map(name).collect(),
             callers: number("agree-callers") as usize,
             records: path("agree-records"),
+            work: one("work-out").map(|_| Work {
+                most_out: number("work-out") as usize,
+                headroom: 10 * number("work-headroom"),
+            }),
         }),
         exchange: needs.map(|_| Exchange {
             listen: address("exchange-listen"),
--- a/conf/tests/conf.rs
+++ b/conf/tests/conf.rs
@@ -23,6 +23,28 @@
     read(text).unwrap_err().iter().map(Fault::to_string).collect()
 }
 
+#[test]
+fn what_is_agreed_needs_its_electors_and_files() {
+    let files = "exchange-authority a\nexchange-certificate c\nexchange-key k\n";
+    let conf =
+        read(&format!("{files}agree-elector n1 127.0.0.1:1\nagree-operator staff\nwork-out 2\n")).unwrap();
+    let agreement = conf.agreement.unwrap();
+    assert_eq!(
+        (agreement.within, agreement.callers, agreement.operators),
+        (2_000_000, 128, vec!["staff".to_owned()])
+    );
+    assert_eq!(agreement.work, Some(Work { most_out: 2, headroom: 250 }));
+    assert_eq!(conf.exchange, None);
+    let two = format!("{files}agree-elector n1 127.0.0.1:1\nagree-elector n2 127.0.0.1:2\n");
+    assert_eq!(faults(&two), ["4: agree-elector: 2 of them stand there; 1, 3 or 5 can vote"]);
+    assert_eq!(
+        faults("work-out 2\n"),
+        ["1: work-out: needs agree-elector lines: the order of work is agreed"]
+    );
+    assert_eq!(faults("agree-elector n1 127.0.0.1:1\n").len(), 3, "the three files");
+    assert_eq!(faults("agree-within 100ms\n"), ["1: agree-within: must lie between 500ms and 1m"]);
+}
+
 #[test]
 fn an_empty_file_turns_nothing_on() {
     for text in ["", "\n\n# a remark\n   \t# another\n"] {
--- a/lab/src/swarm/work.rs
+++ b/lab/src/swarm/work.rs
@@ -188,7 +188,7 @@
                 let machines = (1..=BOXES).filter(|_| self.rng.random()).map(Machine::Box).collect();
                 let (id, together) = (self.rng.random(), self.rng.random());
                 let order = Order { id, machines, together, reason: String::new(), by: "staff".to_owned() };
-                work.order(order, &sight, &self.rules()).ok()
+                work.order_seen(order, &sight, &self.rules()).ok()
             }
         };
         if let Some(new) = new {
--- a/silverspindle/src/agreement/mod.rs
+++ b/silverspindle/src/agreement/mod.rs
@@ -10,7 +10,7 @@
 use async_channel::{Receiver, Sender, TrySendError};
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use bitternhold::Micros;
+use bitternhold::{MemberId, Micros};
 use futures_lite::future;
 use silverspindle_agreement::{
     Action, Change, Disk, Event, Fence, Frame, Guards, Node, Proposal, ProposalId, Refusal, Reply, Terms,
@@ -20,11 +20,14 @@
 use silverspindle_knowledge::{InstanceId, Source};
 
 pub mod links;
+pub mod orders;
 pub mod records;
 pub mod staff;
 pub mod store;
 
 use links::{Connector, Link};
+use orders::Orders;
+pub use orders::Yard;
 use records::{Records, steady};
 pub use store::Fault;
 use store::{Store, draw};
@@ -45,16 +48,11 @@
 
 /// All on. Only a debug build, for the tests of the checker, lets one be taken out.
 fn guards() -> Guards {
-    let mut guards = Guards::default();
-    if cfg!(debug_assertions) {
-        match std::env::var("SILVERSPINDLE_WITHOUT").as_deref() {
-            Ok("fence") => guards.fence = false,
-            Ok("quorum") => guards.quorum = false,
-            Ok("dedupe") => guards.dedupe = false,
-            _ => {}
-        }
-    }
-    guards
+    Guards { fence: !without("fence"), quorum: !without("quorum"), dedupe: !without("dedupe") }
+}
+
+fn without(guard: &str) -> bool {
+    cfg!(debug_assertions) && std::env::var("SILVERSPINDLE_WITHOUT").is_ok_and(|out| out == guard)
 }
 
 /// Descriptors that it may take: callers, links to electors, the disk.
@@ -81,6 +79,8 @@
     life: Rc<Cell<Option<u64>>>,
     /// The guard that whoever acts asks.
     pub fence: Fence,
+    /// Machines in orders, where those are on.
+    orders: Option<Rc<Orders>>,
     /// Its acts' records, where they are written.
     pub records: Option<Rc<Records>>,
 }
@@ -137,8 +137,22 @@
         outcome.recv().await.ok().flatten()
     }
 
-    /// An attempt goes out now: what it is done on, for the records.
-    pub fn act(&self) {
+    /// Whether an attempt to a member, with this source, may go out now by what is agreed; what it is done on goes to
+    /// the records.
+    pub fn allows(&self, to: MemberId, source: Option<MemberId>) -> bool {
+        let allows = self.orders.as_ref().is_none_or(|orders| {
+            // Alone, with a confirmation that has run out, it takes nothing new: others may have gone on.
+            self.fence.may_act(steady()).is_some()
+                && orders.allow(to)
+                && source.is_none_or(|s| orders.allow(s))
+        });
+        if allows {
+            self.act();
+        }
+        allows
+    }
+
+    fn act(&self) {
         if let Some(records) = &self.records {
             records.act(&self.fence);
         }
@@ -166,6 +180,7 @@
     out: Vec<Action>,
     said: Option<(silverspindle_agreement::Role, Option<String>)>,
     lease: Micros,
+    lead: Option<orders::Lead>,
 }
 
 impl Actor {
@@ -177,6 +192,7 @@
         name: &str,
         connector: Connector,
         tasks: &Rc<LocalExecutor<'static>>,
+        yard: &Yard,
     ) -> Result<Self, Fault> {
         let named = conf.electors.iter().any(|(elector, _)| elector == name);
         let (store, disk): (Option<Store>, Option<Disk>) = match (&conf.directory, named) {
@@ -202,7 +218,17 @@
         let (send, inbox) = async_channel::bounded(INBOX);
         let records = conf.records.as_ref().map(|path| Records::open(path, name, me.incarnation));
         let records = records.transpose().map_err(Fault::Disk)?;
+        let (orders, lead) = match conf.work {
+            Some(terms) => {
+                let orders = Rc::new(Orders::default());
+                let lead =
+                    orders::Lead::new(terms, conf.within, DRIFT_PPM, me, name, yard.clone(), orders.clone());
+                (Some(orders), Some(lead))
+            }
+            None => (None, None),
+        };
         let handle = Handle {
+            orders,
             inbox: send,
             callers: Rc::default(),
             calls: Rc::default(),
@@ -225,6 +251,7 @@
             out: Vec::new(),
             said: None,
             lease: conf.within,
+            lead,
         })
     }
 
@@ -236,7 +263,11 @@
     /// Runs until the disk fails; the confirmation runs out then, and nothing agreed is acted on any more.
     pub async fn run(mut self) {
         loop {
-            let due = self.node.due().saturating_sub(steady());
+            let due = self
+                .node
+                .due()
+                .min(self.lead.as_ref().map_or(u64::MAX, |lead| lead.due))
+                .saturating_sub(steady());
             let tick = async {
                 Timer::after(Duration::from_micros(due)).await;
                 None
@@ -260,6 +291,20 @@
                 }
             }
             self.out = out;
+            if let Some(lead) = &mut self.lead
+                && let Some(proposal) = lead.look(steady(), &self.node)
+            {
+                // Its own step: the outcome shows in the text that is agreed.
+                self.node.handle(steady(), Event::Propose { token: 0, proposal }, &mut self.out);
+                let mut out = std::mem::take(&mut self.out);
+                for action in out.drain(..) {
+                    if let Err(e) = self.carry_out(action).await {
+                        tracing::error!("agreement: {e}; this router takes no part in it until a restart");
+                        return;
+                    }
+                }
+                self.out = out;
+            }
             self.say();
         }
     }
@@ -353,11 +398,12 @@
     name: String,
     connector: Connector,
     tasks: Rc<LocalExecutor<'static>>,
+    yard: Yard,
     ready: impl FnOnce(Handle),
 ) {
     let mut said = false;
     let actor = loop {
-        match Actor::new(&conf, me, &name, connector.clone(), &tasks) {
+        match Actor::new(&conf, me, &name, connector.clone(), &tasks, &yard) {
             Ok(actor) => break actor,
             Err(Fault::Held) => {
                 if !std::mem::replace(&mut said, true) {
--- a/silverspindle/src/agreement/staff.rs
+++ b/silverspindle/src/agreement/staff.rs
@@ -14,9 +14,12 @@
 use rustls::pki_types::CertificateDer;
 use rustls::pki_types::pem::PemObject;
 use serde_json::{Value, json};
-use silverspindle_agreement::{Change, Frame, Proposal, ProposalId, Reply, Role, Seat, Status, Verdict};
+use silverspindle_agreement::{
+    Change, Frame, Proposal, ProposalId, Refusal, Reply, Role, Seat, Status, Verdict,
+};
 use silverspindle_conf::{Agreement, Conf};
 use silverspindle_knowledge::{InstanceId, Source};
+use silverspindle_work::{Machine, Order, TOPIC, Work};
 
 use super::links::{self, Connector};
 use super::store::draw;
@@ -26,6 +29,8 @@
 
 /// An elector that does not say how it stands within that is not heard.
 const STATUS: Duration = Duration::from_secs(2);
+/// A word of staff that others' steps overtake is said so often.
+const TRIES: usize = 20;
 /// Beyond the electors' own patience with a proposal, for the way.
 const WAY: Duration = Duration::from_secs(1);
 
@@ -120,6 +125,11 @@
             return Err(format!("no elector is heard: {}", why.collect::<Vec<_>>().join("; ")));
         };
         let proposal = Proposal { id, builds_on, by: self.name.clone(), change };
+        Ok((id, self.offer(proposal).await))
+    }
+
+    async fn offer(&self, proposal: Proposal) -> Reply {
+        let id = proposal.id;
         let patience = Duration::from_micros(self.agreement.within) * super::PATIENCE as u32 + WAY;
         for elector in &self.agreement.electors {
             let settled = |frame| match frame {
@@ -127,7 +137,7 @@
                 _ => None,
             };
             match self.ask(elector, Frame::Propose(proposal.clone()), patience, settled).await {
-                Ok(Some(verdict)) => return Ok((id, Some(verdict))),
+                Ok(Some(verdict)) => return Some(verdict),
                 Ok(None) => Timer::after(Duration::from_millis(100)).await,
                 Err(e) => {
                     eprintln!("{}: {e}", elector.0);
@@ -135,7 +145,7 @@
                 }
             };
         }
-        Ok((id, None))
+        None
     }
 
     /// The change that gives or takes a seat, by the name of its router.
@@ -164,6 +174,122 @@
     }
 }
 
+/// What staff say of work on machines.
+#[derive(Clone, Debug)]
+pub enum Say {
+    /// These are to be worked on; the id makes a repeated order the same.
+    Order {
+        /// Which.
+        machines: Vec<Machine>,
+        /// All at once.
+        together: bool,
+        /// Why.
+        reason: String,
+        /// The order's id.
+        id: u64,
+    },
+    /// Not any more.
+    Withdraw(u64),
+    /// It is back.
+    Back(Machine),
+    /// Nothing more goes out, or work goes on.
+    Stop(bool),
+}
+
+impl Staff {
+    /// The orders as of now, by electors that a quorum has confirmed since they were asked, and the number that they
+    /// build on.
+    pub async fn work(&self) -> Result<(u64, Work), String> {
+        let mut best: Option<(u64, Vec<u8>)> = None;
+        let mut faults = Vec::new();
+        for elector in &self.agreement.electors {
+            let note = |frame| match frame {
+                Frame::NoteIs { topic, body, at, .. } if topic == TOPIC => Some((at, body)),
+                _ => None,
+            };
+            match self.ask(elector, Frame::AskNote { topic: TOPIC.to_owned() }, STATUS, note).await {
+                Ok(found) if best.as_ref().is_none_or(|best| best.0 < found.0) => best = Some(found),
+                Ok(_) => {}
+                Err(e) => faults.push(format!("{}: {e}", elector.0)),
+            }
+        }
+        let (at, body) = best.ok_or_else(|| format!("no elector is heard: {}", faults.join("; ")))?;
+        if body.is_empty() {
+            return Ok((at, Work::default()));
+        }
+        Ok((at, Work::read(&body).ok_or("the agreed orders can't be read: another version?")?))
+    }
+
+    /// Says a thing; where others' steps have overtaken it, again on what stands now.
+    pub async fn say(&self, say: &Say) -> Result<(ProposalId, Reply), String> {
+        let mut last = Err("others are always faster".to_owned());
+        for _ in 0..TRIES {
+            let (at, work) = self.work().await?;
+            let new = match say {
+                Say::Order { machines, together, reason, id } => {
+                    let order = Order {
+                        id: *id,
+                        machines: machines.clone(),
+                        together: *together,
+                        reason: reason.clone(),
+                        by: self.name.clone(),
+                    };
+                    work.order(order)
+                }
+                Say::Withdraw(id) => work.withdraw(*id),
+                Say::Back(machine) => work.back(machine),
+                Say::Stop(stop) => Ok(work.stop(*stop)),
+            };
+            let new = new.map_err(|refused| refused.to_string())?;
+            let id = ProposalId(self.connector.me.instance.0, draw()?);
+            if new == work {
+                return Ok((id, Some(Verdict::Made(at))));
+            }
+            let change = Change::Note { topic: TOPIC.to_owned(), body: new.spell() };
+            let proposal = Proposal { id, builds_on: at, by: self.name.clone(), change };
+            let reply = self.offer(proposal).await;
+            let overtaken = matches!(reply, Some(Verdict::Refused(_, Refusal::Overtaken(_))));
+            last = Ok((id, reply));
+            if !overtaken {
+                break;
+            }
+        }
+        last
+    }
+}
+
+/// Orders for a person.
+pub fn orders(work: &Work) -> String {
+    let mut out = String::new();
+    if work.stopped {
+        out.push_str("stopped: nothing more goes out until 'fleet work go'\n");
+    }
+    for (id, order) in &work.orders {
+        let how = if order.together { "together" } else { "apart" };
+        let _ = writeln!(out, "order {id:016x} by {}, {how}: {}", order.by, order.reason);
+        for (machine, (_, stage)) in work.stages.iter().filter(|(_, (of, _))| of == id) {
+            let _ = writeln!(out, "  {machine}: {}", format!("{stage:?}").to_lowercase());
+        }
+    }
+    if work.orders.is_empty() {
+        out.push_str("no orders\n");
+    }
+    out
+}
+
+/// The same as JSON.
+pub fn orders_json(work: &Work) -> Value {
+    let machines = |id: u64| {
+        let of = work.stages.iter().filter(move |(_, (of, _))| *of == id);
+        of.map(
+            |(m, (_, stage))| json!({"machine": m.to_string(), "stage": format!("{stage:?}").to_lowercase()}),
+        )
+        .collect::<Vec<_>>()
+    };
+    let order = |(id, o): (&u64, &Order)| json!({"id": format!("{id:016x}"), "by": o.by, "together": o.together, "reason": o.reason, "machines": machines(*id)});
+    json!({"stopped": work.stopped, "orders": work.orders.iter().map(order).collect::<Vec<_>>()})
+}
+
 /// Whether somebody leads with a quorum's fresh word.
 pub fn leader(heard: &Heard) -> Option<&Status> {
     let leads = |s: &&Status| s.role == Role::Leader && s.age.is_some_and(|age| age < s.lease);
--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -20,6 +20,7 @@
 use crate::knowledge::Knowledge;
 use crate::traffic::{Attempt, Call, End, Message, Port, Shared, Terms, Verdict};
 use crate::upstream::{Order, Peer};
+use crate::withheld::Withheld;
 use crate::{clock, invariant};
 
 /// Messages that may wait for the director.
@@ -76,6 +77,8 @@
     copies: Copies,
     /// What others can learn from this router, and it from them; none: off.
     knowledge: Option<Knowledge>,
+    /// What the routers have agreed not to use.
+    withheld: Withheld,
     next: u64,
 }
 
@@ -97,6 +100,7 @@
             actions: Vec::new(),
             copies,
             knowledge: None,
+            withheld: Withheld::default(),
             next: 0,
         }
     }
@@ -121,7 +125,12 @@
     /// Acts by others' word on members where it outranks the own list, and by the own list again where it does
     /// no more.
     fn review(&mut self) {
-        let changed = self.knowledge.as_mut().map_or_else(Vec::new, Knowledge::review);
+        let mut changed = self.knowledge.as_mut().map_or_else(Vec::new, Knowledge::review);
+        self.withheld.told(false, &mut changed);
+        self.act_by(changed);
+    }
+
+    fn act_by(&mut self, changed: Vec<Listed>) {
         if changed.is_empty() {
             return;
         }
@@ -176,7 +185,9 @@
                 self.knowledge.iter_mut().for_each(Knowledge::heard);
                 self.review();
             }
-            News::Members { complete, members } => {
+            News::Members { complete, mut members } => {
+                let told: Vec<Member> = members.iter().map(|m| m.member.clone()).collect();
+                self.shared.board.note_members(complete, &told);
                 self.knowledge.iter_mut().for_each(|k| k.listed(complete, &members));
                 if complete {
                     let listed: Vec<MemberId> = members.iter().map(|m| m.member.id).collect();
@@ -184,6 +195,7 @@
                         self.peers.keys().filter(|id| !listed.contains(id)).copied().collect();
                     absent.into_iter().for_each(|id| self.gone(id));
                 }
+                self.withheld.told(complete, &mut members);
                 members.iter().for_each(|m| self.listed(m));
                 let members: Vec<Member> = members.into_iter().map(|m| m.member).collect();
                 tracing::debug!(complete, "list: {} entries", members.len());
@@ -259,6 +271,10 @@
             Message::HalfLives(half_lives) => {
                 self.knowledge.iter_mut().for_each(|k| k.reload(half_lives));
             }
+            Message::Withheld(out) => {
+                let changed = self.withheld.set(out);
+                self.act_by(changed);
+            }
             Message::Probed { member, status, elapsed, load } => {
                 self.event(Event::Probed { member, status, elapsed, load });
             }
--- a/silverspindle/src/lib.rs
+++ b/silverspindle/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod traffic;
 pub mod upgrade;
 pub mod upstream;
+pub mod withheld;
 
 pub use silverspindle_wire::{clock, feed, framing, resp, thrift};
--- a/silverspindle/src/main.rs
+++ b/silverspindle/src/main.rs
@@ -5,12 +5,14 @@
 
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
-use silverspindle::agreement::staff::{self, Staff};
+use silverspindle::agreement::staff::{self, Say, Staff};
+use silverspindle::agreement::store::draw;
 use silverspindle::config::{Config, read_conf};
 use silverspindle::knowledge::keys;
 use silverspindle::{logging, serve};
-use silverspindle_agreement::{Change, ProposalId, Verdict};
+use silverspindle_agreement::{Change, ProposalId, Reply, Verdict};
 use silverspindle_standins::{rig, trial};
+use silverspindle_work::Machine;
 
 const ENVIRONMENT: &str = "\
 Environment:
@@ -84,6 +86,9 @@
         /// With --agree: what goes wrong, a file of lines AT LASTS KIND or 'random' by the seed
         #[arg(long, value_name = "SCRIPT|random")]
         faults: Option<String>,
+        /// With --agree: boxes are ordered out, worked on and brought back on the way
+        #[arg(long)]
+        work: bool,
         /// With --agree: the stated time, in milliseconds
         #[arg(long, default_value_t = 2000, value_parser = clap::value_parser!(u64).range(500..=60_000))]
         within_ms: u64,
@@ -160,6 +165,60 @@
     /// Change the electors, one at a time
     #[command(subcommand)]
     Electors(Electors),
+    /// Boxes and parents that are worked on
+    #[command(subcommand)]
+    Work(WorkLine),
+}
+
+#[derive(Subcommand)]
+enum WorkLine {
+    /// Order machines out, one after the other as the fleet can spare them, or together
+    Order {
+        /// A box's id on the list; may be given again
+        #[arg(long = "box", value_name = "ID")]
+        boxes: Vec<u32>,
+        /// A parent's id on the list; may be given again
+        #[arg(long = "parent", value_name = "ID")]
+        parents: Vec<u32>,
+        /// All at once
+        #[arg(long)]
+        together: bool,
+        /// Why, for people
+        #[arg(long, default_value = "")]
+        reason: String,
+        /// The order's id, 16 hex digits: a repeated order is the same order
+        #[arg(long)]
+        order: Option<String>,
+    },
+    /// Where each machine stands; only one that is 'out' may be unplugged
+    Status,
+    /// Take an order back; what is out stays out until it is back
+    Withdraw {
+        /// The order's id
+        order: String,
+    },
+    /// A machine is back
+    Back {
+        /// A box's id
+        #[arg(
+            long = "box",
+            value_name = "ID",
+            conflicts_with = "parent",
+            required_unless_present = "parent"
+        )]
+        boxed: Option<u32>,
+        /// A parent's id
+        #[arg(long)]
+        parent: Option<u32>,
+    },
+    /// Nothing more goes out, and what is not out stays in use
+    Stop,
+    /// Work goes on
+    Go,
+}
+
+fn work_order(text: &str) -> Result<u64, String> {
+    u64::from_str_radix(text, 16).map_err(|_| format!("{text:?} is no order's id: 16 hex digits"))
 }
 
 #[derive(Subcommand)]
@@ -232,7 +291,9 @@
             let again = || (Config::read(&environment), read_conf(file.as_deref()));
             serve::serve(config, conf, again).map_err(io)?;
         }
-        Command::Try { seconds, routers, rate, seed, agree: true, electors, faults, within_ms, .. } => {
+        Command::Try {
+            seconds, routers, rate, seed, agree: true, electors, faults, within_ms, work, ..
+        } => {
             let electors = electors.unwrap_or(if routers < 3 { 1 } else { 3 }).min(routers);
             let faults = match faults.as_deref() {
                 None => vec![],
@@ -253,6 +314,7 @@
                 rate,
                 lease,
                 faults,
+                work,
                 without: None,
             };
             let tasks = std::rc::Rc::new(async_executor::LocalExecutor::new());
@@ -318,6 +380,36 @@
             }
             return staff::leader(&heard).map(|_| ()).ok_or_else(|| "no quorum".to_owned());
         }
+        Fleet::Work(line) => {
+            let say = match line {
+                WorkLine::Status => {
+                    let (_, work) = staff.work().await?;
+                    match json {
+                        true => println!("{}", staff::orders_json(&work)),
+                        false => print!("{}", staff::orders(&work)),
+                    }
+                    return Ok(());
+                }
+                WorkLine::Order { boxes, parents, together, reason, order } => {
+                    let id = match &order {
+                        Some(text) => work_order(text)?,
+                        None => draw()?,
+                    };
+                    let parents = parents.into_iter().map(Machine::Parent);
+                    let machines = boxes.into_iter().map(Machine::Box).chain(parents).collect();
+                    Say::Order { machines, together, reason, id }
+                }
+                WorkLine::Withdraw { order } => Say::Withdraw(work_order(&order)?),
+                WorkLine::Back { boxed, parent } => {
+                    let machine = boxed.map(Machine::Box).or(parent.map(Machine::Parent));
+                    Say::Back(machine.ok_or("which one?")?)
+                }
+                WorkLine::Stop => Say::Stop(true),
+                WorkLine::Go => Say::Stop(false),
+            };
+            let (id, reply) = staff.say(&say).await?;
+            return tell(id, &reply, json);
+        }
         Fleet::Join { name } => Change::Join { name, life: 0 },
         Fleet::Forget { name } => Change::Forget { name },
         Fleet::Note { topic, text } => Change::Note { topic, body: text.into_bytes() },
@@ -325,9 +417,13 @@
         Fleet::Electors(Electors::Dismiss { name }) => staff.seat(&name, false).await?,
     };
     let (id, reply) = staff.propose(change, id).await?;
-    let said = staff::outcome(id, &reply);
+    tell(id, &reply, json)
+}
+
+fn tell(id: ProposalId, reply: &Reply, json: bool) -> Result<(), String> {
+    let said = staff::outcome(id, reply);
     if json {
-        let (made, number) = match &reply {
+        let (made, number) = match reply {
             Some(Verdict::Made(number)) => (Some(true), Some(*number)),
             Some(Verdict::Refused(number, _)) => (Some(false), Some(*number)),
             None => (None, None),
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -124,6 +124,13 @@
                 Some(hub) => hub.tls.clone(),
                 None => Rc::new(RefCell::new(Tls::read(&terms.files).map_err(io::Error::other)?)),
             };
+            let longest = catalogue.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+            let (parents, origin) = (catalogue.settings.parent_kind, catalogue.settings.origin_kind);
+            let yard =
+                agreement::Yard { board: board.clone(), director: mailbox.clone(), longest, parents, origin };
+            if terms.work.is_some() {
+                board.wait_for_orders();
+            }
             let (hub, board, all) = (hub.clone(), board, agreed.clone());
             let ready = move |handle: agreement::Handle| {
                 if let Some(hub) = hub {
@@ -133,7 +140,8 @@
                 *all.borrow_mut() = Some(handle);
             };
             let connector = Connector { me, tls };
-            let part = agreement::take_part(terms, me, config.name.clone(), connector, tasks.clone(), ready);
+            let part =
+                agreement::take_part(terms, me, config.name.clone(), connector, tasks.clone(), yard, ready);
             tasks.spawn(part).detach();
         }
         tasks.spawn(director.run(news, messages)).detach();
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -3,14 +3,14 @@
 //! both speak in these terms.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::Debug;
 use std::rc::Rc;
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use bitternhold::settings::Catalogue;
-use bitternhold::{FillMode, Keep, Load, MemberId, Micros, Note, Status};
+use bitternhold::{FillMode, Keep, Lifecycle, Load, Member, MemberId, Micros, Note, Status};
 use bytes::Bytes;
 use silverspindle_conf::HalfLives;
 use silverspindle_knowledge::Item;
@@ -167,6 +167,8 @@
     },
     /// Half-lives changed.
     HalfLives(HalfLives),
+    /// Members that the routers have agreed not to use, from now on.
+    Withheld(BTreeSet<MemberId>),
     /// A probe ended.
     Probed {
         /// Where it went.
@@ -184,6 +186,10 @@
 #[derive(Debug, Default)]
 pub struct Board {
     agreed: RefCell<Option<agreement::Handle>>,
+    /// Nothing goes out before what is agreed is known: orders for work are on.
+    waits: Cell<bool>,
+    /// Members on the list: kind, zone, and whether they take work by the coordinator's word.
+    members: RefCell<BTreeMap<MemberId, (usize, usize, bool)>>,
     ready: RefCell<BTreeSet<MemberId>>,
     purges: RefCell<HashMap<Purged, (u64, Micros)>>,
     told: Cell<u64>,
@@ -195,6 +201,30 @@
         *self.agreed.borrow_mut() = Some(handle);
     }
 
+    /// Orders for work are on: nothing goes out before they are known here.
+    pub fn wait_for_orders(&self) {
+        self.waits.set(true);
+    }
+
+    /// The coordinator's list, for who plans work on its members.
+    pub fn note_members(&self, complete: bool, members: &[Member]) {
+        let mut all = self.members.borrow_mut();
+        if complete {
+            all.clear();
+        }
+        for m in members {
+            match m.lifecycle {
+                Lifecycle::Gone => drop(all.remove(&m.id)),
+                state => drop(all.insert(m.id, (m.kind, m.zone, state == Lifecycle::Ready))),
+            }
+        }
+    }
+
+    /// See [`Board::note_members`].
+    pub fn members(&self) -> BTreeMap<MemberId, (usize, usize, bool)> {
+        self.members.borrow().clone()
+    }
+
     /// A member takes work or does not.
     pub fn set_ready(&self, id: MemberId, ready: bool) {
         match ready {
@@ -231,10 +261,10 @@
             && attempt.terms.source.is_none_or(|source| self.is_ready(source))
             && !since(Purged::Group(attempt.call.group))
             && !attempt.call.key().is_some_and(|key| since(Purged::Object(key)));
-        if let Some(agreed) = self.agreed.borrow().as_ref().filter(|_| allows) {
-            agreed.act();
+        match self.agreed.borrow().as_ref() {
+            Some(agreed) => allows && agreed.allows(to, attempt.terms.source),
+            None => allows && !self.waits.get(),
         }
-        allows
     }
 }
 
--- a/silverspindle/tests/agreement.rs
+++ b/silverspindle/tests/agreement.rs
@@ -25,6 +25,7 @@
         lease: LEASE,
         faults: rig::script(script).unwrap(),
         without: None,
+        work: false,
     }
 }
 
@@ -88,6 +89,30 @@
     );
 }
 
+/// Boxes are ordered out, worked on and brought back while the leader dies, a follower stands still and a router is cut
+/// off: from staff's being told that a box is out to their word that it is back nothing new reaches it, and orders end.
+#[test]
+fn no_new_work_reaches_a_box_that_staff_were_told_is_out() {
+    let faults = "2s 1s kill leader\n4s 3s freeze n3\n5s 4s split n4\n";
+    let options = Options { work: true, ..options(10, faults) };
+    let outcome = play(&options);
+    assert!(outcome.is_good() && outcome.work.0 > 0, "{}", rig::report(&options, &outcome));
+}
+
+/// The stand-in boxes see it where the wait until nobody uses a machine is left out.
+#[test]
+fn without_the_wait_for_clear_the_boxes_see_the_breach() {
+    if !cfg!(debug_assertions) {
+        return;
+    }
+    // Two routers are cut off and act on what they know for as long as the stated time lets them, here a long one.
+    let mut options =
+        Options { work: true, rate: 600.0, lease: 8 * LEASE, ..options(9, "2s 7s split n3,n4\n") };
+    options.without = Some("clear");
+    let outcome = play(&options);
+    assert!(outcome.work.1 > 0, "{}", rig::report(&options, &outcome));
+}
+
 /// A single elector decides alone, at once, and goes on after a kill.
 #[test]
 fn a_single_router_works_alone() {
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -1,7 +1,7 @@
 //! The rig: several processes of the program that agree, between relays and under traffic, while some of them are
 //! killed, frozen or cut off. What it came to is judged by [`checker`] from what the processes wrote down.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::fs;
@@ -106,6 +106,8 @@
     pub lease: Micros,
     /// What goes wrong.
     pub faults: Vec<Fault>,
+    /// Boxes are ordered out, worked on and brought back.
+    pub work: bool,
     /// A guard taken out of all routers; only a debug build of the program lets that be.
     pub without: Option<&'static str>,
 }
@@ -127,6 +129,9 @@
     pub failovers: Vec<Micros>,
     /// Staff's calls: made, refused, not known.
     pub calls: [u64; 3],
+    /// Boxes that were out on the way, and new work that reached one from staff's being told so to their word that it
+    /// is back.
+    pub work: (u64, u64),
     /// Processor time of each router, in microseconds, and how long it ran.
     pub used: Vec<(Micros, Micros)>,
 }
@@ -134,7 +139,7 @@
 impl Outcome {
     /// Whether every promise was kept.
     pub fn is_good(&self) -> bool {
-        self.findings.breaches.is_empty() && self.failures.is_empty()
+        self.findings.breaches.is_empty() && self.failures.is_empty() && self.work.1 == 0
     }
 }
 
@@ -245,6 +250,8 @@
     torn: RefCell<BTreeSet<usize>>,
     down: RefCell<BTreeMap<usize, u32>>,
     frozen: RefCell<BTreeMap<usize, u32>>,
+    /// Traffic is over: work comes to its end.
+    ending: Cell<bool>,
 }
 
 fn signal(router: &Router, signal: Signal) {
@@ -520,6 +527,9 @@
         let _ = writeln!(conf, "exchange-listen {}\nagree-operator staff", exchange.address);
         let _ = writeln!(conf, "agree-records '{}/{name}.acts'", folder.display());
         let _ = writeln!(conf, "agree-directory '{}/{name}'", folder.display());
+        if options.work {
+            let _ = writeln!(conf, "work-out 2");
+        }
         for elector in &electors {
             let at = match *elector == usize::from(n) {
                 true => exchange.address,
@@ -593,6 +603,7 @@
         torn: RefCell::default(),
         down: RefCell::default(),
         frozen: RefCell::default(),
+        ending: Cell::new(false),
     });
     for n in 0..count {
         rig.start(n)?;
@@ -600,9 +611,19 @@
     for (clients, start) in clients.iter().zip(&rig.starts) {
         well(clients, &start.log).await?;
     }
-    until("a first quorum", async || rig.command(0, &["status"]).await.1.then_some(())).await?;
+    let yard = office.clone();
+    let all_on_the_roll = async || {
+        let (status, good) = rig.command(0, &["status"]).await;
+        let roll = |e: &Value| e["roll"].as_array().map_or(0, Vec::len);
+        let most = status["electors"].as_array()?.iter().map(roll).max()?;
+        (good && most == count).then_some(())
+    };
+    until("a first quorum with all routers on the roll", all_on_the_roll).await?;
+    let work = tasks.spawn(work(rig.clone(), yard));
     let played = traffic(&rig, &clients).await;
-    let healed = match played {
+    rig.ending.set(true);
+    let worked = work.await;
+    let healed = match played.and(worked) {
         Ok(()) => heal(&rig, &clients).await,
         Err(e) => Err(e),
     };
@@ -619,6 +640,7 @@
     end(&rig).await;
     let records = rig.records();
     let mut out = rig.out.take();
+    out.work.1 = office.counts().values().map(|c| c.after_drain).sum();
     out.findings = checker::check(&records, &rig.told.borrow(), options.lease, count);
     let mut decided: BTreeMap<u64, Micros> = BTreeMap::new();
     for record in records.iter().filter(|r| r["kind"] == "applied" && r["made"] == true) {
@@ -647,6 +669,68 @@
     Ok(out)
 }
 
+/// Staff who work on boxes: order two of them, unplug what they are told is out, bring it back a while later. A box
+/// that staff have been told is out counts all new work that comes to it until they say that it is back.
+async fn work(rig: Rc<Rig>, office: Rc<Office>) -> io::Result<()> {
+    if !rig.options.work {
+        return Ok(());
+    }
+    let mut random = Pcg64Mcg::seed_from_u64(rig.options.seed ^ 0x0ff1ce);
+    let mut out: BTreeMap<u32, Micros> = BTreeMap::new();
+    let last = Cell::new(Micros::MAX);
+    loop {
+        if rig.ending.get() && last.get() == Micros::MAX {
+            last.set(clock::now() + GENEROUS);
+        }
+        if clock::now() > last.get() {
+            return Err(io::Error::other("orders do not end"));
+        }
+        let elector = random.random_range(0..usize::from(rig.options.electors));
+        let (status, _) = rig.command(elector, &["work", "status"]).await;
+        let all = status["orders"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .flat_map(|o| o["machines"].as_array().into_iter().flatten());
+        let at = |stage: &str| -> Vec<u32> {
+            let here = all.clone().filter(|m| m["stage"] == stage);
+            here.filter_map(|m| m["machine"].as_str()?.strip_prefix("box ")?.parse().ok()).collect()
+        };
+        for id in at("out") {
+            out.entry(id).or_insert_with(|| {
+                rig.out.borrow_mut().work.0 += 1;
+                // From now on all new work is counted: as of a second ago, as a drain has a second to be heard.
+                let now = clock::now();
+                office.tier(id).into_iter().for_each(|t| t.drained.set(Some(now - SECOND)));
+                now
+            });
+        }
+        let done: Vec<u32> =
+            out.iter().filter(|(_, at)| clock::now() >= **at + 700 * MS).map(|(id, _)| *id).collect();
+        for id in done {
+            office.tier(id).into_iter().for_each(|t| t.drained.set(None));
+            let text = id.to_string();
+            let (said, _) = rig.command(elector, &["work", "back", "--box", &text]).await;
+            if said["made"] == true {
+                out.remove(&id);
+            } else {
+                // Not known, or not made: it is looked at again before anybody counts.
+                out.insert(id, clock::now());
+            }
+        }
+        let none = status["orders"].as_array().is_some_and(Vec::is_empty);
+        if none && out.is_empty() {
+            if rig.ending.get() {
+                return Ok(());
+            }
+            let one = random.random_range(1..=4u32);
+            let (one, two) = (one.to_string(), (one % 4 + 1).to_string());
+            rig.command(elector, &["work", "order", "--box", &one, "--box", &two, "--reason", "rig"]).await;
+        }
+        rest(200 * MS).await;
+    }
+}
+
 async fn traffic(rig: &Rc<Rig>, clients: &[Rc<Clients>]) -> io::Result<()> {
     let options = &rig.options;
     let mut random = Pcg64Mcg::seed_from_u64(options.seed);
@@ -770,6 +854,10 @@
         part(95),
         found.to_all.last().copied().unwrap_or(0) / MS
     );
+    if options.work {
+        let (boxes, reached) = outcome.work;
+        let _ = writeln!(out, "boxes out {boxes}; new work that reached one meanwhile: {reached}");
+    }
     let [made, refused, unknown] = outcome.calls;
     let _ = writeln!(out, "staff's calls: {made} made, {refused} refused, {unknown} not known");
     let _ = writeln!(
--- a/work/src/lib.rs
+++ b/work/src/lib.rs
@@ -152,8 +152,21 @@
         self.stages.iter().filter(move |(_, (_, s))| *s == stage).map(|(machine, _)| machine)
     }
 
-    /// Takes an order; the same one again changes nothing.
-    pub fn order(&self, order: Order, sight: &Sight, rules: &Rules) -> Result<Self, Refused> {
+    /// Takes an order as one who sees the fleet: what can never be is refused with its figure.
+    pub fn order_seen(&self, order: Order, sight: &Sight, rules: &Rules) -> Result<Self, Refused> {
+        if let Some(unknown) = order.machines.iter().find(|m| !sight.machines.contains_key(m)) {
+            return Err(Refused::Unknown(unknown.clone()));
+        }
+        let new = self.order(order.clone())?;
+        if order.together {
+            // What can never fit is told now and does not wait for ever.
+            sight.bears(&Work::default(), &order.machines, rules, true)?;
+        }
+        Ok(new)
+    }
+
+    /// Takes an order; the same one again changes nothing. A machine that nobody knows waits, and is named as unknown.
+    pub fn order(&self, order: Order) -> Result<Self, Refused> {
         if self.orders.get(&order.id) == Some(&order) {
             return Ok(self.clone());
         }
@@ -167,18 +180,11 @@
         }
         let mut new = self.clone();
         for machine in &order.machines {
-            if !sight.machines.contains_key(machine) {
-                return Err(Refused::Unknown(machine.clone()));
-            }
             let waiting = (order.id, Stage::Waiting);
             if let Some((other, _)) = new.stages.insert(machine.clone(), waiting) {
                 return Err(Refused::InOrder(machine.clone(), other));
             }
         }
-        if order.together {
-            // What can never fit is told now and does not wait for ever.
-            sight.bears(&Work::default(), &order.machines, rules, true)?;
-        }
         new.orders.insert(order.id, order);
         Ok(new)
     }
--- a/work/src/plan.rs
+++ b/work/src/plan.rs
@@ -235,6 +235,10 @@
                 true => work.at(Stage::Waiting).filter(|m| work.stages[*m].0 == id).cloned().collect(),
                 false => vec![machine.clone()],
             };
+            if let Some(unknown) = group.iter().find(|m| !sight.machines.contains_key(m)) {
+                waits.push(Why::Short(machine.clone(), Refused::Unknown(unknown.clone())));
+                continue;
+            }
             if let Err(short) = sight.bears(work, &group, rules, false) {
                 waits.push(Why::Short(machine.clone(), short));
                 continue;
--- a/work/tests/work.rs
+++ b/work/tests/work.rs
@@ -48,9 +48,9 @@
 #[test]
 fn an_order_goes_its_way_within_what_the_place_can_bear() {
     let (mut sight, mut watch) = (sight(), Watch::default());
-    let mut work = Work::default().order(order(7, &boxes(&[1, 2, 3]), false), &sight, &rules()).unwrap();
+    let mut work = Work::default().order_seen(order(7, &boxes(&[1, 2, 3]), false), &sight, &rules()).unwrap();
     assert_eq!(
-        work.order(order(7, &boxes(&[1, 2, 3]), false), &sight, &rules()).unwrap(),
+        work.order_seen(order(7, &boxes(&[1, 2, 3]), false), &sight, &rules()).unwrap(),
         work,
         "the same order"
     );
@@ -80,7 +80,7 @@
 #[test]
 fn a_machine_is_out_only_once_nobody_can_use_it() {
     let mut sight = sight();
-    let work = Work::default().order(order(7, &boxes(&[1]), false), &sight, &rules()).unwrap();
+    let work = Work::default().order_seen(order(7, &boxes(&[1]), false), &sight, &rules()).unwrap();
     let asked = Watch::default().next(0, 49, &work, &sight, &rules()).0.unwrap();
     let held = |sight: &Sight, rules: &Rules, wait: Micros| {
         let mut watch = Watch::default();
@@ -107,7 +107,7 @@
     let mut sight = sight();
     sight.routers.insert("n3".to_owned(), None);
     let mut watch = Watch::default();
-    let work = Work::default().order(order(7, &boxes(&[1]), false), &sight, &rules()).unwrap();
+    let work = Work::default().order_seen(order(7, &boxes(&[1]), false), &sight, &rules()).unwrap();
     let asked = watch.next(0, 49, &work, &sight, &rules()).0.unwrap();
     watch.next(0, 50, &asked, &sight, &rules());
     let back = watch.next(0, 50, &asked.stop(true), &sight, &rules()).0.unwrap();
@@ -134,7 +134,7 @@
 fn a_place_that_becomes_short_takes_back_what_is_not_out() {
     let (mut sight, mut watch) = (sight(), Watch::default());
     sight.routers.insert("n3".to_owned(), None);
-    let mut work = Work::default().order(order(7, &boxes(&[1, 2]), false), &sight, &rules()).unwrap();
+    let mut work = Work::default().order_seen(order(7, &boxes(&[1, 2]), false), &sight, &rules()).unwrap();
     steps(&mut work, &mut watch, &sight, 0);
     assert!(work.at(Stage::Asked).eq(&boxes(&[1, 2])));
     sight.machines.get_mut(&Machine::Box(4)).unwrap().state = State::Missing;
@@ -151,12 +151,12 @@
 #[test]
 fn contradicting_orders_have_a_told_outcome() {
     let sight = sight();
-    let all = Work::default().order(order(1, &boxes(&[1, 2, 3, 4]), true), &sight, &rules());
+    let all = Work::default().order_seen(order(1, &boxes(&[1, 2, 3, 4]), true), &sight, &rules());
     assert_eq!(all, Err(Refused::TooMuch { place: 1, left: 0, needed: 200 }));
-    let work = Work::default().order(order(1, &boxes(&[1, 2, 3, 4]), false), &sight, &rules()).unwrap();
-    let twice = work.order(order(2, &boxes(&[4]), false), &sight, &rules());
+    let work = Work::default().order_seen(order(1, &boxes(&[1, 2, 3, 4]), false), &sight, &rules()).unwrap();
+    let twice = work.order_seen(order(2, &boxes(&[4]), false), &sight, &rules());
     assert_eq!(twice, Err(Refused::InOrder(Machine::Box(4), 1)));
-    let unknown = work.order(order(2, &boxes(&[77]), false), &sight, &rules());
+    let unknown = work.order_seen(order(2, &boxes(&[77]), false), &sight, &rules());
     assert_eq!(unknown, Err(Refused::Unknown(Machine::Box(77))));
     let mut out = work.clone();
     steps(&mut out, &mut Watch::default(), &sight, 0);
@@ -174,7 +174,7 @@
 fn electors_and_the_leader_go_without_losing_the_quorum() {
     let (mut sight, mut watch) = (sight(), Watch::default());
     let routers: Vec<Machine> = (0..3).map(|n| Machine::Router(format!("n{n}"))).collect();
-    let mut work = Work::default().order(order(7, &routers, false), &sight, &rules()).unwrap();
+    let mut work = Work::default().order_seen(order(7, &routers, false), &sight, &rules()).unwrap();
     let why = steps(&mut work, &mut watch, &sight, 0);
     assert_eq!(work.at(Stage::Out).count(), 1, "{work:?}");
     assert!(!why.iter().any(|w| *w == Why::Turn(Machine::Router("n0".to_owned()))));
@@ -189,6 +189,6 @@
     assert!(watch.next(0, 60, &work, &sight, &rules()).0.is_none());
     sight.electors.insert("n2".to_owned(), true);
     assert!(watch.next(0, 60, &work, &sight, &rules()).0.is_some());
-    let majority = Work::default().order(order(8, &routers, true), &sight, &rules());
+    let majority = Work::default().order_seen(order(8, &routers, true), &sight, &rules());
     assert!(matches!(majority, Err(Refused::TooMuch { .. })), "{majority:?}");
 }
