--- a/silverspindle/src/agreement/orders.rs
+++ b/silverspindle/src/agreement/orders.rs
@@ -181,8 +181,8 @@
                 let state = if ready { State::Up } else { State::Missing };
                 (machine, Seen { place, capacity: 1, state, load: 0 })
             });
-        let routers =
-            node.fleet().roll.iter().filter(|(_, m)| !m.left).map(|(name, _)| (name.clone(), None::<Heard>));
+        // Also who has left: it says so as its end begins, and answers what it has open after that.
+        let routers = node.fleet().roll.keys().map(|name| (name.clone(), None::<Heard>));
         Sight {
             machines: machines.collect(),
             routers: routers.collect(),
