Lab: one list of guards for the command line and the swarm

Cause: the command line had a second enum of the swarm's guards, line by line. Change: the swarm's own is read by clap.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -44,7 +44,7 @@
         routers: u16,
         /// Take a guard out of the routers: the checks must then find a breach
         #[arg(long)]
-        without: Option<Guard>,
+        without: Option<Without>,
     },
 }
 
@@ -56,24 +56,6 @@
     Work,
 }
 
-#[derive(Clone, Copy, ValueEnum)]
-enum Guard {
-    /// The look at the confirmation's age
-    Fence,
-    /// Writes before words
-    Sync,
-    /// A quorum's word
-    Quorum,
-    /// Once through all retries
-    Dedupe,
-    /// Work: the wait until nobody uses a machine
-    Clear,
-    /// Work: the wait for who is not heard
-    Unreached,
-    /// Work: the headroom that a place keeps
-    Headroom,
-}
-
 fn seeds(text: &str) -> Result<Range<u64>, String> {
     let parts = text.split_once("..").and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
     parts.filter(|range: &Range<u64>| !range.is_empty()).ok_or_else(|| "takes A..B, as in 0..1000".to_owned())
@@ -92,15 +74,6 @@
             return ExitCode::SUCCESS;
         }
     };
-    let without = without.map(|guard| match guard {
-        Guard::Fence => Without::Fence,
-        Guard::Sync => Without::Sync,
-        Guard::Quorum => Without::Quorum,
-        Guard::Dedupe => Without::Dedupe,
-        Guard::Clear => Without::Clear,
-        Guard::Unreached => Without::Unreached,
-        Guard::Headroom => Without::Headroom,
-    });
     let options =
         Options { routers: usize::from(routers), without, calm: None, work: matches!(what, What::Work) };
     let began = Instant::now();
--- a/lab/src/swarm.rs
+++ b/lab/src/swarm.rs
@@ -36,7 +36,7 @@
 const MOST_FAULTS: usize = 14;
 
 /// Which guard is taken out of the simulated routers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
 pub enum Without {
     /// The look at the confirmation's age.
     Fence,
