--- a/conf/src/keys.rs
+++ b/conf/src/keys.rs
@@ -80,7 +80,7 @@
 }
 
 /// Parts of the file, with the directives of each.
-pub const PARTS: [(&str, &[Key]); 5] = [
+pub const PARTS: [(&str, &[Key]); 6] = [
     (
         "Exchange of knowledge between routers, on TCP with mutual TLS 1.3. A router gives when 'exchange-listen' is\n\
          set and asks when there are donors; both need the three files that 'silverspindle keys' makes.",
@@ -195,6 +195,25 @@
             },
         ],
     ),
+    (
+        "Settings and lists with versions on which the routers agree ('silverspindle fleet rules'); on top of what they\n\
+         agree on, with the same line at every router.",
+        &[
+            Key {
+                restart: true,
+                ..key("agree-rules", Kind::Choice(&["on", "off"]), "Whether this router acts by them.").or("off")
+            },
+            Key {
+                restart: true,
+                ..key(
+                    "rules-least-fills",
+                    Kind::Count(0, 10_000_000),
+                    "A version whose limit of fills at the head office is lower this router can't carry: it holds the change up.",
+                )
+                .or("0")
+            },
+        ],
+    ),
     (
         "How fast another router's word loses weight: after so long it counts half.",
         &[
--- a/conf/src/settings.rs
+++ b/conf/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings that the file comes to, and what the directives must be together.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -88,6 +89,19 @@
     pub records: Option<PathBuf>,
     /// Taking machines out for work; none: off.
     pub work: Option<Work>,
+    /// Settings and lists with versions; none: off.
+    pub rules: Option<Rules>,
+}
+
+/// Settings and lists with versions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rules {
+    /// A lower limit of fills at the head office can't be carried.
+    pub least_fills: u64,
+    /// What this file says of half-lives, which an agreed version may overrule, and on which lines.
+    pub half_lives: HalfLives,
+    /// See `half_lives`.
+    pub lines: BTreeMap<&'static str, usize>,
 }
 
 /// Taking machines out for work.
@@ -138,6 +152,21 @@
         let problem = format!("{} of them stand there; 1, 3 or 5 can vote", electors.len());
         faults.push(Fault { line: *line, key: "agree-elector".to_owned(), problem });
     }
+    let rules = one("agree-rules").filter(|(_, value)| *value == Value::Name("on".to_owned()));
+    if let Some((line, _)) = rules.filter(|_| agrees.is_none()) {
+        let problem = "needs agree-elector lines: versions are agreed".to_owned();
+        faults.push(Fault { line: *line, key: "agree-rules".to_owned(), problem });
+    }
+    let half_lives = HalfLives {
+        health: number("half-life-health"),
+        pace: number("half-life-pace"),
+        rates: number("half-life-rates"),
+        filter: number("half-life-filter"),
+    };
+    let lines = given
+        .iter()
+        .filter(|(key, _)| key.starts_with("half-life-"))
+        .filter_map(|(key, all)| Some((*key, all.first()?.0)));
     if let Some((line, _)) = one("work-out").filter(|_| agrees.is_none()) {
         let problem = "needs agree-elector lines: the order of work is agreed".to_owned();
         faults.push(Fault { line: *line, key: "work-out".to_owned(), problem });
@@ -170,6 +199,11 @@
                 headroom: 10 * number("work-headroom"),
                 hold: matches!(one("work-alone"), Some((_, Value::Name(word))) if word == "hold"),
             }),
+            rules: rules.map(|_| Rules {
+                least_fills: number("rules-least-fills"),
+                half_lives,
+                lines: lines.collect(),
+            }),
         }),
         exchange: needs.map(|_| Exchange {
             listen: address("exchange-listen"),
@@ -185,12 +219,7 @@
             every: number("snapshot-every"),
             most: number("snapshot-size"),
         }),
-        half_lives: HalfLives {
-            health: number("half-life-health"),
-            pace: number("half-life-pace"),
-            rates: number("half-life-rates"),
-            filter: number("half-life-filter"),
-        },
+        half_lives,
         given: given.iter().filter(|(_, v)| !v.is_empty()).map(|(k, v)| (*k, v.clone())).collect(),
     }
 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -54,6 +54,8 @@
     Agreement,
     /// Machines taken out for work, on top of it
     Work,
+    /// Versions of settings and lists, on top of it
+    Rules,
 }
 
 fn seeds(text: &str) -> Result<Range<u64>, String> {
@@ -74,8 +76,8 @@
             return ExitCode::SUCCESS;
         }
     };
-    let options =
-        Options { routers: usize::from(routers), without, calm: None, work: matches!(what, What::Work) };
+    let (work, rules) = (matches!(what, What::Work), matches!(what, What::Rules));
+    let options = Options { routers: usize::from(routers), without, calm: None, work, rules };
     let began = Instant::now();
     let all = swarm::many(seeds.clone(), &options);
     let took = began.elapsed().as_secs_f64();
--- a/lab/src/swarm.rs
+++ b/lab/src/swarm.rs
@@ -2,6 +2,7 @@
 //! only what was synced, stalls and drift. A checker reads what the routers did, event by event; it knows what they
 //! promise and nothing of how.
 
+mod rules;
 mod work;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -54,6 +55,12 @@
     Headroom,
     /// The leader's handing over before its own turn.
     HandOver,
+    /// The wait until nobody acts on the version before alone.
+    Apart,
+    /// The lesser share until another sharing out holds.
+    Shares,
+    /// What both versions allow while one is on its way.
+    Narrower,
 }
 
 /// What goes wrong, at a time and for so long.
@@ -110,11 +117,13 @@
     pub calm: Option<Micros>,
     /// Work orders go on top of the agreement.
     pub work: bool,
+    /// Versions of rules do.
+    pub rules: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { routers: 8, without: None, calm: None, work: false }
+        Self { routers: 8, without: None, calm: None, work: false, rules: false }
     }
 }
 
@@ -159,6 +168,8 @@
     Propose,
     Lead(usize),
     Staff,
+    LeadRules(usize),
+    StaffRules,
     /// Staff unplug a router, or plug it in.
     Plug(usize, bool),
     Fault(usize),
@@ -212,6 +223,7 @@
     calls: Vec<Call>,
     last_call: Option<(usize, Option<u64>)>,
     yard: work::Yard,
+    office: rules::Office,
     // The checker's.
     digests: BTreeMap<u64, u64>,
     decided_at: BTreeMap<u64, Micros>,
@@ -263,7 +275,7 @@
 /// Plays a seed with these faults.
 pub fn play(seed: u64, options: &Options, electors: usize, faults: &[Fault]) -> Outcome {
     let mut swarm = Swarm::new(seed, *options, electors, faults);
-    let end = options.calm.unwrap_or(if options.work { END + WORK_ENDS } else { END });
+    let end = options.calm.unwrap_or(if options.work || options.rules { END + WORK_ENDS } else { END });
     while swarm.out.broken.is_none() {
         let Some(((at, _), what)) = swarm.queue.pop_first() else { break };
         if at > end {
@@ -281,7 +293,7 @@
 
 /// A calm while with so many electors, in words for a person.
 pub fn calm(routers: usize, electors: usize, time: Micros, seed: u64) -> String {
-    let options = Options { routers, without: None, calm: Some(time), work: false };
+    let options = Options { routers, without: None, calm: Some(time), work: false, rules: false };
     let mut out = play(seed, &options, electors, &[]);
     out.to_all.sort_unstable();
     // The first seconds are the forming's and the joins'.
@@ -455,6 +467,7 @@
             calls: vec![],
             last_call: None,
             yard: work::Yard::default(),
+            office: rules::Office::default(),
             digests: BTreeMap::new(),
             decided_at: BTreeMap::new(),
             settled: BTreeMap::new(),
@@ -465,6 +478,9 @@
         if options.work {
             swarm.begin_work();
         }
+        if options.rules {
+            swarm.begin_rules();
+        }
         for n in 0..options.routers {
             swarm.start(n);
             let at = swarm.rng.random_range(0..ACT_EVERY);
@@ -589,6 +605,8 @@
             What::Propose => self.call(),
             What::Lead(n) => self.lead(n),
             What::Staff => self.staff(),
+            What::LeadRules(n) => self.lead_rules(n),
+            What::StaffRules => self.staff_rules(),
             What::Plug(n, out) => self.power(n, out),
             What::Fault(n) => self.fault(self.faults[n].kind, true),
             What::Heal(n) => {
@@ -630,6 +648,9 @@
         if self.options.work {
             self.report(n);
         }
+        if self.options.rules {
+            self.report_rules(n);
+        }
         let place = &mut self.places[n];
         if place.still > self.now || !place.after.is_empty() {
             // What waits at a process that stands still is bounded, as a socket's buffer is.
@@ -846,6 +867,9 @@
         if self.options.work {
             self.decided_work(n, number, applied.outcome.as_ref().map(|(id, _)| *id));
         }
+        if self.options.rules {
+            self.decided_rules(n, number);
+        }
         if self.options.calm.is_some() {
             let reached = self.reached.entry(number).or_default();
             *reached += 1;
@@ -888,6 +912,9 @@
                 if self.options.work {
                     self.use_a_box(n);
                 }
+                if self.options.rules {
+                    self.act_by_rules(n);
+                }
                 if late > LEASE {
                     self.broken(format!("n{n} acts on {number}, overtaken for {} ms", late / MS));
                 }
@@ -899,7 +926,7 @@
                         .places
                         .iter()
                         .all(|p| p.node.as_ref().is_some_and(|node| node.fleet().number >= made));
-                    if all && self.all_may_act() && (!self.options.work || self.work_is_done()) {
+                    if all && self.all_may_act() && self.has_ended() {
                         self.out.recovered = self.now - healed;
                         self.last_call = Some((call, Some(self.now)));
                     }
@@ -908,6 +935,11 @@
         }
     }
 
+    /// What goes on top of the agreement has come to its end.
+    fn has_ended(&self) -> bool {
+        (!self.options.work || self.work_is_done()) && (!self.options.rules || self.rules_are_settled())
+    }
+
     fn all_may_act(&self) -> bool {
         let may = |n: usize| {
             self.places[n].node.as_ref().is_some_and(|node| node.fence().may_act(self.local(n)).is_some())
@@ -933,7 +965,10 @@
                     )
                 })
                 .collect();
-            let orders = if self.options.work { self.work_left() } else { String::new() };
+            let mut orders = if self.options.work { self.work_left() } else { String::new() };
+            if self.options.rules {
+                orders.push_str(&self.rules_left());
+            }
             self.broken(format!(
                 "no decision at all routers {} s after all healed: {}{orders}",
                 PROGRESS / SECOND,
--- a/lab/tests/swarm.rs
+++ b/lab/tests/swarm.rs
@@ -79,3 +79,28 @@
     let fewest = swarm::shrink(0, &options, electors, faults.clone());
     assert!(fewest.len() <= faults.len() && play(0, &options, electors, &fewest).broken.is_some());
 }
+
+fn rules(without: Option<Without>) -> Options {
+    Options { without, rules: true, ..Options::default() }
+}
+
+/// Versions of rules on top of the agreement: apart means never together, at once for the stated time at most, shares
+/// never over the whole, nothing denied is used once it holds.
+#[test]
+fn no_seed_of_rules_breaks_a_promise() {
+    let all = many(0..300, &rules(None));
+    assert_eq!(all.first, None, "{}", all.summary());
+}
+
+/// Each guard of the versions, and the fence below them, keeps out what the checks find without it.
+#[test]
+fn without_any_one_guard_of_rules_the_swarm_finds_a_breach() {
+    for guard in [Without::Apart, Without::Shares, Without::Narrower, Without::Fence] {
+        let options = rules(Some(guard));
+        let found = (0..1000).find(|seed| {
+            let (electors, faults) = scenario(*seed, &options);
+            play(*seed, &options, electors, &faults).broken.is_some()
+        });
+        assert!(found.is_some(), "nothing breaks without {guard:?} in 1,000 seeds");
+    }
+}
--- a/silverspindle/src/agreement/mod.rs
+++ b/silverspindle/src/agreement/mod.rs
@@ -2,7 +2,7 @@
 //! elector's disk. Off unless the operators' file names electors.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,19 +10,21 @@
 use async_channel::{Receiver, Sender, TrySendError};
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use bitternhold::{MemberId, Micros};
+use bitternhold::{MemberId, Micros, Note};
 use futures_lite::future;
 use silverspindle_agreement::{
     Action, Change, Disk, Event, Fence, Frame, Guards, Node, Proposal, ProposalId, Refusal, Reply, Terms,
     Verdict,
 };
 use silverspindle_conf::Agreement as Conf;
+use silverspindle_conf::HalfLives;
 use silverspindle_knowledge::{InstanceId, Source};
 use silverspindle_work::SIGHT;
 
 pub mod links;
 pub mod orders;
 pub mod records;
+pub mod rules;
 pub mod staff;
 pub mod store;
 
@@ -30,9 +32,14 @@
 use orders::Orders;
 pub use orders::Yard;
 use records::{Records, steady};
+use rules::Acting;
 pub use store::Fault;
 use store::{Store, draw};
 
+use crate::traffic::{Attempt, Message, Noted};
+
+/// Whoever leads answers by this topic with what it waits for with versions.
+pub const RULES_SIGHT: &str = "rules/sight";
 /// Frames that may wait at the core, and on a connection; what is over is lost, as on a bad network.
 const INBOX: usize = 1024;
 const OUTBOX: usize = 64;
@@ -76,6 +83,54 @@
     Propose { proposal: Proposal, reply: Sender<Reply> },
 }
 
+/// Members that are not to be used, by orders and by rules, as the director hears of them together.
+#[derive(Clone, Debug)]
+pub struct Withholds {
+    director: Sender<Message>,
+    by: Rc<RefCell<[BTreeSet<MemberId>; 2]>>,
+}
+
+impl Withholds {
+    fn set(&self, which: usize, members: BTreeSet<MemberId>) {
+        self.by.borrow_mut()[which] = members;
+        let all = self.by.borrow().iter().flatten().copied().collect();
+        let _ = self.director.try_send(Message::Withheld(all));
+    }
+
+    /// Out for work.
+    pub fn out(&self, members: BTreeSet<MemberId>) {
+        self.set(0, members);
+    }
+
+    /// Denied.
+    pub fn denied(&self, members: BTreeSet<MemberId>) {
+        self.set(1, members);
+    }
+}
+
+/// What a router tells of itself by its orders and by its rules, in one.
+fn told(orders: &[u8], rules: &[u8]) -> Vec<u8> {
+    match orders.is_empty() && rules.is_empty() {
+        true => Vec::new(),
+        false => postcard::to_stdvec(&(orders, rules)).unwrap_or_default(),
+    }
+}
+
+/// Reports by what they are about, by router.
+type Reports = [BTreeMap<String, Vec<u8>>; 2];
+
+fn reports(node: &Node) -> Reports {
+    let mut all = Reports::default();
+    if node.role() == silverspindle_agreement::Role::Leader {
+        for (name, bytes) in node.reports() {
+            let Ok((orders, rules)) = postcard::from_bytes::<(&[u8], &[u8])>(bytes) else { continue };
+            all[0].insert(name.to_owned(), orders.to_vec());
+            all[1].insert(name.to_owned(), rules.to_vec());
+        }
+    }
+    all
+}
+
 /// Callers' connections by name, each with its number.
 type Callers = BTreeMap<String, Vec<(u64, Sender<Frame>)>>;
 
@@ -92,6 +147,8 @@
     pub fence: Fence,
     /// Machines in orders, where those are on.
     orders: Option<Rc<Orders>>,
+    /// Versions of rules, where those are on.
+    rules: Option<Rc<Acting>>,
     /// Its acts' records, where they are written.
     pub records: Option<Rc<Records>>,
 }
@@ -150,7 +207,13 @@
 
     /// Whether an attempt to a member, with this source, may go out now by what is agreed; what it is done on goes to
     /// the records.
-    pub fn allows(&self, to: MemberId, source: Option<MemberId>) -> bool {
+    pub(crate) fn allows(
+        &self,
+        attempt: &Attempt,
+        to: MemberId,
+        members: &BTreeMap<MemberId, Noted>,
+    ) -> bool {
+        let source = attempt.terms.source;
         let allows = self.orders.as_ref().is_none_or(|orders| {
             // Alone, with a confirmation that has run out, it takes nothing new: others may have gone on. Unless staff
             // will have it hold all work up instead.
@@ -158,6 +221,8 @@
                 && orders.allow(to)
                 && source.is_none_or(|s| orders.allow(s))
         });
+        // Last, as it takes of the router's shares.
+        let allows = allows && self.rules.as_ref().is_none_or(|rules| rules.allows(attempt, to, members));
         if allows {
             self.act();
         }
@@ -166,9 +231,39 @@
 
     fn act(&self) {
         if let Some(records) = &self.records {
-            records.act(&self.fence);
+            records.act(&self.fence, self.rules.as_ref().map(|rules| rules.of()));
+        }
+    }
+
+    /// An attempt ended.
+    pub(crate) fn over(&self, attempt: &Attempt, note: Option<Note>) {
+        if let Some(rules) = &self.rules {
+            rules.over(attempt, note);
         }
     }
+
+    /// Whether a request of this class and group is refused.
+    pub fn refuses(&self, class: usize, group: u64) -> bool {
+        self.rules.as_ref().is_some_and(|rules| rules.refuses(class, group))
+    }
+
+    /// A request was answered.
+    pub fn answered(&self, in_time: bool, refused: bool) {
+        if let Some(rules) = &self.rules {
+            rules.answered(in_time, refused);
+        }
+    }
+
+    /// The versions that it acts on, and its share of limits.
+    pub fn version(&self) -> Option<(String, u32)> {
+        let (of, share) = self.rules.as_ref()?.of();
+        Some((of.to_string(), share))
+    }
+
+    /// Half-lives as they hold over the operators' file's.
+    pub fn half_lives(&self, own: HalfLives) -> HalfLives {
+        self.rules.as_ref().map_or(own, |rules| rules.half_lives(own))
+    }
 }
 
 impl std::fmt::Debug for Handle {
@@ -193,6 +288,8 @@
     said: Option<(silverspindle_agreement::Role, Option<String>)>,
     lease: Micros,
     lead: Option<orders::Lead>,
+    rules: Option<rules::Lead>,
+    yard: Yard,
     /// Writes to the disk so far.
     writes: u64,
 }
@@ -235,18 +332,33 @@
         let records = conf.records.as_ref().map(|path| Records::open(path, name, me.incarnation));
         let records = records.transpose().map_err(Fault::Disk)?;
         let life = Rc::new(Cell::new(None));
+        let withholds = Withholds { director: yard.director.clone(), by: Rc::default() };
+        let clock = (conf.within, DRIFT_PPM);
+        let (acting, rules) = match &conf.rules {
+            Some(terms) => {
+                let (settings, classes) = (yard.settings.clone(), yard.classes.clone());
+                let acting = Acting::new(node.fence().clone(), settings, classes, terms.half_lives);
+                let acting = Rc::new(acting);
+                let (least, lines) = (terms.least_fills, terms.lines.clone());
+                let who = (me, name);
+                let (own, all) = (life.clone(), withholds.clone());
+                let lead = rules::Lead::new(clock, who, own, acting.clone(), all, least, lines);
+                (Some(acting), Some(lead))
+            }
+            None => (None, None),
+        };
         let (orders, lead) = match conf.work {
             Some(terms) => {
                 let orders = Rc::new(Orders::new(terms.hold));
-                let clock = (conf.within, DRIFT_PPM);
                 let (yard, own) = (yard.clone(), life.clone());
-                let lead = orders::Lead::new(terms, clock, me, name, yard, orders.clone(), own);
+                let lead = orders::Lead::new(terms, clock, (me, name), yard, orders.clone(), own, withholds);
                 (Some(orders), Some(lead))
             }
             None => (None, None),
         };
         let handle = Handle {
             orders,
+            rules: acting,
             inbox: send,
             callers: Rc::default(),
             calls: Rc::default(),
@@ -270,6 +382,8 @@
             said: None,
             lease: conf.within,
             lead,
+            rules,
+            yard: yard.clone(),
             writes: 0,
         })
     }
@@ -286,6 +400,7 @@
                 .node
                 .due()
                 .min(self.lead.as_ref().map_or(u64::MAX, |lead| lead.due))
+                .min(self.rules.as_ref().map_or(u64::MAX, |rules| rules.due))
                 .saturating_sub(steady());
             let tick = async {
                 Timer::after(Duration::from_micros(due)).await;
@@ -294,8 +409,14 @@
             let input = async { self.inbox.recv().await.ok() };
             let event = match future::or(input, tick).await {
                 None => Event::Tick,
-                Some(Input::Heard { from, frame: Frame::AskNote { topic } }) if topic == SIGHT => {
-                    let body = self.lead.as_ref().map(|lead| lead.spelt_sight(steady(), &self.node));
+                Some(Input::Heard { from, frame: Frame::AskNote { topic } })
+                    if topic == SIGHT || topic == RULES_SIGHT =>
+                {
+                    let (now, [orders, rules]) = (steady(), reports(&self.node));
+                    let body = match topic == SIGHT {
+                        true => self.lead.as_ref().map(|lead| lead.spelt_sight(now, &self.node, &orders)),
+                        false => self.rules.as_ref().map(|lead| lead.spelt_sight(now, &self.node, &rules)),
+                    };
                     let at = self.node.fleet().number;
                     let body = body.unwrap_or_default();
                     self.send(&from, Frame::NoteIs { topic, number: 0, body, at });
@@ -325,11 +446,37 @@
                 self.carry_out(action).await?;
             }
             self.out = out;
-            let step = self.lead.as_mut().and_then(|lead| lead.look(steady(), &mut self.node));
-            // Its own step: the outcome shows in the text that is agreed.
-            let Some(proposal) = step else { return Ok(()) };
-            self.node.handle(steady(), Event::Propose { token: 0, proposal }, &mut self.out);
+            let steps = self.look();
+            // Its own steps: the outcome shows in the texts that are agreed.
+            if steps.iter().all(Option::is_none) {
+                return Ok(());
+            }
+            for proposal in steps.into_iter().flatten() {
+                self.node.handle(steady(), Event::Propose { token: 0, proposal }, &mut self.out);
+            }
+        }
+    }
+
+    /// What goes on top of the agreement takes in what is agreed, and takes its next steps.
+    fn look(&mut self) -> [Option<Proposal>; 2] {
+        if self.lead.is_none() && self.rules.is_none() {
+            return [None, None];
+        }
+        let now = steady();
+        let [orders, rules] = reports(&self.node);
+        let step = self.lead.as_mut().and_then(|lead| lead.look(now, &mut self.node, &orders));
+        let other = self.rules.as_mut().and_then(|lead| lead.look(now, &self.node, &rules));
+        let active = self.lead.as_ref().is_none_or(|lead| lead.active.get());
+        if active {
+            let empty: &[u8] = &[];
+            let orders = self.lead.as_ref().map_or(empty, |lead| &lead.told);
+            let rules = self.rules.as_ref().map_or(empty, |lead| &lead.told);
+            self.node.tell(told(orders, rules));
+            let alone = self.lead.as_ref().is_some_and(|lead| lead.alone)
+                || self.rules.as_ref().is_some_and(rules::Lead::is_alone);
+            self.yard.drain.borrow_mut().alone(alone);
         }
+        [step, other]
     }
 
     async fn carry_out(&mut self, action: Action) -> Result<(), String> {
--- a/silverspindle/src/agreement/orders.rs
+++ b/silverspindle/src/agreement/orders.rs
@@ -14,6 +14,7 @@
     Work,
 };
 
+use super::Withholds;
 use crate::clock;
 use crate::drain::Drain;
 use crate::traffic::{Board, Message, Noted};
@@ -27,7 +28,7 @@
 /// The module's limits are looked at so often while there are orders.
 const LIMITS_EVERY: Micros = 1_000_000;
 /// Bytes of what it tells.
-const MOST_TOLD: usize = 4096;
+const MOST_TOLD: usize = 3800;
 
 /// What orders need of the router.
 #[derive(Clone)]
@@ -36,8 +37,10 @@
     pub board: Rc<Board>,
     /// Hears what is withheld.
     pub director: Sender<Message>,
-    /// The settings.
+    /// The settings, and the classes' names.
     pub settings: Settings,
+    /// See `settings`.
+    pub classes: Vec<String>,
     /// The router's own drain, and who is told when it changes.
     pub drain: Rc<RefCell<Drain>>,
     /// See `drain`.
@@ -118,6 +121,11 @@
     followed: Option<Micros>,
     /// It tells and leads; not before its guard is the one that acts.
     pub active: Rc<Cell<bool>>,
+    withholds: Withholds,
+    /// What it tells.
+    pub told: Vec<u8>,
+    /// It may send nothing on, and says so at the front.
+    pub alone: bool,
     limits: Micros,
     proposed: u64,
     /// What it waits for as it leads.
@@ -132,11 +140,11 @@
     pub fn new(
         terms: Terms,
         (lease, drift_ppm): (Micros, u64),
-        me: Source,
-        name: &str,
+        (me, name): (Source, &str),
         yard: Yard,
         orders: Rc<Orders>,
         life: Rc<Cell<Option<u64>>>,
+        withholds: Withholds,
     ) -> Self {
         let rules = Rules::new(terms.headroom, terms.most_out, lease, yard.longest(), drift_ppm);
         let guards = Guards { clear: !super::without("clear"), ..Guards::default() };
@@ -152,6 +160,9 @@
             seen: None,
             followed: None,
             active: Rc::new(Cell::new(true)),
+            withholds,
+            told: Vec::new(),
+            alone: true,
             limits: 0,
             proposed: 0,
             why: Vec::new(),
@@ -172,7 +183,12 @@
     }
 
     /// Takes in what is agreed now, and tells of it; the leader's next step, if there is one.
-    pub fn look(&mut self, now: Micros, node: &mut Node) -> Option<Proposal> {
+    pub fn look(
+        &mut self,
+        now: Micros,
+        node: &mut Node,
+        reports: &BTreeMap<String, Vec<u8>>,
+    ) -> Option<Proposal> {
         let member = self.is_member(now, node);
         let note = node.fleet().notes.get(TOPIC);
         let work = note.map_or(Some(Work::default()), |note| Work::read(&note.body));
@@ -192,13 +208,11 @@
                 *self.orders.out.borrow_mut() = out.clone();
             }
             // The guard at the moment of writing holds at once; the module hears of it so that it chooses others.
-            let _ = self.yard.director.try_send(Message::Withheld(out));
+            self.withholds.out(out);
         }
         let may = member && node.fence().may_act(now).is_some();
         let alone = !(self.orders.holds || may);
-        if self.active.get() {
-            self.yard.drain.borrow_mut().alone(alone);
-        }
+        self.alone = alone;
         if now < self.due && !changed {
             return None;
         }
@@ -212,7 +226,7 @@
             self.watch = Watch::default();
             return None;
         }
-        let (step, why) = self.watch.next(now, at, &work, &self.sight(node), &self.rules);
+        let (step, why) = self.watch.next(now, at, &work, &self.sight(node, reports), &self.rules);
         if why.contains(&Why::HandOver) {
             tracing::info!("work: this router's own turn comes: another one is to lead");
             node.hand_over();
@@ -255,8 +269,8 @@
     }
 
     /// Tells whoever leads what it acts on and what is open here; nothing while there are no orders.
-    fn tell(&mut self, now: Micros, work: &Work, node: &mut Node) {
-        let Some(life) = self.life.get().filter(|_| !work.is_done()) else { return node.tell(Vec::new()) };
+    fn tell(&mut self, now: Micros, work: &Work, node: &Node) {
+        let Some(life) = self.life.get().filter(|_| !work.is_done()) else { return self.told.clear() };
         if now >= self.limits + LIMITS_EVERY {
             self.limits = now;
             let _ = self.yard.director.try_send(Message::Limits);
@@ -285,17 +299,17 @@
             bids: near.map(|(id, _)| bid(id)).collect(),
         };
         drop(limits);
-        node.tell(told.spell(MOST_TOLD));
+        self.told = told.spell(MOST_TOLD);
     }
 
     /// What it sees, as it leads.
-    pub fn sight(&self, node: &Node) -> Sight {
+    pub fn sight(&self, node: &Node, reports: &BTreeMap<String, Vec<u8>>) -> Sight {
         let fleet = node.fleet();
-        let told: BTreeMap<&str, Told> = node
-            .reports()
+        let told: BTreeMap<&str, Told> = reports
+            .iter()
             .filter_map(|(name, bytes)| {
                 let told = Told::read(bytes)?;
-                (fleet.roll.get(name)?.life == told.life).then_some((name, told))
+                (fleet.roll.get(name)?.life == told.life).then_some((name.as_str(), told))
             })
             .collect();
         let lease = self.rules.over;
@@ -349,9 +363,11 @@
     }
 
     /// The same for staff, with the rules and what it waits for; empty: it does not lead, or can't be sure that it does.
-    pub fn spelt_sight(&self, now: Micros, node: &Node) -> Vec<u8> {
+    pub fn spelt_sight(&self, now: Micros, node: &Node, reports: &BTreeMap<String, Vec<u8>>) -> Vec<u8> {
         match node.role() == Role::Leader && node.fence().may_act(now).is_some() {
-            true => postcard::to_stdvec(&(self.sight(node), self.rules, &self.why)).unwrap_or_default(),
+            true => {
+                postcard::to_stdvec(&(self.sight(node, reports), self.rules, &self.why)).unwrap_or_default()
+            }
             false => Vec::new(),
         }
     }
--- a/silverspindle/src/agreement/records.rs
+++ b/silverspindle/src/agreement/records.rs
@@ -10,6 +10,7 @@
 use rustix::time::{ClockId, clock_gettime};
 use serde_json::json;
 use silverspindle_agreement::Fence;
+use silverspindle_rules::Group;
 
 /// Acts nearer to each other are one record, as are times without a confirmation.
 const APART: Micros = 5_000;
@@ -26,7 +27,7 @@
     file: RefCell<File>,
     router: String,
     life: u64,
-    last: Cell<(Micros, Option<u64>)>,
+    last: Cell<(Micros, Option<u64>, Option<Group>)>,
 }
 
 impl Records {
@@ -34,7 +35,7 @@
     pub fn open(path: &Path, router: &str, life: u64) -> Result<Self, String> {
         let file = OpenOptions::new().create(true).append(true).open(path);
         let file = file.map_err(|e| format!("{}: {e}", path.display()))?;
-        let last = Cell::new((0, None));
+        let last = Cell::new((0, None, None));
         Ok(Self { file: RefCell::new(file), router: router.to_owned(), life, last })
     }
 
@@ -52,19 +53,24 @@
             "digest": format!("{digest:016x}"), "at": steady(), "id": id, "made": made}));
     }
 
-    /// An attempt goes out: on which number the router acts, if on any.
-    pub fn act(&self, fence: &Fence) {
+    /// An attempt goes out: on which number the router acts, if on any, on which versions of the rules, and with which
+    /// share.
+    pub fn act(&self, fence: &Fence, rules: Option<(Group, u32)>) {
         let now = steady();
         let may = fence.may_act(now);
-        let (at, number) = self.last.get();
-        if now < at + APART && number == may.map(|(number, ..)| number) {
+        let (at, number, group) = self.last.get();
+        let of = rules.map(|(of, _)| of);
+        if now < at + APART && number == may.map(|(number, ..)| number) && group == of {
             return;
         }
-        self.last.set((now, may.map(|(number, ..)| number)));
+        self.last.set((now, may.map(|(number, ..)| number), of));
+        let (rules, share) = rules.map_or((None, None), |(of, share)| (Some(of.to_string()), Some(share)));
         match may {
             Some((number, digest, age)) => self.line(&json!({"kind": "act", "router": self.router,
-                "life": self.life, "number": number, "digest": format!("{digest:016x}"), "at": now, "age": age})),
-            None => self.line(&json!({"kind": "held", "router": self.router, "life": self.life, "at": now})),
+                "life": self.life, "number": number, "digest": format!("{digest:016x}"), "at": now, "age": age,
+                "rules": rules, "share": share})),
+            None => self.line(&json!({"kind": "held", "router": self.router, "life": self.life, "at": now,
+                "rules": rules})),
         }
     }
 }
--- a/silverspindle/src/agreement/staff.rs
+++ b/silverspindle/src/agreement/staff.rs
@@ -20,7 +20,8 @@
 };
 use silverspindle_conf::{Agreement, Conf};
 use silverspindle_knowledge::{InstanceId, Source};
-use silverspindle_work::{Machine, Order, Rules, SIGHT, Sight, Stage, TOPIC, Why, Work};
+use silverspindle_rules::{Head, Past, Refused as RulesRefused, Rules, Shares, State, Way};
+use silverspindle_work::{Machine, Order, Rules as WorkRules, SIGHT, Sight, Stage, TOPIC, Why, Work};
 
 use super::links::{self, Connector};
 use super::store::draw;
@@ -246,42 +247,144 @@
 }
 
 impl Staff {
-    /// The orders as of now, by electors that a quorum has confirmed since they were asked, and the number that they
-    /// build on.
-    pub async fn work(&self) -> Result<(u64, Work), String> {
+    /// A topic's text as of now, by electors that a quorum has confirmed since they were asked, and the number that it
+    /// builds on; empty: there is none.
+    async fn note(&self, topic: &str) -> Result<(u64, Vec<u8>), String> {
         let mut best: Option<(u64, Vec<u8>)> = None;
         let mut faults = Vec::new();
         for elector in &self.agreement.electors {
             let note = |frame| match frame {
-                Frame::NoteIs { topic, body, at, .. } if topic == TOPIC => Some((at, body)),
+                Frame::NoteIs { topic: of, body, at, .. } if of == topic => Some((at, body)),
                 _ => None,
             };
-            match self.ask(elector, Frame::AskNote { topic: TOPIC.to_owned() }, STATUS, note).await {
+            match self.ask(elector, Frame::AskNote { topic: topic.to_owned() }, STATUS, note).await {
                 Ok(found) if best.as_ref().is_none_or(|best| best.0 < found.0) => best = Some(found),
                 Ok(_) => {}
                 Err(e) => faults.push(format!("{}: {e}", elector.0)),
             }
         }
-        let (at, body) = best.ok_or_else(|| format!("no elector is heard: {}", faults.join("; ")))?;
-        if body.is_empty() {
-            return Ok((at, Work::default()));
-        }
-        Ok((at, Work::read(&body).ok_or("the agreed orders can't be read: another version?")?))
+        best.ok_or_else(|| format!("no elector is heard: {}", faults.join("; ")))
     }
 
-    /// What the leader sees, the rules that it goes by, and what it waits for.
-    pub async fn sight(&self) -> Result<(Sight, Rules, Vec<Why>), String> {
+    /// What the leader alone answers by a topic of its own.
+    async fn of_leader(&self, topic: &str) -> Option<Vec<u8>> {
         for elector in &self.agreement.electors {
-            let sight = |frame| match frame {
-                Frame::NoteIs { topic, body, .. } if topic == SIGHT => Some(body),
+            let answer = |frame| match frame {
+                Frame::NoteIs { topic: of, body, .. } if of == topic => Some(body),
                 _ => None,
             };
-            let asked = self.ask(elector, Frame::AskNote { topic: SIGHT.to_owned() }, STATUS, sight).await;
+            let asked = self.ask(elector, Frame::AskNote { topic: topic.to_owned() }, STATUS, answer).await;
             if let Some(body) = asked.ok().filter(|body| !body.is_empty()) {
-                return postcard::from_bytes(&body).map_err(|e| format!("what {} sees: {e}", elector.0));
+                return Some(body);
+            }
+        }
+        None
+    }
+
+    /// The orders as of now, and the number that they build on.
+    pub async fn work(&self) -> Result<(u64, Work), String> {
+        let (at, body) = self.note(TOPIC).await?;
+        if body.is_empty() {
+            return Ok((at, Work::default()));
+        }
+        Ok((at, Work::read(&body).ok_or("the agreed orders can't be read: another version?")?))
+    }
+
+    /// The versions as of now, and the number that they build on.
+    pub async fn rules(&self) -> Result<(u64, State), String> {
+        let (at, body) = self.note(silverspindle_rules::TOPIC).await?;
+        if body.is_empty() {
+            return Ok((at, State::default()));
+        }
+        Ok((at, State::read(&body).ok_or("the agreed rules can't be read: another version of the program?")?))
+    }
+
+    /// Versions that held before, whole, and the number that they build on.
+    pub async fn past(&self) -> Result<(u64, Past), String> {
+        let (at, body) = self.note(silverspindle_rules::PAST).await?;
+        Ok((at, Past::read(&body)))
+    }
+
+    /// The routers' shares.
+    pub async fn shares(&self) -> Result<Shares, String> {
+        let (_, body) = self.note(silverspindle_rules::SHARES).await?;
+        Ok(Shares::read(&body).unwrap_or_default())
+    }
+
+    /// What the leader waits for with versions, and the decision that each router told to act on.
+    pub async fn rules_sight(&self) -> Option<RulesSight> {
+        postcard::from_bytes(&self.of_leader(super::RULES_SIGHT).await?).ok()
+    }
+
+    /// Proposes a version; what held until then is kept whole first. The number of the new version.
+    pub async fn propose_rules(
+        &self,
+        rules: Rules,
+        reason: &str,
+        builds_on: Option<u64>,
+        way: Option<Way>,
+    ) -> Result<(u64, ProposalId, Reply), String> {
+        let (at, state) = self.rules().await?;
+        let holds = state.current.head.number;
+        let new = state.propose(rules, (&self.name, reason), builds_on.unwrap_or(holds), way);
+        let new = match new {
+            Ok(new) => new,
+            Err(refused @ RulesRefused::Overtaken { builds_on, .. }) => {
+                let (_, past) = self.past().await?;
+                let before = past.rules(builds_on).cloned().unwrap_or_default();
+                let differs = before.diff(&state.current.rules);
+                return Err(format!("{refused}; what has changed since:\n{differs}"));
+            }
+            Err(refused) => return Err(refused.to_string()),
+        };
+        let number = new.next.as_ref().map_or(holds, |next| next.version.head.number);
+        if holds > 0 {
+            let (at, past) = self.past().await?;
+            if let Some(past) = past.with(&state.current) {
+                let id = ProposalId(self.connector.me.instance.0, draw()?);
+                let change = Change::Note { topic: silverspindle_rules::PAST.to_owned(), body: past.spell() };
+                // Others may keep it at the same time: that it is kept is enough.
+                self.offer(Proposal { id, builds_on: at, by: self.name.clone(), change }).await;
+            }
+        }
+        let id = ProposalId(self.connector.me.instance.0, draw()?);
+        let change = Change::Note { topic: silverspindle_rules::TOPIC.to_owned(), body: new.spell() };
+        let proposal = Proposal { id, builds_on: at, by: self.name.clone(), change };
+        Ok((number, id, self.offer(proposal).await))
+    }
+
+    /// Waits until a version holds everywhere; `tell` hears who is missing. False: it was taken back.
+    pub async fn wait_rules(&self, number: u64, mut tell: impl FnMut(&[String])) -> Result<bool, String> {
+        let (mut failures, mut before) = (0, Vec::new());
+        loop {
+            match self.rules().await {
+                Ok((at, state)) => {
+                    failures = 0;
+                    let on_its_way = state.next.as_ref().is_some_and(|n| n.version.head.number == number);
+                    if !on_its_way {
+                        return Ok(state.current.head.number >= number);
+                    }
+                    let missing = self.rules_sight().await.map_or_else(Vec::new, |(_, told)| {
+                        let late = told.into_iter().filter(|(_, told)| told.is_none_or(|told| told < at));
+                        late.map(|(name, _)| name).collect()
+                    });
+                    if missing != before {
+                        tell(&missing);
+                        before = missing;
+                    }
+                }
+                Err(e) if failures >= TRIES => return Err(e),
+                Err(_) => failures += 1,
             }
+            Timer::after(LOOK_AGAIN).await;
         }
-        Err("nobody leads, or orders for work are off there (work-out)".to_owned())
+    }
+
+    /// What the leader sees, the rules that it goes by, and what it waits for.
+    pub async fn sight(&self) -> Result<(Sight, WorkRules, Vec<Why>), String> {
+        let nobody = "nobody leads, or orders for work are off there (work-out)";
+        let body = self.of_leader(SIGHT).await.ok_or(nobody)?;
+        postcard::from_bytes(&body).map_err(|e| format!("what the leader sees: {e}"))
     }
 
     /// What would come of the orders that stand and of one more, as the leader sees the fleet; nothing is done.
@@ -368,6 +471,86 @@
     }
 }
 
+/// What the leader waits for, and the decision that each router told to act on.
+pub type RulesSight = (Vec<silverspindle_rules::Why>, BTreeMap<String, Option<u64>>);
+
+fn way_text(way: &Way) -> String {
+    match way {
+        Way::AtOnce => "at once".to_owned(),
+        Way::Apart => "apart".to_owned(),
+        Way::Trial(trial) => format!("tried by {} of 1000 routers", trial.per_mille),
+    }
+}
+
+fn rules_why(why: &silverspindle_rules::Why) -> Option<String> {
+    use silverspindle_rules::Why as W;
+    match why {
+        W::Held(number, names) => {
+            Some(format!("version {number} waits for {}: they may act on the one before", names.join(", ")))
+        }
+        W::Cannot(name, why) => Some(format!("{name} can't carry it: {why}")),
+        _ => None,
+    }
+}
+
+/// The versions for a person.
+pub fn rules_text(state: &State, shares: &Shares, sight: Option<&RulesSight>) -> String {
+    let mut out = String::new();
+    let head = |head: &Head| {
+        let reason = if head.reason.is_empty() { String::new() } else { format!(": {}", head.reason) };
+        format!("version {} ({:016x}) by {}{reason}", head.number, head.digest, head.author)
+    };
+    match state.current.head.number {
+        0 => out.push_str("no version holds; each router goes by its own files\n"),
+        _ => {
+            let _ = writeln!(out, "{} holds", head(&state.current.head));
+        }
+    }
+    if let Some(next) = &state.next {
+        let _ = writeln!(out, "{} is on its way, {}", head(&next.version.head), way_text(&next.way));
+    }
+    for why in sight.iter().flat_map(|(why, _)| why).filter_map(rules_why) {
+        let _ = writeln!(out, "{why}");
+    }
+    for (name, told) in sight.iter().flat_map(|(_, told)| told) {
+        let share = shares.of(name, true);
+        let told = told.map_or("not heard".to_owned(), |number| format!("acts on decision {number}"));
+        let _ = writeln!(out, "{name:<12} {told}, share {share} millionths");
+    }
+    out
+}
+
+/// The same as JSON.
+pub fn rules_json(state: &State, shares: &Shares, sight: Option<&RulesSight>) -> Value {
+    let head = |h: &Head| {
+        json!({"number": h.number, "digest": format!("{:016x}", h.digest), "author": h.author,
+        "reason": h.reason, "builds_on": h.builds_on, "returned": h.returned})
+    };
+    let why: Vec<String> = sight.iter().flat_map(|(why, _)| why).filter_map(rules_why).collect();
+    let routers = sight.iter().flat_map(|(_, told)| told);
+    let routers: Vec<Value> = routers
+        .map(|(name, told)| json!({"name": name, "number": told, "share": shares.of(name, true)}))
+        .collect();
+    json!({"current": head(&state.current.head), "rules": silverspindle_rules::show(&state.current.rules),
+        "next": state.next.as_ref().map(|n| json!({"version": head(&n.version.head), "way": way_text(&n.way),
+            "rules": silverspindle_rules::show(&n.version.rules)})),
+        "waits": why, "routers": routers})
+}
+
+/// Heads for a person, the latest first.
+pub fn history_text(state: &State) -> String {
+    let mut out = String::new();
+    for head in state.history.iter().rev() {
+        let returned = head.returned.as_ref().map_or(String::new(), |why| format!("  taken back: {why}"));
+        let Head { number, digest, author, reason, builds_on, .. } = head;
+        let _ = writeln!(out, "{number:>4} on {builds_on:<4} {digest:016x} {author:<12} {reason}{returned}");
+    }
+    if out.is_empty() {
+        out.push_str("no versions\n");
+    }
+    out
+}
+
 /// The turns of a plan, and what would never go.
 pub type Plan = (Vec<Vec<Machine>>, Vec<Why>);
 
--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -55,6 +55,9 @@
     Request(RequestId),
 }
 
+/// What is refused by agreement may be allowed again: advice in milliseconds.
+const DENIED: u64 = 1000;
+
 /// How many requests are owed an answer.
 pub type Owed = Cell<usize>;
 
@@ -275,6 +278,10 @@
                 let changed = self.withheld.set(out);
                 self.act_by(changed);
             }
+            Message::Weights(weights) => {
+                let changed = self.withheld.weigh(weights);
+                self.act_by(changed);
+            }
             Message::Limits => {
                 let members = self.module.members_report(clock::now());
                 let limits = members.into_iter().map(|m| (m.id, (m.limit, m.aside > 0)));
@@ -292,6 +299,9 @@
             tracing::warn!(client = port.id(), rid = call.rid, "number {seq} is open already");
             return port.answer(seq, Verdict::Failed);
         }
+        if self.shared.board.refuses(call.class, call.group) {
+            return port.answer(seq, Verdict::Refused { backoff: Some(DENIED) });
+        }
         self.next += 1;
         let id = RequestId(u128::from(self.next));
         let call = Rc::new(call);
@@ -338,7 +348,23 @@
         let (port, seq) = (open.port.clone(), open.seq);
         let Call { rid, class, .. } = &*open.call;
         let spare = open.call.deadline.saturating_sub(clock::now());
-        tracing::trace!(rid, class, attempts = open.attempts, spare, "answer {}", verdict.name());
+        let board = &self.shared.board;
+        match board.version() {
+            // Which versions of the rules it was answered on.
+            Some(rules) => {
+                tracing::trace!(
+                    rid,
+                    class,
+                    attempts = open.attempts,
+                    spare,
+                    rules,
+                    "answer {}",
+                    verdict.name()
+                );
+            }
+            None => tracing::trace!(rid, class, attempts = open.attempts, spare, "answer {}", verdict.name()),
+        }
+        board.answered(spare > 0 && verdict != Verdict::Failed, matches!(verdict, Verdict::Refused { .. }));
         if self.close(id) {
             port.answer(seq, verdict);
         }
@@ -354,7 +380,7 @@
 
     fn ended(&mut self, end: End) {
         let Some(out) = self.attempts.remove(&end.ticket) else { return };
-        self.shared.board.over(&out.attempt, end.status == Status::Ok);
+        self.shared.board.over(&out.attempt, end.status == Status::Ok, end.note);
         if end.status == Status::Ok {
             self.copy(&out.attempt.call, &end);
             let verdict = end.body.map_or(Verdict::Holds, Verdict::Served);
@@ -518,13 +544,16 @@
             decided: self.shared.board.moment(),
             written: Cell::new(false),
             dropped: Cell::new(false),
+            first: number == 0,
+            bare: Cell::new(false),
+            tokens: Cell::new(0),
         });
         // In simulation, too, what may not or can't be sent any more ends as never sent.
         let may = !open.closed && until > now && (most == 0 || number < most);
         self.shared.board.begun(&attempt, member);
         let sent = may && peer.is_some_and(|p| p.try_send(Order::Send(attempt.clone())).is_ok());
         if !sent {
-            self.shared.board.over(&attempt, false);
+            self.shared.board.over(&attempt, false, None);
             let closed = open.closed;
             self.backlog.push_back(Event::Outcome(Outcome {
                 id,
--- a/silverspindle/src/main.rs
+++ b/silverspindle/src/main.rs
@@ -11,6 +11,7 @@
 use silverspindle::knowledge::keys;
 use silverspindle::{logging, serve};
 use silverspindle_agreement::{Change, ProposalId, Reply, Verdict};
+use silverspindle_rules::{Rules, Trial, Way};
 use silverspindle_standins::{rig, trial};
 use silverspindle_work::{Machine, Stage};
 
@@ -89,6 +90,9 @@
         /// With --agree: boxes are ordered out, worked on and brought back on the way
         #[arg(long)]
         work: bool,
+        /// With --agree: versions of rules are proposed on the way
+        #[arg(long)]
+        rules: bool,
         /// With --work: routers, too
         #[arg(long)]
         routers_too: bool,
@@ -185,6 +189,73 @@
     /// Boxes and parents that are worked on
     #[command(subcommand)]
     Work(WorkLine),
+    /// Settings and lists with versions
+    #[command(subcommand)]
+    Rules(RulesLine),
+}
+
+#[derive(Subcommand)]
+enum RulesLine {
+    /// Propose a file's whole set as the next version
+    Propose {
+        /// The file, in the grammar of the operators' file
+        file: PathBuf,
+        #[command(flatten)]
+        how: How,
+    },
+    /// Bring back what a version said, as a new version
+    Return {
+        /// Its number
+        version: u64,
+        #[command(flatten)]
+        how: How,
+    },
+    /// Which version holds, which is on its way, who is missing
+    Status,
+    /// Print what a version says; without a number the one that holds
+    Show {
+        /// Its number
+        version: Option<u64>,
+    },
+    /// What differs between two versions
+    Diff {
+        /// The earlier
+        from: u64,
+        /// The later
+        to: u64,
+    },
+    /// All versions that were proposed lately, with author and reason
+    History,
+    /// List all that is wrong with a file; asks nobody
+    Check {
+        /// The file
+        file: PathBuf,
+    },
+}
+
+#[derive(clap::Args)]
+struct How {
+    /// Why, for people
+    #[arg(long, default_value = "")]
+    reason: String,
+    /// The version that it builds on; refused, with the difference, where another one holds by now
+    #[arg(long)]
+    builds_on: Option<u64>,
+    /// Nobody acts on it until nobody acts on the one before; where keys may never contradict it is so anyhow
+    #[arg(long)]
+    apart: bool,
+    /// So many routers of a hundred act on it first; taken back by itself where they serve less in time than the others
+    #[arg(long, value_name = "PER CENT", value_parser = clap::value_parser!(u32).range(1..=99), conflicts_with = "apart")]
+    trial: Option<u32>,
+    /// With --trial: for so many seconds
+    #[arg(long, default_value_t = 30)]
+    trial_for: u64,
+    /// With --trial: taken back where the share in time is less by so many per cent
+    #[arg(long, default_value_t = 2)]
+    margin: u32,
+    /// Say who is missing until it holds everywhere
+    #[arg(long)]
+    wait: bool,
 }
 
 #[derive(Subcommand)]
@@ -348,6 +419,7 @@
             faults,
             within_ms,
             work,
+            rules,
             routers_too,
             hold,
             quiet,
@@ -374,6 +446,7 @@
                 lease,
                 faults,
                 work,
+                rules,
                 work_routers: routers_too,
                 hold,
                 quiet,
@@ -501,6 +574,7 @@
             let (id, reply) = staff.say(&say).await?;
             return tell(id, &reply, json);
         }
+        Fleet::Rules(line) => return rules(staff, line, json).await,
         Fleet::Join { name } => Change::Join { name, life: 0 },
         Fleet::Forget { name, life: None } => Change::Forget { name },
         Fleet::Forget { name, life: Some(life) } => Change::Leave { name, life },
@@ -519,6 +593,95 @@
     tell(id, &reply, json)
 }
 
+/// Reads a version's file; all faults at once.
+fn read_rules(file: &std::path::Path) -> Result<Rules, String> {
+    let name = file.display();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}:0: file: can't be read: {e}"))?;
+    silverspindle_rules::read(&text)
+        .map_err(|faults| faults.iter().map(|fault| format!("{name}:{fault}")).collect::<Vec<_>>().join("\n"))
+}
+
+async fn rules(staff: &Staff, line: RulesLine, json: bool) -> Result<(), String> {
+    let said = async |number: u64| {
+        let (_, state) = staff.rules().await?;
+        if state.current.head.number == number {
+            return Ok(state.current.rules);
+        }
+        if let Some(next) = state.next.filter(|next| next.version.head.number == number) {
+            return Ok(next.version.rules);
+        }
+        let (_, past) = staff.past().await?;
+        match (number, past.rules(number)) {
+            (_, Some(rules)) => Ok(rules.clone()),
+            (0, None) => Ok(Rules::default()),
+            _ => Err(format!("what version {number} said is not kept")),
+        }
+    };
+    match line {
+        RulesLine::Check { file } => {
+            read_rules(&file)?;
+            println!("{}: no faults", file.display());
+        }
+        RulesLine::Status => {
+            let (_, state) = staff.rules().await?;
+            let (shares, sight) = (staff.shares().await?, staff.rules_sight().await);
+            match json {
+                true => println!("{}", staff::rules_json(&state, &shares, sight.as_ref())),
+                false => print!("{}", staff::rules_text(&state, &shares, sight.as_ref())),
+            }
+        }
+        RulesLine::Show { version } => {
+            let number = match version {
+                Some(number) => number,
+                None => staff.rules().await?.1.current.head.number,
+            };
+            print!("{}", silverspindle_rules::show(&said(number).await?));
+        }
+        RulesLine::Diff { from, to } => print!("{}", said(from).await?.diff(&said(to).await?)),
+        RulesLine::History => print!("{}", staff::history_text(&staff.rules().await?.1)),
+        RulesLine::Propose { file, how } => return propose(staff, read_rules(&file)?, how, json).await,
+        RulesLine::Return { version, mut how } => {
+            let rules = said(version).await?;
+            if how.reason.is_empty() {
+                how.reason = format!("returns to {version}");
+            }
+            return propose(staff, rules, how, json).await;
+        }
+    }
+    Ok(())
+}
+
+async fn propose(staff: &Staff, rules: Rules, how: How, json: bool) -> Result<(), String> {
+    let trial = |per_cent: u32| {
+        let lasts = how.trial_for.saturating_mul(1_000_000);
+        Way::Trial(Trial { per_mille: per_cent * 10, lasts, margin: how.margin.saturating_mul(10) })
+    };
+    let way = how.trial.map(trial).or(how.apart.then_some(Way::Apart));
+    let (number, id, reply) = staff.propose_rules(rules, &how.reason, how.builds_on, way).await?;
+    match json {
+        true => {
+            let made = match &reply {
+                Some(Verdict::Made(_)) => Some(true),
+                Some(Verdict::Refused(..)) => Some(false),
+                None => None,
+            };
+            println!("{}", serde_json::json!({"version": number, "id": id.to_string(), "made": made}));
+        }
+        false => {
+            println!("version {number}");
+            tell(id, &reply, false)?;
+        }
+    }
+    if how.wait {
+        let holds = staff.wait_rules(number, |missing| println!("missing: {}", missing.join(", "))).await?;
+        if !holds {
+            return Err(format!("version {number} was taken back: see 'fleet rules history'"));
+        }
+        println!("version {number} holds everywhere");
+    }
+    Ok(())
+}
+
 fn tell(id: ProposalId, reply: &Reply, json: bool) -> Result<(), String> {
     let said = staff::outcome(id, reply);
     if json {
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -136,6 +136,7 @@
                 board: board.clone(),
                 director: mailbox.clone(),
                 settings: catalogue.settings.clone(),
+                classes: catalogue.classes.clone(),
                 drain: drain.clone(),
                 nudge: front.nudger(),
                 owes: Rc::new(move || owed.get() > 0 || !own.flushed()),
@@ -144,6 +145,10 @@
                 board.wait_for_orders();
                 drain.borrow_mut().alone(terms.work.is_some_and(|work| !work.hold));
             }
+            if terms.rules.is_some() {
+                board.wait();
+                drain.borrow_mut().alone(true);
+            }
             let (hub, board, all) = (hub.clone(), board, agreed.clone());
             let ready = move |handle: agreement::Handle| {
                 if let Some(hub) = &hub {
@@ -201,7 +206,9 @@
                 if let (Some(hub), Some(exchange)) = (&self.hub, &conf.exchange) {
                     hub.reload(exchange);
                 }
-                let _ = self.director.send(Message::HalfLives(conf.half_lives)).await;
+                let agreed = self.agreed.borrow().clone();
+                let half_lives = agreed.map_or(conf.half_lives, |agreed| agreed.half_lives(conf.half_lives));
+                let _ = self.director.send(Message::HalfLives(half_lives)).await;
                 *self.conf.borrow_mut() = conf;
             }
             Err(faults) => {
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -170,6 +170,8 @@
     HalfLives(HalfLives),
     /// Members that the routers have agreed not to use, from now on.
     Withheld(BTreeSet<MemberId>),
+    /// Weights of members, in per cent of the list's, from now on.
+    Weights(BTreeMap<MemberId, u32>),
     /// Put the module's limits on the board, for who plans work.
     Limits,
     /// A probe ended.
@@ -221,9 +223,31 @@
         *self.agreed.borrow_mut() = Some(handle);
     }
 
-    /// Orders for work are on: nothing goes out before they are known here.
-    pub fn wait_for_orders(&self) {
+    /// Nothing goes out before what is agreed is known here.
+    pub fn wait(&self) {
         self.waits.set(true);
+    }
+
+    /// Whether a request of this class and group is refused by what is agreed.
+    pub fn refuses(&self, class: usize, group: u64) -> bool {
+        self.agreed.borrow().as_ref().is_some_and(|agreed| agreed.refuses(class, group))
+    }
+
+    /// A request was answered.
+    pub fn answered(&self, in_time: bool, refused: bool) {
+        if let Some(agreed) = self.agreed.borrow().as_ref() {
+            agreed.answered(in_time, refused);
+        }
+    }
+
+    /// The versions that it acts on, for its log; none: rules are off.
+    pub fn version(&self) -> Option<String> {
+        Some(self.agreed.borrow().as_ref()?.version()?.0)
+    }
+
+    /// Orders for work are on: what is open where is kept, and nothing goes out before they are known here.
+    pub fn wait_for_orders(&self) {
+        self.wait();
         *self.ledger.borrow_mut() = Some(Ledger::default());
     }
 
@@ -237,7 +261,10 @@
     }
 
     /// It ended; an answer ends all of it, unless the copy is renewed behind it.
-    pub(crate) fn over(&self, attempt: &Attempt, answered: bool) {
+    pub(crate) fn over(&self, attempt: &Attempt, answered: bool, note: Option<Note>) {
+        if let Some(agreed) = self.agreed.borrow().as_ref() {
+            agreed.over(attempt, note);
+        }
         if let Some(ledger) = &mut *self.ledger.borrow_mut() {
             let whole = !attempt.written.get() || (answered && !attempt.terms.mode.renew);
             ledger.end(clock::now(), attempt.ticket, whole);
@@ -314,7 +341,7 @@
             && !since(Purged::Group(attempt.call.group))
             && !attempt.call.key().is_some_and(|key| since(Purged::Object(key)));
         match self.agreed.borrow().as_ref() {
-            Some(agreed) => allows && agreed.allows(to, attempt.terms.source),
+            Some(agreed) => allows && agreed.allows(attempt, to, &self.members.borrow()),
             None => allows && !self.waits.get(),
         }
     }
@@ -384,8 +411,19 @@
     pub written: Cell<bool>,
     /// Nobody waits for it any more.
     pub dropped: Cell<bool>,
+    /// It is its request's first.
+    pub first: bool,
+    /// Written without its source: the router's share of a limit is used up, and the cache may hold a copy.
+    pub bare: Cell<bool>,
+    /// What it holds of shares of limits: [`OFFICE_TOKEN`], [`PARENT_TOKEN`].
+    pub tokens: Cell<u8>,
 }
 
+/// Of the head office's limit.
+pub const OFFICE_TOKEN: u8 = 1;
+/// Of a parent's limit.
+pub const PARENT_TOKEN: u8 = 2;
+
 impl Attempt {
     pub(crate) fn command(&self, names: &Catalogue) -> Vec<u8> {
         let call = &*self.call;
@@ -402,7 +440,10 @@
         if let Some(token) = &call.token {
             put("dedupe", token);
         }
-        let Terms { source, keep, max_age, mode } = self.terms.clone();
+        let Terms { mut source, mut keep, max_age, mut mode } = self.terms.clone();
+        if self.bare.get() {
+            (source, keep, mode) = (None, Keep::Pass, FillMode::default());
+        }
         if let Some(MemberId(source)) = source {
             put("fetch", &format!("s-{source:08x}"));
         }
--- a/silverspindle/src/withheld.rs
+++ b/silverspindle/src/withheld.rs
@@ -14,6 +14,8 @@
 pub struct Withheld {
     entries: BTreeMap<MemberId, Listed>,
     out: BTreeSet<MemberId>,
+    /// In per cent of the list's.
+    weights: BTreeMap<MemberId, u32>,
 }
 
 impl Withheld {
@@ -35,6 +37,20 @@
         if m.member.lifecycle == Lifecycle::Ready && self.out.contains(&m.member.id) {
             m.member.lifecycle = Lifecycle::Draining;
         }
+        if let Some(share) = self.weights.get(&m.member.id) {
+            m.member.weight *= f64::from(*share) / 100.0;
+        }
+    }
+
+    /// Other weights hold from now on: the entries that change by that.
+    pub fn weigh(&mut self, weights: BTreeMap<MemberId, u32>) -> Vec<Listed> {
+        let before = std::mem::replace(&mut self.weights, weights);
+        let differs = |id: &&MemberId| before.get(id) != self.weights.get(id);
+        let ids: BTreeSet<MemberId> =
+            before.keys().chain(self.weights.keys()).filter(differs).copied().collect();
+        let mut changed: Vec<Listed> = ids.iter().filter_map(|id| self.entries.get(id).cloned()).collect();
+        changed.iter_mut().for_each(|m| self.mask(m));
+        changed
     }
 
     /// Others are withheld from now on: the entries that change by that.
@@ -69,6 +85,19 @@
         all.iter().map(|m| (m.member.id.0, m.member.lifecycle)).collect()
     }
 
+    /// Agreed weights scale the list's, also what it says anew, and go back with it.
+    #[test]
+    fn agreed_weights_scale_the_lists() {
+        let mut withheld = Withheld::default();
+        withheld.told(true, &mut [entry(1, Lifecycle::Ready), entry(2, Lifecycle::Ready)]);
+        let changed = withheld.weigh([(MemberId(1), 25)].into());
+        assert_eq!(changed.iter().map(|m| (m.member.id.0, m.member.weight)).collect::<Vec<_>>(), [(1, 0.25)]);
+        let mut again = [entry(1, Lifecycle::Ready)];
+        withheld.told(false, &mut again);
+        assert_eq!(again[0].member.weight, 0.25);
+        assert_eq!(withheld.weigh(BTreeMap::new())[0].member.weight, 1.0);
+    }
+
     /// What is agreed withholds what the coordinator calls ready, also where it says so again or the member comes back
     /// with a new start; what the coordinator withholds nothing agreed brings into use.
     #[test]
--- a/silverspindle/tests/actors.rs
+++ b/silverspindle/tests/actors.rs
@@ -71,6 +71,9 @@
             decided: self.shared.board.moment(),
             written: Cell::new(false),
             dropped: Cell::new(false),
+            first: true,
+            bare: Cell::new(false),
+            tokens: Cell::new(0),
         })
     }
 
--- a/silverspindle/tests/agreement.rs
+++ b/silverspindle/tests/agreement.rs
@@ -26,6 +26,7 @@
         faults: rig::script(script).unwrap(),
         without: None,
         work: false,
+        rules: false,
         work_routers: false,
         hold: false,
         quiet: false,
@@ -160,6 +161,32 @@
     assert!(outcome.is_good() && outcome.work.0 > 0 && outcome.findings.held > 0, "{told}");
 }
 
+/// Versions come at once, apart and by trial while the leader dies, a router stands still over some of them and another
+/// is cut off: never two contradicting ones apart, never more than two, at once for the stated time at most.
+#[test]
+fn no_two_routers_act_on_contradicting_versions() {
+    let faults = "2s 1s kill leader\n4s 3s freeze n3\n6s 4s split n4\n9s 1s kill all\n11s 2s upgrade n1\n";
+    let options = Options { rules: true, ..options(14, faults) };
+    let outcome = play(&options);
+    let told = rig::report(&options, &outcome);
+    assert!(outcome.is_good() && outcome.versions.acted > 3 && outcome.ways[1] > 0, "{told}");
+}
+
+/// The records show it where routers take a version that comes apart for theirs as soon as they hear of it.
+#[test]
+fn without_the_narrower_reading_the_records_show_the_breach() {
+    if !cfg!(debug_assertions) {
+        return;
+    }
+    // A router that is cut off acts on what it knows for as long as the stated time lets it, here a long one.
+    let mut options =
+        Options { rules: true, rate: 600.0, lease: 6 * LEASE, ..options(12, "3s 8s split n3,n4\n") };
+    options.without = Some("narrower");
+    let outcome = play(&options);
+    assert!(outcome.versions.apart > 0, "{}", rig::report(&options, &outcome));
+    assert!(outcome.findings.breaches.is_empty(), "{:?}", outcome.findings.breaches);
+}
+
 /// The stand-in boxes see it where the wait until nobody uses a machine is left out.
 #[test]
 fn without_the_wait_for_clear_the_boxes_see_the_breach() {
--- a/standins/src/checker.rs
+++ b/standins/src/checker.rs
@@ -114,6 +114,66 @@
     found
 }
 
+/// What the records prove of versions of rules.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Versions {
+    /// Broken promises.
+    pub breaches: Vec<String>,
+    /// Versions acted on alone.
+    pub acted: u64,
+    /// Acts on what two versions both allow.
+    pub both: u64,
+    /// For how long two versions were acted on alone, by the later one: of those that came at once, sorted.
+    pub at_once: Vec<Micros>,
+    /// The longest of those that came apart: nothing.
+    pub apart: Micros,
+}
+
+/// Looks through all acts: on which versions was acted alone, when first and when last. `apart` and `tried`: versions
+/// that came so; all others came at once and may be in use beside the one before for the stated time.
+pub fn versions(records: &[Value], apart: &[u64], tried: &[u64], lease: Micros) -> Versions {
+    let mut found = Versions::default();
+    let mut alone: BTreeMap<u64, (Micros, Micros, String)> = BTreeMap::new();
+    for r in records.iter().filter(|r| r["kind"] == "act" || r["kind"] == "held") {
+        let (Some(of), Some(at)) = (r["rules"].as_str(), r["at"].as_u64()) else { continue };
+        let Ok(version) = of.parse::<u64>() else {
+            found.both += 1;
+            continue;
+        };
+        let who = r["router"].as_str().unwrap_or("?");
+        let seen = alone.entry(version).or_insert((at, at, who.to_owned()));
+        seen.0 = seen.0.min(at);
+        if at >= seen.1 {
+            (seen.1, seen.2) = (at, who.to_owned());
+        }
+    }
+    found.acted = alone.len() as u64;
+    let all: Vec<u64> = alone.keys().copied().collect();
+    for (later, (first, ..)) in &alone {
+        for version in all.iter().filter(|version| *version < later) {
+            let (_, last, who) = &alone[version];
+            let both = last.saturating_sub(*first);
+            if both == 0 || (*version + 1..=*later).all(|v| tried.contains(&v)) {
+                continue;
+            }
+            let came_apart = (*version + 1..=*later).any(|v| apart.contains(&v));
+            let neighbours = (*version + 1..=*later).filter(|v| !tried.contains(v)).count() == 1;
+            match came_apart {
+                true => found.apart = found.apart.max(both),
+                false => found.at_once.push(both),
+            }
+            if came_apart || !neighbours || both > lease {
+                found.breaches.push(format!(
+                    "{who} acts on version {version} alone {} ms after another one acted on {later} alone",
+                    both / 1000
+                ));
+            }
+        }
+    }
+    found.at_once.sort_unstable();
+    found
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -163,4 +223,35 @@
         let lost = vec![Told { id: "z".into(), made: Some(true), number: Some(9) }];
         assert_eq!(breach(vec![], lost), 1, "told as made, and lost");
     }
+
+    fn acts(of: &[(&str, u64, &str)]) -> Vec<Value> {
+        let act = |(router, at, rules): &(&str, u64, &str)| json!({"kind": "act", "router": router, "at": at, "rules": rules});
+        of.iter().map(act).collect()
+    }
+
+    /// Two versions at once for no longer than stated, none where they come apart, never three, and a trial beside.
+    #[test]
+    fn contradictions_between_versions_are_found() {
+        let check = |of: &[(&str, u64, &str)], apart: &[u64]| versions(&acts(of), apart, &[7], 1000);
+        let calm = [("a", 10, "1"), ("b", 20, "2"), ("a", 900, "1"), ("a", 1000, "2")];
+        let found = check(&calm, &[]);
+        assert_eq!((found.breaches.len(), found.at_once.as_slice()), (0, &[880][..]));
+        assert_eq!(check(&calm, &[2]).breaches.len(), 1, "apart, and in use together");
+        let both = [
+            ("a", 10, "1"),
+            ("b", 20, "1+2"),
+            ("a", 30, "1"),
+            ("a", 40, "1+2"),
+            ("b", 50, "2"),
+            ("a", 60, "1+2"),
+        ];
+        let found = check(&both, &[2]);
+        assert_eq!((found.breaches.len(), found.both, found.apart), (0, 3, 0));
+        let late = [("a", 10, "1"), ("b", 20, "2"), ("a", 1500, "1")];
+        assert_eq!(check(&late, &[]).breaches.len(), 1, "longer than stated");
+        let three = [("a", 10, "1"), ("b", 20, "2"), ("b", 30, "3"), ("a", 40, "1")];
+        assert_eq!(check(&three, &[]).breaches.len(), 1, "three at a time");
+        let trial = [("a", 10, "6"), ("b", 20, "7"), ("a", 9000, "6")];
+        assert_eq!(check(&trial, &[]).breaches.len(), 0, "a trial lasts as long as it does");
+    }
 }
--- a/standins/src/office.rs
+++ b/standins/src/office.rs
@@ -201,6 +201,8 @@
     pub head: Servers,
     /// Reads at the head office, by object.
     pub reads: RefCell<HashMap<u64, u64>>,
+    /// When each read reached the head office.
+    pub arrivals: RefCell<Vec<Micros>>,
     /// Writes that ran at the head office, by key, with when.
     pub writes: RefCell<HashMap<String, (u64, Micros)>>,
     counts: RefCell<BTreeMap<u8, Counts>>,
@@ -239,6 +241,7 @@
             parents: (0..plan.parents).map(parent).collect(),
             head: Servers::new(8, 25_000, 1_000_000),
             reads: RefCell::default(),
+            arrivals: RefCell::default(),
             writes: RefCell::default(),
             counts: RefCell::default(),
         });
@@ -398,6 +401,7 @@
                 (stamp, "fill")
             }
             None => {
+                self.arrivals.borrow_mut().push(clock::now());
                 if !self.head.work().await {
                     return none("FAULT", "backfire");
                 }
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -18,7 +18,7 @@
 use serde_json::Value;
 use silverspindle_wire::clock;
 
-use crate::checker::{self, Findings, Told};
+use crate::checker::{self, Findings, Told, Versions};
 use crate::clients::{BUDGET, Clients, Tally};
 use crate::codec::Member;
 use crate::coordinator::Coordinator;
@@ -121,6 +121,8 @@
     pub faults: Vec<Fault>,
     /// Boxes are ordered out, worked on and brought back.
     pub work: bool,
+    /// Staff propose versions of rules.
+    pub rules: bool,
     /// Routers, too, and what a router does alone: it serves on and holds work up.
     pub work_routers: bool,
     /// See `work_routers`.
@@ -151,6 +153,13 @@
     /// Machines that were out on the way, and new work that reached one, or that a router among them sent on, from
     /// staff's being told so to their word that it is back.
     pub work: (u64, u64),
+    /// What the records prove of versions.
+    pub versions: Versions,
+    /// Versions that held, by the way they came: at once, apart, tried by some first.
+    pub ways: [u64; 3],
+    /// The most fills in a second that reached the head office, against the limit that held, in thousandths, and
+    /// where that was over what the shares and their bursts come to.
+    pub office: (u64, Vec<String>),
     /// Processor time of each router, in microseconds, and how long it ran.
     pub used: Vec<(Micros, Micros)>,
     /// The most memory that each held, in kB.
@@ -162,7 +171,11 @@
 impl Outcome {
     /// Whether every promise was kept.
     pub fn is_good(&self) -> bool {
-        self.findings.breaches.is_empty() && self.failures.is_empty() && self.work.1 == 0
+        self.findings.breaches.is_empty()
+            && self.versions.breaches.is_empty()
+            && self.office.1.is_empty()
+            && self.failures.is_empty()
+            && self.work.1 == 0
     }
 }
 
@@ -281,6 +294,10 @@
     frozen: RefCell<BTreeMap<usize, u32>>,
     /// Routers' own turns: from staff's being told that one is out to their word that it is back.
     turns: RefCell<Vec<(usize, Micros, Micros)>>,
+    /// Versions that may have been made with this number, by way.
+    came: RefCell<BTreeMap<u64, Vec<usize>>>,
+    /// Limits of the head office's fills while nothing else was on its way: from when, until when.
+    limits: RefCell<Vec<(u64, Micros, Micros)>>,
     /// Traffic is over: work comes to its end.
     ending: Cell<bool>,
 }
@@ -636,6 +653,9 @@
         if options.work {
             let _ = writeln!(conf, "work-out 2\nwork-alone {}", if options.hold { "hold" } else { "stop" });
         }
+        if options.rules {
+            let _ = writeln!(conf, "agree-rules on");
+        }
         for elector in &electors {
             let at = match *elector == usize::from(n) {
                 true => exchange.address,
@@ -711,6 +731,8 @@
         down: RefCell::default(),
         frozen: RefCell::default(),
         turns: RefCell::default(),
+        came: RefCell::default(),
+        limits: RefCell::default(),
         ending: Cell::new(false),
     });
     for n in 0..count {
@@ -727,10 +749,11 @@
         (good && most == count).then_some(())
     };
     until("a first quorum with all routers on the roll", all_on_the_roll).await?;
-    let work = tasks.spawn(work(rig.clone(), yard));
+    let work = tasks.spawn(work(rig.clone(), yard.clone()));
+    let rules = tasks.spawn(rules(rig.clone(), yard));
     let played = traffic(&rig, &clients).await;
     rig.ending.set(true);
-    let worked = work.await;
+    let worked = work.await.and(rules.await);
     let healed = match played.and(worked) {
         Ok(()) => heal(&rig, &clients).await,
         Err(e) => Err(e),
@@ -756,6 +779,13 @@
     out.work.1 += acts
         .filter(|(n, at)| turns.iter().any(|(of, since, until)| of == n && (since..until).contains(&at)))
         .count() as u64;
+    let ways = rig.came.borrow();
+    let only = |which: usize| -> Vec<u64> {
+        ways.iter().filter(|(_, all)| all.iter().all(|way| *way == which)).map(|(n, _)| *n).collect()
+    };
+    out.versions = checker::versions(&records, &only(APART), &only(TRIED), options.lease);
+    out.ways = [AT_ONCE, APART, TRIED].map(|way| only(way).len() as u64);
+    out.office = office_peak(&office.arrivals.borrow(), &rig.limits.borrow(), count);
     out.findings = checker::check(&records, &rig.told.borrow(), options.lease, count);
     let mut decided: BTreeMap<u64, Micros> = BTreeMap::new();
     for record in records.iter().filter(|r| r["kind"] == "applied" && r["made"] == true) {
@@ -873,6 +903,113 @@
     }
 }
 
+/// Ways in which versions come.
+const AT_ONCE: usize = 0;
+const APART: usize = 1;
+const TRIED: usize = 2;
+
+/// Staff who change rules: boxes denied, limits of fills, weights, some of them tried by a part first, one after the
+/// other. A box that is denied everywhere counts new work a second later, as one that drains does.
+async fn rules(rig: Rc<Rig>, office: Rc<Office>) -> io::Result<()> {
+    if !rig.options.rules {
+        return Ok(());
+    }
+    let mut random = Pcg64Mcg::seed_from_u64(rig.options.seed ^ 0x001e_57a7);
+    let (mut last, mut round) = (Micros::MAX, 0u32);
+    let mut marked: BTreeSet<u32> = BTreeSet::new();
+    let mut held: Option<(u64, u64, Micros)> = None;
+    let close = |held: &mut Option<(u64, u64, Micros)>| {
+        if let Some((_, limit, since)) = held.take() {
+            rig.limits.borrow_mut().push((limit, since, clock::now()));
+        }
+    };
+    loop {
+        if rig.ending.get() && last == Micros::MAX {
+            last = clock::now() + GENEROUS;
+        }
+        let elector = random.random_range(0..usize::from(rig.options.electors));
+        let (status, _) = rig.command(elector, &["rules", "status"]).await;
+        if clock::now() > last {
+            return Err(io::Error::other(format!("versions do not come to hold: {status}")));
+        }
+        let number = status["current"]["number"].as_u64();
+        let settled = status["next"].is_null() && number.is_some();
+        if !settled {
+            rest(200 * MS).await;
+            continue;
+        }
+        let text = status["rules"].as_str().unwrap_or("").to_owned();
+        let denied = text.lines().filter_map(|l| l.strip_prefix("deny-member ")?.parse::<u32>().ok());
+        for id in denied.filter(|id| marked.insert(*id)).collect::<Vec<_>>() {
+            office.tier(id).into_iter().for_each(|t| t.drained.set(Some(clock::now())));
+        }
+        let limit = text.lines().find_map(|l| l.strip_prefix("office-fills ")?.parse::<u64>().ok());
+        if let Some(limit) = limit.filter(|_| held.is_none()) {
+            held = Some((number.unwrap_or(0), limit, clock::now()));
+        }
+        if rig.ending.get() {
+            close(&mut held);
+            return Ok(());
+        }
+        rest(random.random_range(100 * MS..700 * MS)).await;
+        round += 1;
+        // From here on another version may hold.
+        close(&mut held);
+        for id in std::mem::take(&mut marked) {
+            office.tier(id).into_iter().for_each(|t| t.drained.set(None));
+        }
+        let (keep, way) = match random.random_range(0..4) {
+            0 => ("weight", AT_ONCE),
+            1 => ("weight", TRIED),
+            2 => ("deny-member", APART),
+            _ => ("office-fills", APART),
+        };
+        let mut lines: Vec<String> =
+            text.lines().filter(|l| !l.starts_with(keep)).map(str::to_owned).collect();
+        lines.extend(match keep {
+            "weight" => {
+                Some(format!("weight {} {}", random.random_range(1..=4), random.random_range(20..200)))
+            }
+            "deny-member" => {
+                let id = random.random_range(1..=6u32);
+                (id <= 4).then(|| format!("deny-member {id}"))
+            }
+            _ => Some(format!("office-fills {}", random.random_range(40..200))),
+        });
+        let file = rig.folder.join(format!("version{round}"));
+        fs::write(&file, lines.join("\n") + "\n")?;
+        let file = file.display().to_string();
+        let mut args = vec!["rules", "propose", &file, "--reason", "rig"];
+        if way == TRIED {
+            args.extend(["--trial", "50", "--trial-for", "1"]);
+        }
+        let (said, _) = rig.command(elector, &args).await;
+        if let Some(version) = said["version"].as_u64().filter(|_| said["made"] != false) {
+            rig.came.borrow_mut().entry(version).or_default().push(way);
+        }
+    }
+}
+
+/// The most fills in a second that reached the head office while a limit held, in thousandths of it; and where it was
+/// over the limit with what the buckets of all routers hold at a time, which a second may bring besides.
+fn office_peak(arrivals: &[Micros], limits: &[(u64, Micros, Micros)], routers: usize) -> (u64, Vec<String>) {
+    let (mut most, mut over) = (0, Vec::new());
+    for (limit, since, until) in limits {
+        // What was on its way as the limit came to hold is not counted against it.
+        let within: Vec<Micros> =
+            arrivals.iter().copied().filter(|at| (since + SECOND..*until).contains(at)).collect();
+        let bound = limit + limit / 4 + routers as u64;
+        for (n, at) in within.iter().enumerate() {
+            let count = within[n..].iter().take_while(|other| **other < at + SECOND).count() as u64;
+            most = most.max(count * 1000 / limit.max(&1));
+            if count > bound && over.is_empty() {
+                over.push(format!("{count} fills in a second at the head office, {limit} was the limit"));
+            }
+        }
+    }
+    (most, over)
+}
+
 /// The number on the list of a box or parent.
 fn listed(machine: &str) -> Option<u32> {
     machine.strip_prefix("box ").or(machine.strip_prefix("parent "))?.parse().ok()
@@ -1008,6 +1145,22 @@
             "machines out {boxes}; new work that reached one meanwhile, or that it sent on: {reached}"
         );
     }
+    if options.rules {
+        let [once, apart, tried] = outcome.ways;
+        let v = &outcome.versions;
+        let _ = writeln!(
+            out,
+            "versions proposed: {once} at once, {apart} apart, {tried} tried; {} acted on alone, {} acts on what two allow; two at \
+             once: median {} ms, longest {} ms of {} ms; apart: {} ms; head office's peak {:.2} of its limit",
+            v.acted,
+            v.both,
+            v.at_once.get(v.at_once.len() / 2).copied().unwrap_or(0) / MS,
+            v.at_once.last().copied().unwrap_or(0) / MS,
+            options.lease / MS,
+            v.apart / MS,
+            outcome.office.0 as f64 / 1000.0
+        );
+    }
     let [made, refused, unknown] = outcome.calls;
     let _ = writeln!(out, "staff's calls: {made} made, {refused} refused, {unknown} not known");
     let _ = writeln!(
@@ -1044,7 +1197,8 @@
             outcome.memory.get(n).copied().unwrap_or(0)
         );
     }
-    for problem in found.breaches.iter().take(10).chain(&outcome.failures) {
+    let problems = found.breaches.iter().take(10).chain(&outcome.versions.breaches).chain(&outcome.office.1);
+    for problem in problems.chain(&outcome.failures) {
         let _ = writeln!(out, "BROKEN: {problem}");
     }
     out
