--- a/agreement/src/node.rs
+++ b/agreement/src/node.rs
@@ -28,6 +28,8 @@
 const CONFIRM_PART: Micros = 8;
 /// A proposal that is not settled is handed on again after so many ticks.
 const AGAIN: Micros = 8;
+/// What others told of themselves is handed on within so many ticks.
+const HAND_ON: Micros = 2;
 /// What routers tell of themselves is forgotten after so many stated times.
 const TOLD: Micros = 4;
 /// An elector whose word is fresh still compares outcomes with another one after so many stated times.
@@ -382,6 +384,12 @@
         self.report = if report.len() <= bounds::REPORT { report } else { Vec::new() };
     }
 
+    /// Others wait for what it tells now: it asks again, and so tells it, before its time; not all at one moment.
+    pub fn tell_soon(&mut self) {
+        let soon = self.now + self.rng.random_range(0..=self.tick);
+        self.asking.next = self.asking.next.min(soon);
+    }
+
     /// What routers have told of themselves, this one among them.
     pub fn reports(&self) -> impl Iterator<Item = (&str, &[u8])> {
         let own = Some((self.terms.name.as_str(), self.report.as_slice())).filter(|(_, own)| !own.is_empty());
@@ -641,8 +649,14 @@
                     let may = name == from || (elector && name != self.terms.name);
                     if may && report.len() <= bounds::REPORT && self.fleet.roll.contains_key(&name) {
                         let at = self.now.saturating_sub(age);
-                        if self.reports.get(&name).is_none_or(|(before, _)| *before <= at) {
+                        let before = self.reports.get(&name);
+                        if before.is_none_or(|(before, _)| *before <= at) {
+                            let news = before.is_none_or(|(_, before)| *before != report);
                             self.reports.insert(name, (at, report));
+                            // An elector hands news on before its time; what comes meanwhile goes along.
+                            if news && self.raft.is_some() {
+                                self.asking.next = self.asking.next.min(self.now + HAND_ON * self.tick);
+                            }
                         }
                     }
                 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use silverspindle_lab::cost;
 use silverspindle_lab::swarm::{self, Options, Without};
 
 /// Many routers' real cores on a made-up clock and network
@@ -31,6 +32,21 @@
         /// Seeds, the last not among them
         #[arg(long, value_parser = seeds, default_value = "0..5")]
         seeds: Range<u64>,
+        /// Versions of rules on the way
+        #[arg(long)]
+        rules: bool,
+    },
+    /// What a plan over a fleet and a change of rules cost, in time of this machine and in bytes
+    Cost {
+        /// Routers on the roll
+        #[arg(long, default_value_t = 300)]
+        routers: u32,
+        /// Boxes
+        #[arg(long, default_value_t = 200)]
+        boxes: u32,
+        /// Entries of a version's lists
+        #[arg(long, default_value_t = 1000)]
+        entries: u32,
     },
     /// Short runs with faults by seed, checked at every event; exits with 1 where one breaks
     Swarm {
@@ -66,11 +82,15 @@
 fn main() -> ExitCode {
     let (what, seeds, routers, without) = match Line::parse().command {
         Command::Swarm { what, seeds, routers, without } => (what, seeds, routers, without),
-        Command::Calm { routers, electors, seconds, seeds } => {
+        Command::Cost { routers, boxes, entries } => {
+            print!("{}", cost::all(routers, boxes, entries));
+            return ExitCode::SUCCESS;
+        }
+        Command::Calm { routers, electors, seconds, seeds, rules } => {
             for seed in seeds {
                 let (routers, electors) = (usize::from(routers), usize::from(electors.min(routers)));
                 let began = Instant::now();
-                println!("{}", swarm::calm(routers, electors, seconds * 1_000_000, seed));
+                println!("{}", swarm::calm(routers, electors, seconds * 1_000_000, seed, rules));
                 println!("  {:.1} s of this machine's time", began.elapsed().as_secs_f64());
             }
             return ExitCode::SUCCESS;
--- a/lab/src/swarm.rs
+++ b/lab/src/swarm.rs
@@ -152,6 +152,10 @@
     pub ended: Micros,
     /// In calm: from a decision to the last router's having it.
     pub to_all: Vec<Micros>,
+    /// In calm, with rules: for how long two versions were acted on alone, and from a version's decision to its holding.
+    pub at_once: Vec<Micros>,
+    /// See `at_once`.
+    pub to_hold: Vec<Micros>,
     /// In calm: frames and bytes that each router sent.
     pub sent: Vec<(u64, u64)>,
 }
@@ -292,8 +296,8 @@
 }
 
 /// A calm while with so many electors, in words for a person.
-pub fn calm(routers: usize, electors: usize, time: Micros, seed: u64) -> String {
-    let options = Options { routers, without: None, calm: Some(time), work: false, rules: false };
+pub fn calm(routers: usize, electors: usize, time: Micros, seed: u64, rules: bool) -> String {
+    let options = Options { routers, without: None, calm: Some(time), work: false, rules };
     let mut out = play(seed, &options, electors, &[]);
     out.to_all.sort_unstable();
     // The first seconds are the forming's and the joins'.
@@ -305,10 +309,25 @@
         (frames as f64 / each, bytes as f64 / each)
     };
     let (elector, follower) = (rate(0..electors), rate(electors..routers));
+    let versions = match rules {
+        false => String::new(),
+        true => {
+            out.to_hold.sort_unstable();
+            let of = |all: &[Micros]| {
+                let (middle, last) = (all.get(all.len() / 2), all.last());
+                format!("median {} ms, longest {} ms", middle.unwrap_or(&0) / MS, last.unwrap_or(&0) / MS)
+            };
+            let (both, hold) = (of(&out.at_once), of(&out.to_hold));
+            format!(
+                "; {} versions: two at once {both}; from decided to holding everywhere {hold}",
+                out.to_hold.len()
+            )
+        }
+    };
     let broken = out.broken.map_or(String::new(), |what| format!("; BROKEN: {what}"));
     format!(
         "{routers} routers, {electors} electors, {} s, seed {seed}: {} decisions at all: median {} ms, 95 % {} ms, \
-         longest {} ms; an elector sends {:.1} frames and {:.0} bytes a second, a follower {:.1} and {:.0}{broken}",
+         longest {} ms; an elector sends {:.1} frames and {:.0} bytes a second, a follower {:.1} and {:.0}{versions}{broken}",
         time / SECOND,
         out.to_all.len(),
         part(50),
@@ -951,6 +970,7 @@
         self.out.decided = self.digests.last_key_value().map_or(0, |(number, _)| *number);
         self.out.ended = self.now;
         if self.out.broken.is_some() || self.options.calm.is_some() {
+            self.out.at_once = self.both_in_use();
             return self.out;
         }
         if !matches!(self.last_call, Some((_, Some(_)))) {
--- a/lab/src/swarm/rules.rs
+++ b/lab/src/swarm/rules.rs
@@ -27,6 +27,10 @@
     shares: Shares,
     /// When a version was first acted on alone, by number.
     alone: BTreeMap<u64, Micros>,
+    /// In calm: when last.
+    last: BTreeMap<u64, Micros>,
+    /// When the version on its way was decided.
+    began: Micros,
     /// Versions that came apart, and versions tried by a part first.
     apart: BTreeSet<u64>,
     tried: BTreeSet<u64>,
@@ -99,6 +103,7 @@
             Group::One(version) => {
                 let now = self.now;
                 self.office.alone.entry(version).or_insert(now);
+                self.office.last.insert(version, now);
                 let later: Vec<(u64, Micros)> =
                     self.office.alone.range(version + 1..).map(|(v, at)| (*v, *at)).collect();
                 let trial = matches!(state.next, Some(ref next) if matches!(next.way, Way::Trial(_)));
@@ -116,7 +121,10 @@
         if used && denied(&self.office.state.current.rules) {
             self.broken(format!("n{n} uses member {member}, which is denied since it was agreed apart"));
         }
-        self.sum_shares();
+        // Looks at all routers: with hundreds of them that is the faults' runs', not the calm's.
+        if self.options.calm.is_none() {
+            self.sum_shares();
+        }
     }
 
     fn sum_shares(&mut self) {
@@ -253,10 +261,27 @@
         {
             self.broken("more than the whole is shared out".to_owned());
         }
+        if state.next.is_some() && self.office.state.next.is_none() {
+            self.office.began = self.now;
+        }
+        if state.current.head.number != self.office.state.current.head.number {
+            self.out.to_hold.push(self.now - self.office.began);
+        }
         self.office.held += u64::from(state.current.head.number != self.office.state.current.head.number);
         (self.office.state, self.office.shares) = (state, shares);
     }
 
+    /// For how long two versions that came at once were both acted on alone, sorted.
+    pub(super) fn both_in_use(&self) -> Vec<Micros> {
+        let office = &self.office;
+        let at_once = |v: &u64| !office.apart.contains(v) && !office.tried.contains(v);
+        let both = |v: &u64| Some(office.last.get(&(v - 1))?.saturating_sub(*office.alone.get(v)?));
+        let mut all: Vec<Micros> =
+            office.alone.keys().filter(|v| **v > 0 && at_once(v)).filter_map(both).collect();
+        all.sort_unstable();
+        all
+    }
+
     /// What is still on its way, and what the leader waits for.
     pub(super) fn rules_left(&mut self) -> String {
         let leads = |p: &super::Place| p.node.as_ref().is_some_and(|node| node.role() == Role::Leader);
--- a/rules/src/state.rs
+++ b/rules/src/state.rs
@@ -10,7 +10,7 @@
 use crate::{MOST_REASON, MOST_VERSION, Micros};
 
 /// Heads kept, the oldest forgotten first.
-const HISTORY: usize = 64;
+const HISTORY: usize = 16;
 /// Bytes of whole versions that are kept besides.
 const PAST: usize = 100 * 1024;
 
--- a/silverspindle/src/agreement/mod.rs
+++ b/silverspindle/src/agreement/mod.rs
@@ -472,6 +472,11 @@
             let orders = self.lead.as_ref().map_or(empty, |lead| &lead.told);
             let rules = self.rules.as_ref().map_or(empty, |lead| &lead.told);
             self.node.tell(told(orders, rules));
+            let soon = self.lead.as_mut().is_some_and(|lead| std::mem::take(&mut lead.soon))
+                | self.rules.as_mut().is_some_and(|lead| std::mem::take(&mut lead.soon));
+            if soon {
+                self.node.tell_soon();
+            }
             let alone = self.lead.as_ref().is_some_and(|lead| lead.alone)
                 || self.rules.as_ref().is_some_and(rules::Lead::is_alone);
             self.yard.drain.borrow_mut().alone(alone);
--- a/silverspindle/src/agreement/orders.rs
+++ b/silverspindle/src/agreement/orders.rs
@@ -27,6 +27,8 @@
 const SAY_EVERY: Micros = 5_000_000;
 /// The module's limits are looked at so often while there are orders.
 const LIMITS_EVERY: Micros = 1_000_000;
+/// Stands for what a machine can bear where nobody knows.
+const UNKNOWN: u64 = 1 << 40;
 /// Bytes of what it tells.
 const MOST_TOLD: usize = 3800;
 
@@ -122,8 +124,11 @@
     /// It tells and leads; not before its guard is the one that acts.
     pub active: Rc<Cell<bool>>,
     withholds: Withholds,
-    /// What it tells.
+    /// What it tells, and whether others wait for it.
     pub told: Vec<u8>,
+    /// See `told`.
+    pub soon: bool,
+    open: BTreeSet<u32>,
     /// It may send nothing on, and says so at the front.
     pub alone: bool,
     limits: Micros,
@@ -162,6 +167,8 @@
             active: Rc::new(Cell::new(true)),
             withholds,
             told: Vec::new(),
+            soon: false,
+            open: BTreeSet::new(),
             alone: true,
             limits: 0,
             proposed: 0,
@@ -222,6 +229,7 @@
         }
         self.own_turn(&work);
         self.tell(now, &work, node);
+        self.soon |= changed;
         if node.role() != Role::Leader || node.fence().may_act(now).is_none() {
             self.watch = Watch::default();
             return None;
@@ -299,6 +307,9 @@
             bids: near.map(|(id, _)| bid(id)).collect(),
         };
         drop(limits);
+        // The last request there has ended: that is what a machine waits for.
+        self.soon |= self.open.iter().any(|id| !told.open.contains(id));
+        self.open.clone_from(&told.open);
         self.told = told.spell(MOST_TOLD);
     }
 
@@ -334,8 +345,10 @@
                 true if self.yard.is_cold(noted) => State::Cold,
                 true => State::Up,
             };
-            // What the routers' limits together would let be out there; never nothing.
-            (machine, Seen { place: self.yard.place(noted), capacity: limit.max(1), state, load })
+            // What the routers' limits together would let be out there. Where no router has one, as of parents that none
+            // asks directly, nobody knows: then machines are counted, and not what they bear.
+            let capacity = if limit > 0 { limit } else { UNKNOWN };
+            (machine, Seen { place: self.yard.place(noted), capacity, state, load })
         });
         let routers = fleet.roll.iter().map(|(name, member)| {
             let zone = told.get(name.as_str()).map_or(self.yard.settings.zone as u32, |told| told.zone);
--- a/silverspindle/src/agreement/rules.rs
+++ b/silverspindle/src/agreement/rules.rs
@@ -226,8 +226,10 @@
     cannot: Option<String>,
     /// Lines of the operators' file, by key.
     lines: BTreeMap<&'static str, usize>,
-    /// What it tells.
+    /// What it tells, and whether others wait for it.
     pub told: Vec<u8>,
+    /// See `told`.
+    pub soon: bool,
     why: Vec<Why>,
     proposed: u64,
     said: Micros,
@@ -268,6 +270,7 @@
             cannot: None,
             lines,
             told: Vec::new(),
+            soon: false,
             why: Vec::new(),
             proposed: 0,
             said: 0,
@@ -290,8 +293,8 @@
         let at = notes.map(|note| note.map_or(0, |note| note.number));
         if self.seen != Some((at, stands)) {
             self.seen = Some((at, stands));
-            // Its own step is settled, or another's: looked at at once.
-            self.due = now;
+            // Its own step is settled, or another's: looked at, and told, at once.
+            (self.due, self.soon) = (now, true);
             let state = notes[0].map_or(Some(State::default()), |note| State::read(&note.body));
             let shares = notes[1].map_or(Some(Shares::default()), |note| Shares::read(&note.body));
             match state.zip(shares) {
--- a/silverspindle/src/copies.rs
+++ b/silverspindle/src/copies.rs
@@ -65,6 +65,17 @@
         Self { room, flow, link, ..Self::default() }
     }
 
+    /// Takes so many bytes from now on; what is over goes, the longest unused first.
+    pub fn set_room(&mut self, room: usize) {
+        if self.flow > 0.0 && self.link > 0.0 {
+            self.room = room;
+        }
+        while self.held > self.room {
+            let Some(oldest) = self.order.values().next().copied() else { return };
+            self.remove(&oldest);
+        }
+    }
+
     /// Keeps an answer's copy. The bytes are copied: a slice would hold the whole buffer it was read into.
     pub fn keep(&mut self, now: Micros, key: Key, group: u64, tag: &[u8], stamp: Micros, body: &[u8]) {
         let size = body.len() + tag.len() + ENTRY;
--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -278,6 +278,7 @@
                 let changed = self.withheld.set(out);
                 self.act_by(changed);
             }
+            Message::Room(room) => self.copies.set_room(room),
             Message::Weights(weights) => {
                 let changed = self.withheld.weigh(weights);
                 self.act_by(changed);
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -141,10 +141,10 @@
     /// Answers not yet written, and bytes of bodies in them; as much is borne.
     unflushed: Cell<usize>,
     held: Cell<usize>,
-    most_held: usize,
+    most_held: Cell<usize>,
     /// Bytes of writes taken in and not yet finished; as much is borne.
     taken: Rc<Cell<usize>>,
-    most_taken: usize,
+    most_taken: Cell<usize>,
     most_connections: usize,
     connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
     /// Ids of requests that came lately.
@@ -174,9 +174,9 @@
             drain,
             unflushed: Cell::new(0),
             held: Cell::new(0),
-            most_held: memory / 3,
+            most_held: Cell::new(memory / 3),
             taken: Rc::default(),
-            most_taken: memory / 8,
+            most_taken: Cell::new(memory / 8),
             most_connections: most_clients(sockets),
             connections: RefCell::default(),
             rids: RefCell::new(AgeingFilter::new(RIDS, RIDS_QUIET)),
@@ -228,9 +228,15 @@
         self.unflushed.get() == 0
     }
 
+    /// Of so much memory its parts, from now on.
+    pub fn keep_to(&self, memory: usize) {
+        self.most_held.set(memory / 3);
+        self.most_taken.set(memory / 8);
+    }
+
     /// Guards the memory against slow readers: past the bound, who holds most is cut off.
     fn relieve(&self) {
-        if self.held.get() <= self.most_held {
+        if self.held.get() <= self.most_held.get() {
             return;
         }
         if let Some(port) = self.connections.borrow().values().max_by_key(|p| p.held.get()) {
@@ -499,7 +505,7 @@
         if hex(&call.rid).is_none_or(|rid| self.rids.borrow_mut().seen(arrived, rid)) {
             return Err(Verdict::Failed);
         }
-        match self.taken.get() > self.most_taken {
+        match self.taken.get() > self.most_taken.get() {
             // Guards the memory: nothing has run, so a refusal does no harm.
             true => Err(REFUSED),
             false => Ok(call),
--- a/silverspindle/src/main.rs
+++ b/silverspindle/src/main.rs
@@ -90,6 +90,12 @@
         /// With --agree: boxes are ordered out, worked on and brought back on the way
         #[arg(long)]
         work: bool,
+        /// With --agree: boxes; parents are two
+        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=40))]
+        boxes: u32,
+        /// With --work: every box and parent is worked on once, by one order or by hand through the coordinator
+        #[arg(long, value_enum)]
+        round: Option<Round>,
         /// With --agree: versions of rules are proposed on the way
         #[arg(long)]
         rules: bool,
@@ -144,6 +150,14 @@
     Snapshot,
 }
 
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Round {
+    /// One order over all
+    Order,
+    /// One machine after the other
+    Hand,
+}
+
 #[derive(Clone, Copy, clap::ValueEnum)]
 enum Trouble {
     /// Nothing
@@ -419,6 +433,8 @@
             faults,
             within_ms,
             work,
+            boxes,
+            round,
             rules,
             routers_too,
             hold,
@@ -446,6 +462,11 @@
                 lease,
                 faults,
                 work,
+                boxes,
+                round: round.map(|round| match round {
+                    Round::Order => rig::Round::Order,
+                    Round::Hand => rig::Round::Hand,
+                }),
                 rules,
                 work_routers: routers_too,
                 hold,
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -25,7 +25,7 @@
 use crate::knowledge::{Knowledge, keys::Tls, snapshots};
 use crate::management::Management;
 use crate::traffic::{Board, Descriptors, Message, Shared};
-use crate::upgrade::Beside;
+use crate::upgrade::{Beside, part};
 use crate::{clock, invariant};
 
 /// Descriptors kept for all else: the listener, the coordinator, signals, the reactor.
@@ -36,6 +36,8 @@
 /// Moves of the coordinator that may wait to be taken in.
 const MOVES: usize = 4;
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// What an older process holds is looked at so often, while there is one.
+const LOOK_BESIDE: Duration = Duration::from_millis(200);
 /// So often it is looked whether the exchange's address is free.
 const TAKEN_AGAIN: Duration = Duration::from_millis(100);
 /// Its last word to the other routers, that it is off the roll, takes no longer; SIGKILL may be near.
@@ -52,7 +54,7 @@
     front: Rc<Front>,
     drain: Rc<RefCell<Drain>>,
     /// This process's file beside a successor's, in `$TMPDIR`.
-    beside: Option<Beside>,
+    beside: Option<Rc<Beside>>,
     owed: Rc<Owed>,
     conf: RefCell<Conf>,
     hub: Option<Rc<Hub>>,
@@ -75,12 +77,14 @@
         let calls = config.management.map_or(0, |_| crate::management::MOST_CALLS + 1);
         let board = Rc::new(Board::default());
         let agrees = conf.agreement.as_ref().map_or(0, agreement::descriptors);
+        let descriptors =
+            Descriptors::new(config.sockets.saturating_sub(
+                most_clients(config.sockets) + OTHER_DESCRIPTORS + exchanges + agrees + calls,
+            ));
         let shared = Rc::new(Shared {
             catalogue: catalogue.clone(),
             board: board.clone(),
-            descriptors: Descriptors::new(config.sockets.saturating_sub(
-                most_clients(config.sockets) + OTHER_DESCRIPTORS + exchanges + agrees + calls,
-            )),
+            descriptors: descriptors.clone(),
             director: mailbox.clone(),
             tasks: tasks.clone(),
         });
@@ -168,7 +172,13 @@
         tasks.spawn(coordinator.run()).detach();
         let to_director = mailbox.clone();
         let beside = std::env::var_os("TMPDIR")
-            .and_then(|directory| Beside::enter(std::path::Path::new(&directory), address, clock::now()));
+            .and_then(|directory| Beside::enter(std::path::Path::new(&directory), address, clock::now()))
+            .map(Rc::new);
+        if let Some(beside) = beside.clone().filter(|beside| beside.elders().is_some()) {
+            let limits = (config.sockets, config.memory);
+            let own = (descriptors, front.clone(), mailbox.clone());
+            tasks.spawn(share(beside, limits, own)).detach();
+        }
         tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
         tasks.spawn(front.clone().sweep()).detach();
         if let Some(listener) = management {
@@ -230,7 +240,7 @@
     pub async fn end(&self) {
         self.drain.borrow_mut().end(clock::now());
         let _ = self.front.nudger().try_send(());
-        if self.beside.as_ref().is_some_and(Beside::succeeded) {
+        if self.beside.as_ref().is_some_and(|beside| beside.succeeded()) {
             tracing::info!("a younger process serves on {}: it takes the new connections", self.address);
             self.front.stop_accepting();
         }
@@ -257,6 +267,28 @@
     }
 }
 
+/// While an older process of this router stands beside it, both keep to one limit: this one takes what that one leaves.
+async fn share(
+    beside: Rc<Beside>,
+    (sockets, memory): (usize, usize),
+    (descriptors, front, director): (Rc<Descriptors>, Rc<Front>, Sender<Message>),
+) {
+    let all = descriptors.all();
+    let keep_to = |sockets_left: usize, memory_left: usize| {
+        // Clients move from the one to the other, and hold their third together: the rest is the peers'.
+        descriptors.keep_to(all.saturating_sub(sockets - sockets_left).max(all / 4));
+        front.keep_to(memory_left);
+        let _ = director.try_send(Message::Room((memory_left / COPIES_PART).min(MOST_COPIES)));
+    };
+    tracing::info!("an older process serves beside this one: both keep to one limit");
+    while let Some((held, bytes)) = beside.elders() {
+        keep_to(part(sockets, held), part(memory, bytes));
+        Timer::after(LOOK_BESIDE).await;
+    }
+    keep_to(sockets, memory);
+    tracing::info!("the older process has ended: the limits are this one's");
+}
+
 /// Where the exchange listens. An older process of this router, in an upgrade, may have the address yet: it is waited
 /// for while this one serves.
 fn exchange_listener(address: SocketAddr) -> io::Result<impl Future<Output = Async<TcpListener>>> {
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -172,6 +172,8 @@
     Withheld(BTreeSet<MemberId>),
     /// Weights of members, in per cent of the list's, from now on.
     Weights(BTreeMap<MemberId, u32>),
+    /// Own copies take so many bytes from now on.
+    Room(usize),
     /// Put the module's limits on the board, for who plans work.
     Limits,
     /// A probe ended.
@@ -352,21 +354,34 @@
 pub struct Descriptors {
     all: usize,
     left: Cell<usize>,
+    /// Left to an older process, in an upgrade.
+    reserved: Cell<usize>,
 }
 
 impl Descriptors {
     /// So many.
     pub fn new(n: usize) -> Rc<Self> {
-        Rc::new(Self { all: n, left: Cell::new(n) })
+        Rc::new(Self { all: n, left: Cell::new(n), reserved: Cell::new(0) })
+    }
+
+    /// Takes no more than so many from now on; what is held stays.
+    pub fn keep_to(&self, most: usize) {
+        self.reserved.set(self.all.saturating_sub(most));
+    }
+
+    /// All of them.
+    pub fn all(&self) -> usize {
+        self.all
     }
 
     /// There are enough for connections that could be done without.
     pub(crate) fn are_plenty(&self) -> bool {
-        self.left.get() > self.all / 3
+        self.left.get() > self.all / 3 + self.reserved.get()
     }
 
     pub(crate) fn take(self: &Rc<Self>) -> Option<Descriptor> {
-        self.left.set(self.left.get().checked_sub(1)?);
+        let left = self.left.get().checked_sub(1).filter(|left| *left >= self.reserved.get())?;
+        self.left.set(left);
         Some(Descriptor(self.clone()))
     }
 }
@@ -507,3 +522,22 @@
     /// Where tasks run.
     pub tasks: Rc<LocalExecutor<'static>>,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What is left to an older process is not taken, and what is held stays held.
+    #[test]
+    fn descriptors_keep_to_their_part_while_an_older_process_stands_beside() {
+        let all = Descriptors::new(4);
+        let held: Vec<_> = (0..3).filter_map(|_| all.take()).collect();
+        all.keep_to(2);
+        assert!(all.take().is_none() && held.len() == 3);
+        drop(held);
+        let two: Vec<_> = (0..4).filter_map(|_| all.take()).collect();
+        assert_eq!(two.len(), 2);
+        all.keep_to(4);
+        assert!(all.take().is_some());
+    }
+}
--- a/silverspindle/src/upgrade.rs
+++ b/silverspindle/src/upgrade.rs
@@ -39,6 +39,21 @@
     others.into_iter().any(|(pid, since, alive)| alive && pid != me && since > started)
 }
 
+/// Of a limit that holds for both processes together, what this one may take while the others have so much of it. A
+/// quarter at least: what serves from now on must not be without.
+pub fn part(limit: usize, others: usize) -> usize {
+    limit.saturating_sub(others).max(limit / 4)
+}
+
+/// Descriptors and bytes of memory that a process holds, by the kernel's account; none where it is gone.
+fn held(pid: u32) -> (usize, usize) {
+    let descriptors = fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kb = resident.and_then(|text| text.split_whitespace().next()?.parse::<usize>().ok());
+    (descriptors, kb.unwrap_or(0) * 1024)
+}
+
 /// This process's file, and what it finds beside itself.
 #[derive(Debug)]
 pub struct Beside {
@@ -85,6 +100,14 @@
         pids.take(MOST_FILES).map(|pid| (pid, started(pid).unwrap_or(0))).collect()
     }
 
+    /// What older processes on this address hold, descriptors and bytes of memory; none: there is none any more.
+    pub fn elders(&self) -> Option<(usize, usize)> {
+        let older = self.others().into_iter().filter(|(pid, since)| *since < self.started && alive(*pid));
+        let held: Vec<(usize, usize)> = older.map(|(pid, _)| held(pid)).collect();
+        let sum = |(d, m): (usize, usize), (e, n): &(usize, usize)| (d + e, m + n);
+        (!held.is_empty()).then(|| held.iter().fold((0, 0), sum))
+    }
+
     /// Whether a younger process serves on this address.
     pub fn succeeded(&self) -> bool {
         successor(
@@ -127,6 +150,15 @@
         assert!(!successor(1, 100, [(1, 200, true)]), "nor the process itself");
     }
 
+    /// Both processes of an upgrade keep to one limit: what the older one holds the younger leaves, but for a quarter.
+    #[test]
+    fn a_limit_is_shared_with_who_stands_beside() {
+        assert_eq!((part(192, 0), part(192, 100), part(192, 190)), (192, 92, 48));
+        let (descriptors, memory) = held(std::process::id());
+        assert!(descriptors >= 3 && memory > 1_000_000, "{descriptors} {memory}");
+        assert_eq!(held(4_999_999), (0, 0), "gone");
+    }
+
     #[test]
     fn files_of_the_gone_are_removed_and_the_own_at_exit() {
         let directory = std::env::temp_dir().join(format!("upgrade-test-{}", std::process::id()));
@@ -140,7 +172,7 @@
         assert!(!stale.exists());
         let own = directory.join(name(listen, std::process::id()));
         assert_eq!(fs::read_to_string(&own).unwrap(), "10");
-        assert!(!me.succeeded());
+        assert!(!me.succeeded() && me.elders().is_none());
         drop(me);
         assert!(!own.exists());
         fs::remove_dir_all(&directory).unwrap();
--- a/silverspindle/tests/agreement.rs
+++ b/silverspindle/tests/agreement.rs
@@ -26,6 +26,8 @@
         faults: rig::script(script).unwrap(),
         without: None,
         work: false,
+        boxes: 4,
+        round: None,
         rules: false,
         work_routers: false,
         hold: false,
--- a/silverspindle/tests/management.rs
+++ b/silverspindle/tests/management.rs
@@ -135,12 +135,14 @@
             assert!(children.trim().is_empty(), "a program was started: {children}");
         }
     }
-    let mut old = old;
+    let (mut old, mut new) = (old, new);
+    assert!(new.lines.any(|l| l.contains("both keep to one limit")), "the new one knows the old one");
     assert!(Command::new("kill").arg(old.child.id().to_string()).status().unwrap().success());
     assert!(old.lines.any(|l| l.contains("a younger process serves on")), "the old one knows its successor");
     assert!(old.lines.any(|l| l.contains("no more connections taken")));
     assert!(old.lines.any(|l| l.contains("ended: all is answered")));
     assert!(old.child.wait().unwrap().success());
+    assert!(new.lines.any(|l| l.contains("the limits are this one's")), "it has them to itself now");
     assert_eq!(ready(&new), 200, "the new one serves on");
     TcpStream::connect(new.clients).unwrap();
     end(new);
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -34,6 +34,8 @@
 const LOOK_AGAIN: Micros = 20 * MS;
 /// The latest records are looked for in so many bytes at a file's end.
 const TAIL: u64 = 16 * 1024;
+/// Work on a machine takes so long.
+const WORK: Micros = 700 * MS;
 /// With its disk full a router writes no file beyond so many bytes; an elector's disk is longer from the start.
 const FULL: u64 = 8192;
 
@@ -100,6 +102,15 @@
     pub kind: Kind,
 }
 
+/// All boxes and parents worked on once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Round {
+    /// By an order.
+    Order,
+    /// By hand: told to drain, waited for as long as anything may be open, worked on, told ready.
+    Hand,
+}
+
 /// What is tried.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -121,6 +132,11 @@
     pub faults: Vec<Fault>,
     /// Boxes are ordered out, worked on and brought back.
     pub work: bool,
+    /// Boxes; parents are two.
+    pub boxes: u32,
+    /// With orders: one over all boxes and parents, and the run ends with it; or staff's drains by hand through the
+    /// coordinator, one machine after the other.
+    pub round: Option<Round>,
     /// Staff propose versions of rules.
     pub rules: bool,
     /// Routers, too, and what a router does alone: it serves on and holds work up.
@@ -153,6 +169,10 @@
     /// Machines that were out on the way, and new work that reached one, or that a router among them sent on, from
     /// staff's being told so to their word that it is back.
     pub work: (u64, u64),
+    /// How long a round over all machines took.
+    pub round: Option<Micros>,
+    /// Reads that reached the head office.
+    pub office_reads: u64,
     /// What the records prove of versions.
     pub versions: Versions,
     /// Versions that held, by the way they came: at once, apart, tried by some first.
@@ -709,7 +729,10 @@
 /// Runs it to its end. Ends the processes that it started, also where it fails.
 pub async fn play(tasks: &Rc<LocalExecutor<'static>>, options: &Options) -> io::Result<Outcome> {
     let folder = tempfile::tempdir()?;
-    let office = Office::start(tasks, Plan { boxes: 4, box_room: 800, parents: 2, parent_room: 4000 })?;
+    let office = Office::start(
+        tasks,
+        Plan { boxes: options.boxes, box_room: 3200 / options.boxes as usize, parents: 2, parent_room: 4000 },
+    )?;
     let coordinator = Coordinator::start(tasks)?;
     let (starts, relays) = prepare(options, folder.path(), tasks, &office, &coordinator)?;
     let clients: Vec<Rc<Clients>> =
@@ -749,7 +772,10 @@
         (good && most == count).then_some(())
     };
     until("a first quorum with all routers on the roll", all_on_the_roll).await?;
-    let work = tasks.spawn(work(rig.clone(), yard.clone()));
+    let work = match options.round {
+        None => tasks.spawn(work(rig.clone(), yard.clone())),
+        Some(round) => tasks.spawn(all_round(rig.clone(), yard.clone(), coordinator.clone(), round)),
+    };
     let rules = tasks.spawn(rules(rig.clone(), yard));
     let played = traffic(&rig, &clients).await;
     rig.ending.set(true);
@@ -771,6 +797,7 @@
     end(&rig).await;
     let records = rig.records();
     let mut out = rig.out.take();
+    out.office_reads = office.counts().values().map(|c| c.office_reads).sum();
     out.work.1 = office.counts().values().map(|c| c.after_drain).sum();
     // A router that is out sends nothing on.
     let acts = records.iter().filter(|r| r["kind"] == "act");
@@ -903,6 +930,73 @@
     }
 }
 
+/// Every box and parent is worked on once: how long that takes.
+async fn all_round(
+    rig: Rc<Rig>,
+    office: Rc<Office>,
+    coordinator: Rc<Coordinator>,
+    round: Round,
+) -> io::Result<()> {
+    let ids: Vec<u32> = office.members().iter().map(|m| m.id).filter(|id| *id != trial::HEAD).collect();
+    let began = clock::now();
+    if round == Round::Hand {
+        for id in ids {
+            trial::carry_out(trial::Act::Drain(id), &office, &coordinator);
+            // A second to be heard, and the longest time that anything is open.
+            rest(SECOND + BUDGET).await;
+            rest(WORK).await;
+            trial::carry_out(trial::Act::Ready(id), &office, &coordinator);
+            rig.out.borrow_mut().work.0 += 1;
+        }
+        rig.out.borrow_mut().round = Some(clock::now() - began);
+        return Ok(());
+    }
+    let parent = |id: u32| id > rig.options.boxes;
+    let texts: Vec<(&str, String)> =
+        ids.iter().map(|id| (if parent(*id) { "--parent" } else { "--box" }, id.to_string())).collect();
+    let mut args = vec!["work", "order"];
+    texts.iter().for_each(|(kind, id)| args.extend([*kind, id.as_str()]));
+    until("the order's being made", async || {
+        let (said, _) = rig.command(0, &args).await;
+        (said["made"] == true).then_some(())
+    })
+    .await?;
+    let mut out: BTreeMap<u32, Micros> = BTreeMap::new();
+    let last = began + 10 * GENEROUS;
+    loop {
+        let (status, _) = rig.command(0, &["work", "status"]).await;
+        if status["orders"].as_array().is_some_and(Vec::is_empty) {
+            rig.out.borrow_mut().round = Some(clock::now() - began);
+            return Ok(());
+        }
+        if clock::now() > last {
+            return Err(io::Error::other(format!("the order does not end: {status}")));
+        }
+        let all = status["orders"].as_array().into_iter().flatten();
+        let all = all.flat_map(|o| o["machines"].as_array().into_iter().flatten());
+        let now_out = all.filter(|m| m["stage"] == "out").filter_map(|m| listed(m["machine"].as_str()?));
+        for id in now_out.collect::<Vec<_>>() {
+            out.entry(id).or_insert_with(|| {
+                rig.out.borrow_mut().work.0 += 1;
+                let now = clock::now();
+                office.tier(id).into_iter().for_each(|t| t.drained.set(Some(now - SECOND)));
+                now
+            });
+        }
+        let done: Vec<u32> =
+            out.iter().filter(|(_, at)| clock::now() >= **at + WORK).map(|(id, _)| *id).collect();
+        for id in done {
+            office.tier(id).into_iter().for_each(|t| t.drained.set(None));
+            let kind = if parent(id) { "--parent" } else { "--box" };
+            let (said, _) = rig.command(0, &["work", "back", kind, &id.to_string()]).await;
+            if said["made"] == true {
+                out.remove(&id);
+            }
+        }
+        rest(50 * MS).await;
+    }
+}
+
 /// Ways in which versions come.
 const AT_ONCE: usize = 0;
 const APART: usize = 1;
@@ -1140,6 +1234,15 @@
     );
     if options.work {
         let (boxes, reached) = outcome.work;
+        let (sent, in_time) =
+            outcome.tallies.iter().fold((0, 0), |(a, b), (t, _)| (a + t.sent, b + t.in_time));
+        let round = outcome.round.map_or(String::new(), |t| format!("all round in {} ms; ", t / MS));
+        let _ = writeln!(
+            out,
+            "{round}{:.2} % of the items served in time, {} reads at the head office",
+            100.0 * in_time as f64 / sent.max(1) as f64,
+            outcome.office_reads
+        );
         let _ = writeln!(
             out,
             "machines out {boxes}; new work that reached one meanwhile, or that it sent on: {reached}"
--- a/standins/src/trial.rs
+++ b/standins/src/trial.rs
@@ -422,7 +422,7 @@
     })
 }
 
-fn carry_out(act: Act, office: &Office, coordinator: &Coordinator) {
+pub(crate) fn carry_out(act: Act, office: &Office, coordinator: &Coordinator) {
     let tell = |id: u32, state: u8, started_ms: u64| {
         if let Some(member) = office.members().into_iter().find(|m| m.id == id) {
             coordinator.tell(News::Changes(vec![Member { state, started_ms, ..member }]));
--- /dev/null
+++ b/tests/deployments.rs
@@ -0,0 +1,436 @@
+//! Both deployments by their settings alone: several directors side by side on one made-up clock, caches in trouble, and
+//! the rules that hold everywhere. What differs is in the settings' text below and nowhere else.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bitternhold::settings::Catalogue;
+use bitternhold::*;
+use common::{CACHE, MS, ORIGIN, PARENT, S, member};
+use serde_json::{Value, json};
+
+/// A site's settings as a router's configuration gives them.
+fn site(name: &str) -> Value {
+    let class = |name: &str, kind: &str, aim: f64, deadline: f64, worth: f64| {
+        json!({"name": name, "idempotency": kind, "group": "all", "slo_ms": aim, "aim_stretch": 2.0,
+            "deadline_ms": deadline, "window_ms": 2000.0, "worth": worth, "late_worth": 0.1})
+    };
+    let mut all = json!({
+        "balancers": ROUTERS, "my_zone": "room", "failure_domains": ["hub", "room"], "kinds": ["box", "parent", "origin"],
+        "membership_mode": "pushed",
+        "classes": [class("piece", "idempotent", 400.0, 5000.0, 2.0), class("page", "idempotent", 250.0, 2500.0, 1.0),
+            class("order", "deduplicated", 600.0, 3000.0, 3.0)],
+        "family_info": {"parent_kind": 1, "root_kind": 2, "flow_kb_per_s": 5000.0, "class_write": [false, false, true],
+            "fresh_for_ms": [0.0, 8000.0, 0.0], "stale_for_ms": [0.0, 20000.0, 0.0], "crew_by_zone": [0, ROUTERS],
+            "hub_by_zone": [0, 0], "cleared_within_ms": 6000.0, "upper_cold_from": 0.07, "parent_ramp_ms": 22000.0,
+            "parent_fall_multiple": 2.0},
+        "limits": {"try_limit": 8, "retry_after": true, "cancelling": true, "connect_timeout_ms": 400.0},
+        "rules": {"drain_grace_ms": 1000.0, "cold_from": 0.18, "cold_ms": 18000.0}
+    });
+    let (info, limits, rules) = match name {
+        // Answers tell all, second copies may be out, no fill is joined, any cache is a source.
+        "parcels" => (
+            json!({"detail": "all", "neighbours": "any", "shares_fills": false, "heed_within_ms": 500.0}),
+            json!({"second_copies": true, "max_retry_after_ms": 2000.0}),
+            json!({"fall_multiple": 3.0, "tip_after_ms": 1000.0}),
+        ),
+        // Answers tell nothing, one attempt out at a time, fills are joined, links are told, sources in the room alone.
+        _ => (
+            json!({"detail": "none", "neighbours": "location", "shares_fills": true, "heed_within_ms": 300.0,
+                "link_in_kb_per_s": [0.0, 40000.0]}),
+            json!({"second_copies": false, "probes": true, "max_retry_after_ms": 500.0}),
+            json!({"fall_multiple": 4.0, "tip_after_ms": 2000.0}),
+        ),
+    };
+    let merge = |into: &mut Value, from: Value| {
+        for (key, value) in from.as_object().into_iter().flatten() {
+            into[key] = value.clone();
+        }
+    };
+    merge(&mut all["family_info"], info);
+    merge(&mut all["limits"], limits);
+    merge(&mut all["rules"], rules);
+    all["weights"] = json!(if name == "parcels" { "rough" } else { "nominal" });
+    all
+}
+
+const ROUTERS: u32 = 3;
+const SITES: [&str; 2] = ["parcels", "maps"];
+const BOXES: u64 = 5;
+/// Requests a second to each director.
+const RATE: u64 = 40;
+/// When the trouble begins and ends, and when the day does.
+const FROM: Micros = 3 * S;
+const UNTIL: Micros = 7 * S;
+const END: Micros = 14 * S;
+
+/// What is wrong with cache 1, or with parent 11 where that is said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    None,
+    /// Its process is gone: connections are refused, and it comes back cold.
+    Crash,
+    /// It fails fast.
+    Errors,
+    /// It takes requests and answers none.
+    Hang,
+    /// Connections never come up and what is out stays silent.
+    Vanish,
+    /// All of its sort at once.
+    Room,
+    /// A parent is gone.
+    Parent,
+    /// The list calls it draining, then gone.
+    Drain,
+    /// An object's group is purged.
+    Purge,
+}
+
+#[derive(Debug)]
+enum What {
+    Ask(usize),
+    End { router: usize, outcome: Outcome },
+    Timer { router: usize, token: u64 },
+    Probe { router: usize, member: MemberId },
+    Told,
+}
+
+/// An attempt that is out.
+struct Out {
+    member: u64,
+    sent: Micros,
+}
+
+#[derive(Default)]
+struct Day {
+    asked: u64,
+    served: u64,
+    refused: u64,
+    failed: u64,
+    /// Answers by request: one each.
+    answers: BTreeMap<(usize, u128), u32>,
+    /// Attempts at, or from, a member by half seconds from its cold start on.
+    cold: BTreeMap<Micros, f64>,
+}
+
+struct Sim {
+    settings: Settings,
+    trouble: Trouble,
+    now: Micros,
+    seq: u64,
+    queue: BTreeMap<(Micros, u64), What>,
+    routers: Vec<Director>,
+    open: BTreeMap<(usize, u128), BTreeMap<u32, Out>>,
+    tries: BTreeMap<(usize, u128), u32>,
+    deadlines: BTreeMap<(usize, u128), Micros>,
+    /// Requests for objects of the group that is purged.
+    purged: BTreeSet<(usize, u128)>,
+    kept: BTreeSet<(u64, String)>,
+    day: Day,
+}
+
+impl Sim {
+    fn play(name: &str, trouble: Trouble) -> Day {
+        let text = site(name);
+        let catalogue = Catalogue::read(text.as_object().unwrap());
+        let mut members: Vec<Member> = (1..=BOXES).map(|id| member(id, CACHE)).collect();
+        members.extend([member(11, PARENT), member(12, PARENT), member(20, ORIGIN)]);
+        let routers = (0..ROUTERS).map(|index| Settings { index, ..catalogue.settings.clone() });
+        let mut sim = Sim {
+            trouble,
+            now: 100 * S,
+            seq: 0,
+            queue: BTreeMap::new(),
+            routers: routers.enumerate().map(|(n, s)| Director::new(n as u64 + 1, s)).collect(),
+            settings: catalogue.settings,
+            open: BTreeMap::new(),
+            tries: BTreeMap::new(),
+            deadlines: BTreeMap::new(),
+            purged: BTreeSet::new(),
+            kept: BTreeSet::new(),
+            day: Day::default(),
+        };
+        for router in 0..sim.routers.len() {
+            sim.tell(router, Event::Members { kind: ListKind::Full, members: members.clone() });
+            sim.at(10 * MS * router as Micros, What::Ask(router));
+        }
+        for at in [FROM, FROM + S, UNTIL] {
+            sim.at(at, What::Told);
+        }
+        while let Some(((at, _), what)) = sim.queue.pop_first() {
+            sim.now = at;
+            sim.event(what);
+        }
+        sim.day
+    }
+
+    fn at(&mut self, after: Micros, what: What) {
+        self.seq += 1;
+        self.queue.insert((self.now.max(100 * S) + after, self.seq), what);
+    }
+
+    fn since(&self) -> Micros {
+        self.now - 100 * S
+    }
+
+    fn event(&mut self, what: What) {
+        match what {
+            What::Ask(router) if self.since() < END => {
+                self.day.asked += 1;
+                let id = u128::from(self.day.asked);
+                let draw = self.day.asked.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40;
+                let class = [0, 0, 1, 1, 1, 2][draw as usize % 6];
+                let object = format!("o{}", (draw >> 3) % 60 * ((draw >> 9) % 3 + 1));
+                let deadline = self.settings.classes[class].deadline;
+                let request = Request {
+                    id: RequestId(id),
+                    class,
+                    object,
+                    part: 0,
+                    group: draw % 4,
+                    size_kb: Some(50.0),
+                    write: class == 2,
+                    valid_until: self.now + deadline,
+                    own: None,
+                };
+                self.open.insert((router, id), BTreeMap::new());
+                self.deadlines.insert((router, id), self.now + deadline);
+                if draw % 4 == 2 && class != 2 {
+                    self.purged.insert((router, id));
+                }
+                self.tell(router, Event::Request(request));
+                self.at(S / RATE, What::Ask(router));
+            }
+            What::Ask(_) => {}
+            What::End { router, outcome } => {
+                let id = outcome.id.0;
+                let out = self.open.get_mut(&(router, id)).and_then(|all| all.remove(&outcome.attempt));
+                if out.is_some() {
+                    let closed = self.day.answers.contains_key(&(router, id));
+                    if outcome.status == Status::Ok && !closed {
+                        self.answer(router, id);
+                        self.day.served += 1;
+                    }
+                    let closed = self.day.answers.contains_key(&(router, id));
+                    self.tell(router, Event::Outcome(Outcome { closed, ..outcome }));
+                }
+            }
+            What::Timer { router, token } => self.tell(router, Event::Timer { token }),
+            What::Probe { router, member } => {
+                let ill = self.ill(member.0).is_some();
+                let (status, elapsed) = if ill { (Status::Timeout, 400 * MS) } else { (Status::Ok, 2 * MS) };
+                self.tell(router, Event::Probed { member, status, elapsed, load: None });
+            }
+            What::Told => self.told(),
+        }
+    }
+
+    /// The list's word, and a purge.
+    fn told(&mut self) {
+        let since = self.since();
+        let state = |lifecycle, started| Member { lifecycle, started, ..member(1, CACHE) };
+        let entry = match (self.trouble, since) {
+            (Trouble::Drain, FROM) => Some(state(Lifecycle::Draining, 0)),
+            (Trouble::Drain, at) if at < UNTIL => Some(state(Lifecycle::Gone, 0)),
+            (Trouble::Drain | Trouble::Crash | Trouble::Vanish, UNTIL) => {
+                self.kept.retain(|(id, _)| *id != 1);
+                Some(state(Lifecycle::Ready, self.now))
+            }
+            _ => None,
+        };
+        for router in 0..self.routers.len() {
+            if let Some(entry) = entry.clone() {
+                self.tell(router, Event::Members { kind: ListKind::Delta, members: vec![entry] });
+            }
+            if self.trouble == Trouble::Purge && since == FROM {
+                self.tell(router, Event::Purged { object: None, group: 2, age: 0 });
+            }
+        }
+    }
+
+    fn ill(&self, member: u64) -> Option<Status> {
+        let during = (FROM..UNTIL).contains(&self.since());
+        match self.trouble {
+            _ if !during => None,
+            Trouble::Crash if member == 1 => Some(Status::ConnectFailed),
+            Trouble::Drain if member == 1 && self.since() > FROM + S => Some(Status::ConnectFailed),
+            Trouble::Room if member <= BOXES => Some(Status::ConnectFailed),
+            Trouble::Errors if member == 1 => Some(Status::Error),
+            Trouble::Hang | Trouble::Vanish if member == 1 => Some(Status::Timeout),
+            _ => None,
+        }
+    }
+
+    fn tell(&mut self, router: usize, event: Event) {
+        let mut out = Vec::new();
+        self.routers[router].handle(self.now, event, &mut out);
+        for action in out {
+            self.act(router, action);
+        }
+    }
+
+    fn answer(&mut self, router: usize, id: u128) {
+        let since = self.since();
+        let answers = self.day.answers.entry((router, id)).or_default();
+        *answers += 1;
+        assert_eq!(*answers, 1, "request {id} of director {router} has a second answer at {since}");
+    }
+
+    fn act(&mut self, router: usize, action: Action) {
+        match action {
+            Action::Fetch { id, member, until, source, max_age, .. } => {
+                self.age(router, id.0, max_age);
+                self.send(router, id.0, member.0, source.0, until, None);
+            }
+            Action::Look { id, member, until } => {
+                self.age(router, id.0, None);
+                self.send(router, id.0, member.0, member.0, until, Some(()));
+            }
+            Action::Cancel { id, attempt } => {
+                // Given up: it is out no more, and its end is told.
+                if let Some(out) = self.open.get_mut(&(router, id.0)).and_then(|all| all.remove(&attempt)) {
+                    let closed = self.day.answers.contains_key(&(router, id.0));
+                    let outcome = Outcome {
+                        elapsed: self.now - out.sent,
+                        closed,
+                        note: None,
+                        ..common::outcome(id.0, attempt, MemberId(out.member), Status::Cancelled)
+                    };
+                    self.tell(router, Event::Outcome(outcome));
+                }
+            }
+            Action::Refuse { id, wait } => {
+                assert!(wait <= self.settings.max_retry_after, "advice that no client obeys: {wait}");
+                self.answer(router, id.0);
+                self.day.refused += 1;
+            }
+            Action::Fail { id } => {
+                self.answer(router, id.0);
+                self.day.failed += 1;
+            }
+            Action::Own { .. } => panic!("no copy was offered"),
+            Action::Timer { delay, token } => self.at(delay, What::Timer { router, token }),
+            Action::Probe { member } => {
+                assert!(self.settings.probes, "a probe where none may be sent");
+                self.at(2 * MS, What::Probe { router, member });
+            }
+            Action::Watch | Action::FetchList | Action::Log(_) => {}
+        }
+    }
+
+    /// From the purge's grace on until all older copies are dropped, an attempt names an age that rules them out.
+    fn age(&self, router: usize, id: u128, max_age: Option<Micros>) {
+        let Settings { purge_grace, purge_done, .. } = self.settings;
+        let concerned = self.trouble == Trouble::Purge && self.purged.contains(&(router, id));
+        if concerned && (FROM + purge_grace..FROM + purge_done).contains(&self.since()) {
+            let young = max_age.is_some_and(|age| age <= self.since() - FROM);
+            assert!(young, "{max_age:?} may be older than the purge {} ago", self.since() - FROM);
+        }
+    }
+
+    fn send(&mut self, router: usize, id: u128, member: u64, source: u64, until: Micros, look: Option<()>) {
+        let key = (router, id);
+        let until = if until == 0 { self.deadlines[&key] } else { until.min(self.deadlines[&key]) };
+        let tries = self.tries.entry(key).or_default();
+        let attempt = *tries;
+        *tries += 1;
+        assert!(attempt < self.settings.max_attempts, "request {id} has attempt {attempt}");
+        assert!(!self.day.answers.contains_key(&key), "an attempt after the answer");
+        let out = self.open.get_mut(&key).expect("an open request");
+        if !self.settings.second_copies {
+            assert!(out.is_empty(), "two attempts of request {id} at a time, at {}", self.now - 100 * S);
+        }
+        out.insert(attempt, Out { member, sent: self.now });
+        // Rules on where it may go.
+        assert!(member <= BOXES, "an attempt at {member}, which is no cache");
+        if self.settings.siblings == Siblings::None {
+            assert!(source == member || source > BOXES, "a source {source} that is not allowed");
+        }
+        if self.trouble == Trouble::Drain && (FROM + S..UNTIL).contains(&self.since()) {
+            assert!(
+                member != 1 && source != 1,
+                "to, or from, a box that drains or is gone, at {}",
+                self.since()
+            );
+        }
+        let started = [Trouble::Drain, Trouble::Crash, Trouble::Vanish].contains(&self.trouble);
+        if started && self.since() >= UNTIL && member == 1 {
+            *self.day.cold.entry((self.since() - UNTIL) / (S / 2)).or_default() += 1.0;
+        }
+        // What comes of it.
+        let object = format!("{member}");
+        let kept = self.kept.contains(&(member, object.clone()));
+        let parent_gone =
+            self.trouble == Trouble::Parent && source == 11 && (FROM..UNTIL).contains(&self.since());
+        let (status, after, note) = match self.ill(member) {
+            Some(Status::Timeout) => (Status::Timeout, until.saturating_sub(self.now), None),
+            Some(status) => (status, 5 * MS, None),
+            None if look.is_some() && !kept => (Status::Miss, 4 * MS, None),
+            None if source != member && parent_gone => (Status::Full, 8 * MS, Some(Note::SourceUnreachable)),
+            None if source == member => (Status::Ok, 6 * MS, Some(Note::Hit)),
+            None => (Status::Ok, 60 * MS, Some(Note::Filled)),
+        };
+        if status == Status::Ok {
+            self.kept.insert((member, object));
+        }
+        let note = note.filter(|_| self.settings.tells != Tells::Nothing || status != Status::Ok);
+        let outcome =
+            Outcome { elapsed: after, note, ..common::outcome(id, attempt, MemberId(member), status) };
+        self.at(after.max(1), What::End { router, outcome });
+    }
+}
+
+/// Every trouble under the settings of both: one final answer for each request, one attempt out where that holds, nothing to
+/// what drains or is gone, tries and advice within what the settings say, and most is served all the same.
+#[test]
+fn both_deployments_keep_the_rules_through_every_trouble() {
+    use Trouble::{Crash, Drain, Errors, Hang, None, Parent, Purge, Room, Vanish};
+    for name in SITES {
+        for trouble in [None, Crash, Errors, Hang, Vanish, Room, Parent, Drain, Purge] {
+            let day = Sim::play(name, trouble);
+            let answered = day.answers.len() as u64;
+            assert_eq!(answered, day.asked, "{name}, {trouble:?}: requests without their answer");
+            assert_eq!(day.served + day.refused + day.failed, day.asked, "{name}, {trouble:?}");
+            // Without caches for four of fourteen seconds nobody can serve more.
+            let least = if trouble == Room { 0.6 } else { 0.9 };
+            let share = day.served as f64 / day.asked as f64;
+            assert!(
+                share >= least,
+                "{name}, {trouble:?}: {share:.3} served, {} refused, {} failed",
+                day.refused,
+                day.failed
+            );
+        }
+    }
+}
+
+/// A box that comes back cold gets no more than its multiple from all directors together, and is not starved.
+#[test]
+fn a_box_that_comes_back_cold_keeps_its_budget_over_all_directors() {
+    for name in SITES {
+        for trouble in [Trouble::Crash, Trouble::Vanish, Trouble::Drain] {
+            let day = Sim::play(name, trouble);
+            let settings = Catalogue::read(site(name).as_object().unwrap()).settings;
+            // A fifth of the load is its share when warm: it is sized for that.
+            let warm = (u64::from(ROUTERS) * RATE) as f64 / BOXES as f64 / 2.0;
+            let most = |half: Micros| {
+                let warmed = (half + 1) as f64 * 0.5 / (settings.cold_time as f64 / S as f64);
+                let part = settings.cold_from + (1.0 - settings.cold_from) * warmed;
+                warm * part * settings.fall_multiple
+            };
+            for (half, sent) in &day.cold {
+                assert!(
+                    *sent <= most(*half) + 3.0 * most(*half).sqrt(),
+                    "{name}, {trouble:?}: {half}: {:?}",
+                    day.cold
+                );
+            }
+            assert!(
+                day.cold.values().sum::<f64>() > 5.0,
+                "{name}, {trouble:?}: it is starved: {:?}",
+                day.cold
+            );
+        }
+    }
+}
