All faults of a configuration at once, and settings not understood with their safe reading

Cause: check-config ended at the first fault, and a setting of another kind read as absent in silence: a try_limit that is a text read as no limit of tries, a cleared_within_ms as no age after a purge; both break a rule (settings.rs, Part).

Change: config.rs reads all parts and lists all faults; twelve settings have a safe reading that is told, two are refused. Tests name each key.

--- a/silverspindle/src/config.rs
+++ b/silverspindle/src/config.rs
@@ -48,6 +48,8 @@
     pub level: LevelFilter,
     /// They are JSON.
     pub json_logs: bool,
+    /// Settings that were not understood, with the safe reading that holds.
+    pub notes: Vec<String>,
 }
 
 fn fault<T>(key: &str, problem: &str) -> Result<T, String> {
@@ -92,96 +94,184 @@
 }
 
 impl Config {
-    /// Reads the environment and the file that it names.
+    /// Reads the environment and the file that it names. The first fault.
     pub fn read(environment: Environment) -> Result<Self, String> {
-        let Some(path) = environment("LB_CONFIG") else { return fault("LB_CONFIG", "is not set") };
+        Self::read_all(environment).map_err(|faults| faults.into_iter().next().unwrap_or_default())
+    }
+
+    /// The same with all faults at once.
+    pub fn read_all(environment: Environment) -> Result<Self, Vec<String>> {
+        let one = |e: Result<Self, String>| e.map_err(|e| vec![e]);
+        let Some(path) = environment("LB_CONFIG") else { return one(fault("LB_CONFIG", "is not set")) };
         match std::fs::read_to_string(&path) {
-            Ok(text) => Self::parse(&text, environment),
-            Err(e) => fault("LB_CONFIG", &format!("can't read {path}: {e}")),
+            Ok(text) => Self::parse_all(&text, environment),
+            Err(e) => one(fault("LB_CONFIG", &format!("can't read {path}: {e}"))),
         }
     }
 
-    /// Reads the file's text; `LB_NAME` and `LB_LISTEN` go before what it says.
+    /// Reads the file's text; `LB_NAME` and `LB_LISTEN` go before what it says. The first fault.
     pub fn parse(text: &str, environment: Environment) -> Result<Self, String> {
-        let file: Value = match serde_json::from_str(text) {
-            Ok(value) => value,
-            Err(e) => return fault("LB_CONFIG", &format!("is no JSON: {e}")),
-        };
+        Self::parse_all(text, environment).map_err(|faults| faults.into_iter().next().unwrap_or_default())
+    }
+
+    /// The same with all faults at once.
+    pub fn parse_all(text: &str, environment: Environment) -> Result<Self, Vec<String>> {
+        let file: Value = serde_json::from_str(text)
+            .or_else(|e| fault("LB_CONFIG", &format!("is no JSON: {e}")))
+            .map_err(|e| vec![e])?;
+        let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+        let mut faults = Vec::new();
+        let all = &mut faults;
         let name = environment("LB_NAME").or_else(|| file["name"].as_str().map(str::to_owned));
-        let Some(name) = name.filter(|n| !n.is_empty()) else { return fault("name", "is missing") };
+        let name = name.filter(|n| !n.is_empty()).map_or_else(|| fault("name", "is missing"), Ok);
+        let name = or(all, name, String::new());
         let listen = match environment("LB_LISTEN") {
-            Some(text) => address("LB_LISTEN", Some(&text))?,
-            None => address("listen", file["listen"].as_str())?,
+            Some(text) => address("LB_LISTEN", Some(&text)),
+            None => address("listen", file["listen"].as_str()),
         };
+        let listen = or(all, listen, nowhere);
         let management = match environment("LB_MANAGEMENT") {
-            Some(text) => Some(address("LB_MANAGEMENT", Some(&text))?),
+            Some(text) => address("LB_MANAGEMENT", Some(&text)).map(Some),
             None => match file["management"].as_str() {
-                Some(text) => Some(address("management", Some(text))?),
-                None if file["management"].is_null() => None,
-                None => return fault("management", "must be a text: address and port"),
+                Some(text) => address("management", Some(text)).map(Some),
+                None if file["management"].is_null() => Ok(None),
+                None => fault("management", "must be a text: address and port"),
             },
         };
-        let Some(seed) = file["seed"].as_str().and_then(|s| u64::from_str_radix(s, 16).ok()) else {
-            return fault("seed", "must be a text of up to 16 hex digits");
-        };
+        let management = or(all, management, None);
+        let seed = file["seed"].as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
+        let seed = seed.map_or_else(|| fault("seed", "must be a text of up to 16 hex digits"), Ok);
+        let seed = or(all, seed, 0);
         let level = match environment("LB_LOG") {
-            None => LevelFilter::INFO,
-            Some(text) => match text.parse() {
-                Ok(level) => level,
-                Err(_) => return fault("LB_LOG", "must be off, error, warn, info, debug or trace"),
-            },
+            None => Ok(LevelFilter::INFO),
+            Some(text) => {
+                text.parse().or_else(|_| fault("LB_LOG", "must be off, error, warn, info, debug or trace"))
+            }
         };
+        let level = or(all, level, LevelFilter::INFO);
         let json_logs = match environment("LB_LOG_FORMAT").as_deref() {
-            None | Some("text") => false,
-            Some("json") => true,
-            Some(_) => return fault("LB_LOG_FORMAT", "must be text or json"),
+            None | Some("text") => Ok(false),
+            Some("json") => Ok(true),
+            Some(_) => fault("LB_LOG_FORMAT", "must be text or json"),
         };
+        let json_logs = or(all, json_logs, false);
+        let coordinator = or(all, address("coordinator", file["coordinator"].as_str()), nowhere);
+        let sockets = or(all, limit(&file, "sockets", SOCKETS as f64, LEAST_SOCKETS as f64), SOCKETS as f64);
+        let memory = or(all, limit(&file, "memory_mb", MEMORY_MB, LEAST_MEMORY_MB), MEMORY_MB);
+        let flow = or(all, rate(&file, "flow_bytes_per_s"), 0.0);
+        let link = or(all, rate(&file, "link_bytes_per_s"), 0.0);
         let Some(settings) = file["settings"].as_object() else {
-            return fault("settings", "must be an object");
+            all.extend(fault::<()>("settings", "must be an object").err());
+            return Err(faults);
         };
-        let mut catalogue = Catalogue::read(settings);
-        if catalogue.classes.is_empty() {
-            return fault("settings.classes", "must list at least one class");
-        }
-        for (i, class) in catalogue.settings.classes.iter().enumerate() {
-            if catalogue.classes[i].is_empty() {
-                return fault(&format!("settings.classes[{i}].name"), "is missing");
-            }
-            if class.deadline == 0 {
-                return fault(&format!("settings.classes[{i}].deadline_ms"), "must be above 0");
-            }
-        }
-        if catalogue.settings.zone == usize::MAX {
-            return fault("settings.my_zone", "must be one of settings.failure_domains");
-        }
-        if catalogue.settings.origin_kind.is_none() {
-            return fault("settings.family_info.root_kind", "must be a place in settings.kinds");
-        }
-        let or = |told: u64, default: u64| if told > 0 { told } else { default };
-        catalogue.settings.connect_timeout = or(catalogue.settings.connect_timeout, 400_000);
-        catalogue.idle_close = or(catalogue.idle_close, 30_000_000);
-        catalogue.streams_per_conn = or(catalogue.streams_per_conn as u64, 32) as usize;
+        let (catalogue, notes) = site(settings, all);
         let known = match &file["known"] {
-            Value::Null => (0, Vec::new()),
+            Value::Null => Ok((0, Vec::new())),
             value => feed::known(value, &catalogue).or_else(|e| {
                 let (key, problem) = e.split_once(": ").unwrap_or((&e, "malformed"));
                 fault(key, problem)
-            })?,
+            }),
         };
+        let known = or(all, known, (0, Vec::new()));
+        if !faults.is_empty() {
+            return Err(faults);
+        }
         Ok(Self {
             name,
             listen,
             management,
             seed,
-            coordinator: address("coordinator", file["coordinator"].as_str())?,
-            sockets: limit(&file, "sockets", SOCKETS as f64, LEAST_SOCKETS as f64)? as usize,
-            memory: (limit(&file, "memory_mb", MEMORY_MB, LEAST_MEMORY_MB)? * 1e6) as usize,
-            flow: rate(&file, "flow_bytes_per_s")?,
-            link: rate(&file, "link_bytes_per_s")?,
+            coordinator,
+            sockets: sockets as usize,
+            memory: (memory * 1e6) as usize,
+            flow,
+            link,
             catalogue,
             known,
             level,
             json_logs,
+            notes,
         })
     }
 }
+
+fn or<T>(faults: &mut Vec<String>, read: Result<T, String>, default: T) -> T {
+    read.unwrap_or_else(|fault| {
+        faults.push(fault);
+        default
+    })
+}
+
+/// Settings of which another kind of value is taken for an absent one, and what that comes to: the safe reading.
+const SAFE: [(&str, &str, &str, &str); 12] = [
+    ("limits", "second_copies", "yes or no", "no second copies"),
+    ("limits", "cancelling", "yes or no", "nothing is cancelled"),
+    ("limits", "probes", "yes or no", "no probes"),
+    ("limits", "retry_after", "yes or no", "no advice to clients"),
+    ("limits", "max_retry_after_ms", "a number", "no advice to clients"),
+    ("family_info", "shares_fills", "yes or no", "no fill is joined"),
+    ("family_info", "bypass_allowed", "yes or no", "parents and origin take no requests"),
+    ("family_info", "heed_within_ms", "a number", "purges are heeded at once"),
+    ("rules", "drain_grace_ms", "a number", "drains are heeded at once"),
+    ("rules", "cold_from", "a number", "a cold cache is taken to have nothing at its start"),
+    ("rules", "fall_multiple", "a number", "a cold cache gets nothing over what it can bear"),
+    ("deductions", "handshake", "a number", "connections are not shared"),
+];
+/// Of which none is safe: the rules on tries and on purges would be broken by guessing.
+const NEEDED: [(&str, &str); 2] = [("limits", "try_limit"), ("family_info", "cleared_within_ms")];
+
+/// Reads the settings of a site; what would break a rule is a fault, what has a safe reading is a note.
+fn site(settings: &serde_json::Map<String, Value>, faults: &mut Vec<String>) -> (Catalogue, Vec<String>) {
+    let mut catalogue = Catalogue::read(settings);
+    let mut wrong =
+        |key: &str, problem: &str| faults.extend(fault::<()>(&format!("settings.{key}"), problem).err());
+    if catalogue.classes.is_empty() {
+        wrong("classes", "must list at least one class");
+    }
+    for (i, class) in catalogue.settings.classes.iter().enumerate() {
+        if catalogue.classes[i].is_empty() {
+            wrong(&format!("classes[{i}].name"), "is missing");
+        }
+        if class.deadline == 0 {
+            wrong(&format!("classes[{i}].deadline_ms"), "must be above 0");
+        }
+    }
+    if catalogue.settings.zone == usize::MAX {
+        wrong("my_zone", "must be one of settings.failure_domains");
+    }
+    if catalogue.settings.origin_kind.is_none() {
+        wrong("family_info.root_kind", "must be a place in settings.kinds");
+    }
+    let value =
+        |part: &str, name: &str| settings.get(part).and_then(|p| p.get(name)).filter(|v| !v.is_null());
+    for (part, name) in NEEDED {
+        if value(part, name).is_some_and(|v| !v.is_number()) {
+            wrong(&format!("{part}.{name}"), "must be a number");
+        }
+    }
+    let other = |value: &Value, kind: &str| match kind {
+        "a number" => !value.is_number(),
+        _ => !value.is_boolean(),
+    };
+    let safe = SAFE.iter().filter(|(part, name, kind, _)| value(part, name).is_some_and(|v| other(v, kind)));
+    let mut notes: Vec<String> = safe
+        .map(|(part, name, kind, reading)| {
+            format!("settings.{part}.{name}: is not {kind}; taken as absent: {reading}")
+        })
+        .collect();
+    for (i, class) in settings.get("classes").and_then(Value::as_array).into_iter().flatten().enumerate() {
+        let kind = &class["idempotency"];
+        if !["idempotent", "deduplicated", "at_most_once"].iter().any(|known| kind == known)
+            && !kind.is_null()
+        {
+            notes.push(format!(
+                "settings.classes[{i}].idempotency: {kind} is not known; taken as not to be repeated"
+            ));
+        }
+    }
+    let or = |told: u64, default: u64| if told > 0 { told } else { default };
+    catalogue.settings.connect_timeout = or(catalogue.settings.connect_timeout, 400_000);
+    catalogue.idle_close = or(catalogue.idle_close, 30_000_000);
+    catalogue.streams_per_conn = or(catalogue.streams_per_conn as u64, 32) as usize;
+    (catalogue, notes)
+}
--- a/silverspindle/src/main.rs
+++ b/silverspindle/src/main.rs
@@ -93,7 +93,8 @@
         /// With --agree: boxes; parents are two
         #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=40))]
         boxes: u32,
-        /// With --work: every box and parent is worked on once, by one order or by hand through the coordinator
+        /// With --work: every box and parent is worked on once, by one order or by hand through the coordinator; without
+        /// --work, by hand: staff change the routers' files one after the other
         #[arg(long, value_enum)]
         round: Option<Round>,
         /// With --agree: versions of rules are proposed on the way
@@ -406,7 +407,10 @@
     match command {
         Command::Version => println!("silverspindle {}", env!("CARGO_PKG_VERSION")),
         Command::CheckConfig => {
-            let config = Config::read(&environment).map_err(one)?;
+            let named =
+                |faults: Vec<String>| faults.into_iter().map(|e| format!("silverspindle: {e}")).collect();
+            let config = Config::read_all(&environment).map_err(|faults| -> Vec<String> { named(faults) })?;
+            config.notes.iter().for_each(|note| println!("{note}"));
             let (classes, last) = (config.catalogue.classes.join(", "), config.known.0);
             println!("{} on {}: classes {classes}; list known to event {last}", config.name, config.listen);
         }
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -66,6 +66,7 @@
 impl Router {
     /// Listens, takes `known` in and starts the actors; then the router is well.
     pub fn start(config: Config, conf: Conf, tasks: &Rc<LocalExecutor<'static>>) -> io::Result<Self> {
+        config.notes.iter().for_each(|note| tracing::warn!("{note}"));
         let listener = Async::new(shared_listener(config.listen)?)?;
         let management = config.management.map(Async::<TcpListener>::bind).transpose()?;
         let address = listener.get_ref().local_addr()?;
--- a/silverspindle/tests/config.rs
+++ b/silverspindle/tests/config.rs
@@ -92,6 +92,38 @@
     }
 }
 
+/// Settings that are not understood have a safe reading, which is told; where none is safe the start is refused; all
+/// of it in one go.
+#[test]
+fn what_is_not_understood_is_told_with_its_safe_reading() {
+    let mut odd = file();
+    odd["settings"]["limits"]["second_copies"] = json!("perhaps");
+    odd["settings"]["family_info"]["heed_within_ms"] = json!([500]);
+    odd["settings"]["classes"][0]["idempotency"] = json!("sometimes");
+    let read = config(&odd).unwrap();
+    let settings = &read.catalogue.settings;
+    assert!(!settings.second_copies && settings.purge_grace == 0);
+    assert_eq!(settings.classes[0].effect, bitternhold::Effect::AtMostOnce);
+    let keys: Vec<&str> = read.notes.iter().filter_map(|note| note.split(": ").next()).collect();
+    let told = [
+        "settings.limits.second_copies",
+        "settings.family_info.heed_within_ms",
+        "settings.classes[0].idempotency",
+    ];
+    assert_eq!(keys, told);
+    assert!(config(&file()).unwrap().notes.is_empty(), "a good file has none");
+    odd["settings"]["limits"]["try_limit"] = json!("six");
+    odd["settings"]["family_info"]["cleared_within_ms"] = json!(true);
+    odd["seed"] = json!(7);
+    let faults = Config::parse_all(&odd.to_string(), &|_| None).unwrap_err();
+    let keys = ["seed", "settings.limits.try_limit", "settings.family_info.cleared_within_ms"];
+    assert!(
+        faults.len() == 3
+            && faults.iter().zip(keys).all(|(f, k)| f.starts_with(&format!("configuration: {k}: "))),
+        "{faults:?}"
+    );
+}
+
 /// Guards disk and processor against lines that bad clients cause: some go out each second, the rest is counted.
 #[test]
 fn some_lines_a_second_go_out_and_the_rest_is_counted() {
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -34,6 +34,8 @@
 const LOOK_AGAIN: Micros = 20 * MS;
 /// The latest records are looked for in so many bytes at a file's end.
 const TAIL: u64 = 16 * 1024;
+/// Staff's script takes so long from one router to the next.
+const HAND: Micros = 200 * MS;
 /// Work on a machine takes so long.
 const WORK: Micros = 700 * MS;
 /// With its disk full a router writes no file beyond so many bytes; an elector's disk is longer from the start.
@@ -173,6 +175,8 @@
     pub round: Option<Micros>,
     /// Reads that reached the head office.
     pub office_reads: u64,
+    /// For how long two figures were in use that staff changed by hand, sorted.
+    pub by_hand: Vec<Micros>,
     /// What the records prove of versions.
     pub versions: Versions,
     /// Versions that held, by the way they came: at once, apart, tried by some first.
@@ -673,7 +677,7 @@
         if options.work {
             let _ = writeln!(conf, "work-out 2\nwork-alone {}", if options.hold { "hold" } else { "stop" });
         }
-        if options.rules {
+        if options.rules && options.round != Some(Round::Hand) {
             let _ = writeln!(conf, "agree-rules on");
         }
         for elector in &electors {
@@ -772,7 +776,7 @@
         (good && most == count).then_some(())
     };
     until("a first quorum with all routers on the roll", all_on_the_roll).await?;
-    let work = match options.round {
+    let work = match options.round.filter(|_| options.work) {
         None => tasks.spawn(work(rig.clone(), yard.clone())),
         Some(round) => tasks.spawn(all_round(rig.clone(), yard.clone(), coordinator.clone(), round)),
     };
@@ -1005,6 +1009,9 @@
 /// Staff who change rules: boxes denied, limits of fills, weights, some of them tried by a part first, one after the
 /// other. A box that is denied everywhere counts new work a second later, as one that drains does.
 async fn rules(rig: Rc<Rig>, office: Rc<Office>) -> io::Result<()> {
+    if rig.options.round == Some(Round::Hand) && !rig.options.work {
+        return by_hand(rig).await;
+    }
     if !rig.options.rules {
         return Ok(());
     }
@@ -1084,6 +1091,48 @@
     }
 }
 
+/// Staff without versions: a new figure into each router's file and SIGHUP, one router after the other by a script. For
+/// how long two figures were in use is from the first router's taking it in to the last one's, by their logs.
+async fn by_hand(rig: Rc<Rig>) -> io::Result<()> {
+    let read_anew = |n: usize| -> Vec<Micros> {
+        let log = fs::read_to_string(&rig.starts[n].log).unwrap_or_default();
+        let lines = log.lines().filter(|l| l.contains("configuration read anew"));
+        let at = lines.filter_map(|l| l.split_whitespace().next()?.parse::<f64>().ok());
+        at.map(|at| (at * 1e6) as Micros).collect()
+    };
+    let mut round = 0;
+    while !rig.ending.get() {
+        round += 1;
+        let began = clock::now() - clock::now() % 1000;
+        for (n, start) in rig.starts.iter().enumerate() {
+            let Some(conf) = &start.conf else { continue };
+            let text = fs::read_to_string(conf)?;
+            let old: Vec<&str> = text.lines().filter(|l| !l.starts_with("half-life-pace")).collect();
+            fs::write(conf, format!("{}\nhalf-life-pace {}s\n", old.join("\n"), 5 + round % 9))?;
+            if let Some(router) = &rig.routers.borrow()[n] {
+                signal(router, Signal::HUP);
+            }
+            rest(HAND).await;
+        }
+        // A router that was down reads the file at its start; one that stands still when it goes on.
+        rest(SECOND).await;
+        let late = clock::now() + GENEROUS;
+        let first = |n: usize| read_anew(n).into_iter().find(|at| *at >= began);
+        let up = |n: usize| rig.routers.borrow()[n].is_some();
+        while (0..rig.starts.len()).any(|n| up(n) && first(n).is_none()) && clock::now() < late {
+            rest(100 * MS).await;
+        }
+        let all: Vec<Micros> = (0..rig.starts.len()).filter_map(first).collect();
+        if let (Some(first), Some(last)) = (all.iter().min(), all.iter().max()) {
+            rig.out.borrow_mut().versions.at_once.push(last - first);
+        }
+    }
+    let mut out = rig.out.borrow_mut();
+    out.versions.at_once.sort_unstable();
+    out.by_hand = std::mem::take(&mut out.versions.at_once);
+    Ok(())
+}
+
 /// The most fills in a second that reached the head office while a limit held, in thousandths of it; and where it was
 /// over the limit with what the buckets of all routers hold at a time, which a second may bring besides.
 fn office_peak(arrivals: &[Micros], limits: &[(u64, Micros, Micros)], routers: usize) -> (u64, Vec<String>) {
@@ -1232,20 +1281,30 @@
         part(95),
         found.to_all.last().copied().unwrap_or(0) / MS
     );
+    let (sent, in_time) = outcome.tallies.iter().fold((0, 0), |(a, b), (t, _)| (a + t.sent, b + t.in_time));
+    let round = outcome.round.map_or(String::new(), |t| format!("all round in {} ms; ", t / MS));
+    let _ = writeln!(
+        out,
+        "{round}{:.2} % of the items served in time, {} reads at the head office",
+        100.0 * in_time as f64 / sent.max(1) as f64,
+        outcome.office_reads
+    );
     if options.work {
         let (boxes, reached) = outcome.work;
-        let (sent, in_time) =
-            outcome.tallies.iter().fold((0, 0), |(a, b), (t, _)| (a + t.sent, b + t.in_time));
-        let round = outcome.round.map_or(String::new(), |t| format!("all round in {} ms; ", t / MS));
         let _ = writeln!(
             out,
-            "{round}{:.2} % of the items served in time, {} reads at the head office",
-            100.0 * in_time as f64 / sent.max(1) as f64,
-            outcome.office_reads
+            "machines out {boxes}; new work that reached one meanwhile, or that it sent on: {reached}"
         );
+    }
+    if !outcome.by_hand.is_empty() {
+        let all = &outcome.by_hand;
+        let (middle, last) = (all[all.len() / 2], all.last().copied().unwrap_or(0));
         let _ = writeln!(
             out,
-            "machines out {boxes}; new work that reached one meanwhile, or that it sent on: {reached}"
+            "{} changes by hand; two figures in use: median {} ms, longest {} ms",
+            all.len(),
+            middle / MS,
+            last / MS
         );
     }
     if options.rules {
