An elector that is heard is so at every moment: turns of routers were taken back by Raft's checks

Cause: the leader asked Raft whether an elector was heard lately, and Raft forgets that at each check of its quorum (each 400 ms of 2 s) until the next heartbeat's answer.

Change: the leader keeps when it knew last and counts two of Raft's checks.

--- a/agreement/src/node.rs
+++ b/agreement/src/node.rs
@@ -274,6 +274,9 @@
     report: Vec<u8>,
     reports: BTreeMap<String, (Micros, Vec<u8>)>,
     waiting: BTreeMap<String, u64>,
+    /// As it leads: when it knew last that an elector is heard. Raft forgets that at each of its own checks, a
+    /// heartbeat's way before it knows again.
+    active: BTreeMap<u64, Micros>,
     /// Leaders seen, for who counts changes.
     lead: u64,
     shouted: BTreeMap<String, Micros>,
@@ -325,6 +328,7 @@
             report: Vec::new(),
             reports: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            active: BTreeMap::new(),
             lead: 0,
             shouted: BTreeMap::new(),
             disk: None,
@@ -400,11 +404,23 @@
 
     /// Who votes, and whether this leader has heard of them lately; none are heard by who does not lead.
     pub fn electors_heard(&self) -> BTreeMap<String, bool> {
-        let leads = self.raft.as_ref().filter(|r| r.raft.state == StateRole::Leader);
-        let heard = |id: u64| {
-            leads.is_some_and(|r| id == self.id || r.raft.prs().get(id).is_some_and(|p| p.recent_active))
+        let leads = self.role() == Role::Leader;
+        self.fleet.voters().map(|(id, name)| (name.to_owned(), leads && self.is_active(id))).collect()
+    }
+
+    /// Whether an elector has been heard within two of Raft's checks.
+    fn is_active(&self, id: u64) -> bool {
+        let within = 2 * ELECTION as Micros * self.tick;
+        id == self.id || self.active.get(&id).is_some_and(|at| self.now < at + within)
+    }
+
+    fn note_active(&mut self) {
+        let Some(raft) = self.raft.as_ref().filter(|r| r.raft.state == StateRole::Leader) else {
+            return self.active.clear();
         };
-        self.fleet.voters().map(|(id, name)| (name.to_owned(), heard(id))).collect()
+        let heard = raft.raft.prs().iter().filter(|(_, p)| p.recent_active).map(|(id, _)| (*id, self.now));
+        let heard: Vec<(u64, Micros)> = heard.collect();
+        self.active.extend(heard);
     }
 
     /// How old the latest word of the router of this name is; none: it has told nothing, or long ago.
@@ -482,6 +498,7 @@
                     raft.tick();
                 }
                 self.drain(out);
+                self.note_active();
                 self.confirm(out);
                 self.promote(out);
             }
@@ -843,14 +860,15 @@
 
     /// Guards against a change of electors after which those that can be heard would be no quorum.
     fn is_quorum_after(&self, seat: &Seat) -> bool {
-        let Some(raft) = &self.raft else { return false };
-        let heard = |id: u64| id == self.id || raft.raft.prs().get(id).is_some_and(|p| p.recent_active);
+        if self.raft.is_none() {
+            return false;
+        }
         let after: Vec<u64> = match seat {
             Seat::Admit { .. } => return true,
             Seat::Promote { id } => self.fleet.voters().map(|(v, _)| v).chain([*id]).collect(),
             Seat::Dismiss { id } => self.fleet.voters().map(|(v, _)| v).filter(|v| v != id).collect(),
         };
-        after.is_empty() || after.iter().filter(|id| heard(**id)).count() * 2 > after.len()
+        after.is_empty() || after.iter().filter(|id| self.is_active(**id)).count() * 2 > after.len()
     }
 
     /// A learner that is level gets its vote.
--- a/agreement/tests/core.rs
+++ b/agreement/tests/core.rs
@@ -407,3 +407,23 @@
     let earlier = &net.node("a").fleet().roll["f"].earlier;
     assert!(earlier.len() == bounds::EARLIER && earlier[0] == 0, "{earlier:?}");
 }
+
+/// Guards against electors that are heard and seem not to be each time Raft has checked its quorum: a machine's turn was
+/// taken back by that. One that is cut off is soon not heard.
+#[test]
+fn an_elector_that_is_heard_is_so_at_every_moment() {
+    let mut net = Net::new(&["a", "b", "c"], &[]);
+    net.run(3 * LEASE);
+    let leader = net.leader();
+    let other = ["a", "b", "c"].into_iter().find(|name| *name != leader).unwrap();
+    for step in 0..400 {
+        // At each third moment its frames are lost: the checks come at such moments, too.
+        net.off = if step % 3 == 0 { vec![other.to_owned()] } else { vec![] };
+        net.run(TICK / 5);
+        let heard = net.node(&leader).electors_heard();
+        assert!(heard.len() == 3 && heard.values().all(|heard| *heard), "{heard:?} at step {step}");
+    }
+    net.off.push(other.to_owned());
+    net.run(LEASE);
+    assert!(!net.node(&leader).electors_heard()[other]);
+}
--- a/rules/src/watch.rs
+++ b/rules/src/watch.rs
@@ -106,7 +106,7 @@
     Shares(Shares),
 }
 
-/// Shares are looked at so often, and a trial's answers.
+/// Shares are looked at so often, more rarely with each hundred routers; and a trial's answers.
 const SHARE_EVERY: Micros = 3_000_000;
 /// Where a router has none yet, so often.
 const NEW_EVERY: Micros = 500_000;
@@ -186,7 +186,9 @@
                 sight.routers.iter().filter_map(|(name, told)| Some((name.clone(), told.as_ref()?.demand)));
             let demands: BTreeMap<String, Demand> = heard.collect();
             let new = demands.keys().any(|name| !shares.current.contains_key(name));
-            if now >= self.shared.saturating_add(if new { NEW_EVERY } else { SHARE_EVERY }) {
+            // Each change carries all shares to all: the more routers, the rarer.
+            let every = SHARE_EVERY * (1 + demands.len() as Micros / 100);
+            if now >= self.shared.saturating_add(if new { NEW_EVERY } else { every }) {
                 self.shared = now;
                 if let Some(next) = shares.propose(share_out(&demands)).filter(|_| !demands.is_empty()) {
                     return (Some(Step::Shares(next)), if why.is_empty() { vec![Why::Shares] } else { why });
