--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -1055,7 +1055,6 @@
         rest(random.random_range(100 * MS..700 * MS)).await;
         round += 1;
         // From here on another version may hold.
-        close(&mut held);
         for id in std::mem::take(&mut marked) {
             office.tier(id).into_iter().for_each(|t| t.drained.set(None));
         }
@@ -1065,6 +1064,10 @@
             2 => ("deny-member", APART),
             _ => ("office-fills", APART),
         };
+        // The limit goes on where the next version says the same of it.
+        if keep == "office-fills" {
+            close(&mut held);
+        }
         let mut lines: Vec<String> =
             text.lines().filter(|l| !l.starts_with(keep)).map(str::to_owned).collect();
         lines.extend(match keep {
@@ -1365,3 +1368,22 @@
     }
     out
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A limit that is kept is measured; one that is passed by more than the buckets' bursts is found; what came before it
+    /// held everywhere is not counted.
+    #[test]
+    fn fills_over_a_limit_are_found() {
+        let limits = [(40, 0, 10 * SECOND)];
+        let every = |gap: Micros, from: Micros| (from..9 * SECOND).step_by(gap as usize).collect::<Vec<_>>();
+        let (most, over) = office_peak(&every(25 * MS, 0), &limits, 5);
+        assert_eq!((most, over.len()), (1000, 0));
+        let (_, over) = office_peak(&every(15 * MS, 2 * SECOND), &limits, 5);
+        assert_eq!(over.len(), 1, "{over:?}");
+        let early: Vec<Micros> = (0..SECOND).step_by(1000).collect();
+        assert_eq!(office_peak(&early, &limits, 5).0, 0);
+    }
+}
