--- a/lab/src/swarm/rules.rs
+++ b/lab/src/swarm/rules.rs
@@ -76,7 +76,8 @@
             self.office.demands[n] = self.rng.random_range(0..5000);
         }
         let (life, demand) = (self.places[n].life, self.office.demands[n]);
-        let served = [10, self.rng.random_range(0..=10), 0];
+        let now = self.now / MS;
+        let served = [now, now / 2 + self.rng.random_range(0..=now / 4)];
         let Some(node) = &mut self.places[n].node else { return };
         let number = node.fleet().number;
         node.tell(Told { life, number, cannot: None, demand, served }.spell());
--- a/rules/src/watch.rs
+++ b/rules/src/watch.rs
@@ -19,8 +19,8 @@
     pub cannot: Option<String>,
     /// What it asks for of limited sources.
     pub demand: Demand,
-    /// Of its answers in the last seconds: all, in time, refused.
-    pub served: [u32; 3],
+    /// Its answers in this life: all, and those served in the wanted time.
+    pub served: [u64; 2],
 }
 
 impl Told {
@@ -66,6 +66,9 @@
     pub struck: u64,
 }
 
+/// Of a router's answers, all and in time: as they were heard of first, and last.
+type FirstAndLast = [[u64; 2]; 2];
+
 /// What a leader remembers of its own watch. A later leader begins anew, which only makes it wait longer.
 #[derive(Clone, Debug, Default)]
 pub struct Watch {
@@ -75,9 +78,8 @@
     struck: (u64, Micros),
     /// The last sharing out.
     shared: Micros,
-    /// Answers of those that try and of the others, since the trial began: all, in time.
-    trial: BTreeMap<bool, [u64; 2]>,
-    counted: Micros,
+    /// Answers of each router's life, as this leader heard of them first in the trial of this turn, and last.
+    trial: (u64, BTreeMap<(String, u64), FirstAndLast>),
 }
 
 /// What a step is, or what is waited for.
@@ -106,11 +108,10 @@
     Shares(Shares),
 }
 
-/// Shares are looked at so often, more rarely with each hundred routers; and a trial's answers.
+/// Shares are looked at so often, more rarely with each hundred routers.
 const SHARE_EVERY: Micros = 3_000_000;
 /// Where a router has none yet, so often.
 const NEW_EVERY: Micros = 500_000;
-const COUNT_EVERY: Micros = 2_000_000;
 /// A trial that can't be judged after so many of its times is taken back.
 const TOO_LONG: Micros = 4;
 /// Answers of each side that a trial's verdict wants.
@@ -146,7 +147,7 @@
                 Some((name.clone(), reason))
             });
             if let Way::Trial(trial) = next.way {
-                let (all, verdict) = self.trial(now, state, sight, trial.margin);
+                let (all, verdict) = self.trial(state, sight, trial.margin);
                 if let Some(shares) = verdict {
                     let text = format!("in time {} of 1000, the others {}", shares[0], shares[1]);
                     let back = state.returned(&text).map(|state| Step::State(Box::new(state)));
@@ -170,8 +171,6 @@
                 }
                 why.push(Why::Held(number, holding));
             }
-        } else {
-            self.trial.clear();
         }
         let (said, known) = since(&mut self.shares, shares.turn, at[1]);
         if shares.next.is_some() {
@@ -221,17 +220,21 @@
     }
 
     /// Whether enough is known of a trial, and the shares in time where it is worse than the others by the margin.
-    fn trial(&mut self, now: Micros, state: &State, sight: &Sight, margin: u32) -> (bool, Option<[u64; 2]>) {
-        if now >= self.counted.saturating_add(COUNT_EVERY) {
-            self.counted = now;
-            for (name, told) in &sight.routers {
-                let Some(told) = told else { continue };
-                let sum = self.trial.entry(state.is_trying(name)).or_default();
-                sum[0] += u64::from(told.served[0]);
-                sum[1] += u64::from(told.served[1]);
-            }
+    fn trial(&mut self, state: &State, sight: &Sight, margin: u32) -> (bool, Option<[u64; 2]>) {
+        if self.trial.0 != state.turn {
+            self.trial = (state.turn, BTreeMap::new());
+        }
+        for (name, told) in &sight.routers {
+            let Some(told) = told else { continue };
+            let seen = self.trial.1.entry((name.clone(), told.life)).or_insert([told.served; 2]);
+            seen[1] = told.served;
+        }
+        let mut sums = [[0; 2]; 2];
+        for ((name, _), [first, last]) in &self.trial.1 {
+            let sum = &mut sums[usize::from(state.is_trying(name))];
+            (0..2).for_each(|i| sum[i] += last[i].saturating_sub(first[i]));
         }
-        let [tried, others] = [true, false].map(|side| self.trial.get(&side).copied().unwrap_or_default());
+        let [others, tried] = sums;
         let enough = tried[0] >= ENOUGH && others[0] >= ENOUGH;
         let share = |[all, good]: [u64; 2]| good * 1000 / all.max(1);
         let (tried, others) = (share(tried), share(others));
--- a/rules/tests/rules.rs
+++ b/rules/tests/rules.rs
@@ -155,24 +155,30 @@
     let names: Vec<String> = (0..40).map(|n| format!("n{n}")).collect();
     let trying = names.iter().filter(|name| two.reading(name, true).of == Group::One(2)).count();
     assert!((10..30).contains(&trying), "{trying} of 40");
-    let seen = |in_time: u32| {
+    // Each router has answered a hundred thousand before, badly; from then on a hundred each half second.
+    let seen = |in_time: u64, round: u64| {
         let told = names.iter().map(|name| {
             let good = if two.is_trying(name) { in_time } else { 95 };
-            (name.clone(), Some(Told { life: 1, number: 60, served: [100, good, 0], ..Told::default() }))
+            let served = [100_000 + 100 * round, 50_000 + good * round];
+            (name.clone(), Some(Told { life: 1, number: 60, served, ..Told::default() }))
         });
         Sight { routers: told.collect(), ..Sight::default() }
     };
-    let play = |sight: &Sight, until: Micros| {
+    let play = |in_time: u64, until: Micros| {
         let mut watch = Watch::default();
-        (0..until).step_by(500_000).find_map(|now| next(&mut watch, now, 50, &two, sight).0)
+        let rounds = (0..until).step_by(500_000).enumerate();
+        let mut at = |(round, now)| next(&mut watch, now, 50, &two, &seen(in_time, round as u64)).0;
+        rounds.into_iter().find_map(&mut at)
     };
-    let back = play(&seen(80), 10 * OVER).unwrap();
+    let back = play(80, 10 * OVER).unwrap();
     assert!(back.next.is_none() && back.current.head.number == 1);
     assert_eq!(back.history.back().unwrap().returned.as_deref(), Some("in time 800 of 1000, the others 950"));
-    let on = play(&seen(93), 10 * OVER).unwrap();
+    let on = play(93, 10 * OVER).unwrap();
     assert_eq!(on.next.unwrap().way, Way::AtOnce);
     let quiet = sight(&names.iter().map(|name| (name.as_str(), None)).collect::<Vec<_>>());
-    assert!(play(&quiet, 5 * OVER).unwrap().next.is_none(), "nothing to judge by");
+    let mut watch = Watch::default();
+    let ended = (0..5 * OVER).step_by(500_000).find_map(|now| next(&mut watch, now, 50, &two, &quiet).0);
+    assert!(ended.unwrap().next.is_none(), "nothing to judge by");
     assert_eq!(
         back.propose(rules("weight 1 70\n"), ("staff", ""), 1, None)
             .unwrap()
--- a/silverspindle/src/agreement/mod.rs
+++ b/silverspindle/src/agreement/mod.rs
@@ -36,7 +36,7 @@
 pub use store::Fault;
 use store::{Store, draw};
 
-use crate::traffic::{Attempt, Message, Noted};
+use crate::traffic::{Attempt, Members, Message};
 
 /// Whoever leads answers by this topic with what it waits for with versions.
 pub const RULES_SIGHT: &str = "rules/sight";
@@ -73,6 +73,13 @@
     cfg!(debug_assertions) && std::env::var("SILVERSPINDLE_WITHOUT").is_ok_and(|out| out == guard)
 }
 
+/// How often whoever goes by an agreed text looks at it.
+const LOOK: Micros = 100_000;
+/// A step that it proposed is waited for so long before it looks again.
+const SETTLES: Micros = 1_000_000;
+/// What is waited for is said at most so often.
+const SAY_EVERY: Micros = 5_000_000;
+
 /// Descriptors that it may take: callers, links to electors, the disk.
 pub fn descriptors(conf: &Conf) -> usize {
     conf.callers + conf.electors.len() + crate::knowledge::exchange::AT_THE_DOOR_AGREED + 2
@@ -83,18 +90,24 @@
     Propose { proposal: Proposal, reply: Sender<Reply> },
 }
 
-/// Members that are not to be used, by orders and by rules, as the director hears of them together.
-#[derive(Clone, Debug)]
+/// What the director hears of by orders and by rules: members that are not to be used by either, together, and what
+/// rules say of weights and half-lives. What it has no room for now is said again, the latest of each alone.
+#[derive(Clone)]
 pub struct Withholds {
     director: Sender<Message>,
     by: Rc<RefCell<[BTreeSet<MemberId>; 2]>>,
+    untold: Rc<RefCell<[Option<Message>; 3]>>,
 }
 
 impl Withholds {
+    fn new(director: Sender<Message>) -> Self {
+        Self { director, by: Rc::default(), untold: Rc::default() }
+    }
+
     fn set(&self, which: usize, members: BTreeSet<MemberId>) {
         self.by.borrow_mut()[which] = members;
         let all = self.by.borrow().iter().flatten().copied().collect();
-        let _ = self.director.try_send(Message::Withheld(all));
+        self.say(0, Message::Withheld(all));
     }
 
     /// Out for work.
@@ -106,6 +119,65 @@
     pub fn denied(&self, members: BTreeSet<MemberId>) {
         self.set(1, members);
     }
+
+    fn say(&self, kind: usize, message: Message) {
+        self.untold.borrow_mut()[kind] = Some(message);
+        self.go_on();
+    }
+
+    /// Says what there was no room for.
+    fn go_on(&self) {
+        for slot in self.untold.borrow_mut().iter_mut() {
+            if let Some(Err(TrySendError::Full(message))) = slot.take().map(|m| self.director.try_send(m)) {
+                *slot = Some(message);
+            }
+        }
+    }
+}
+
+/// When whoever goes by an agreed text looks at it, and what it proposes of its own as it leads.
+#[derive(Debug)]
+pub struct Leading {
+    me: Source,
+    name: String,
+    /// Tells the proposals of one text from those of another.
+    bit: u32,
+    proposed: u64,
+    due: Micros,
+    said: Micros,
+}
+
+impl Leading {
+    fn new(me: Source, name: &str, bit: u32) -> Self {
+        Self { me, name: name.to_owned(), bit, proposed: 0, due: 0, said: 0 }
+    }
+
+    /// Whether it is time to look, or the text has changed; then it looks again a while later.
+    fn is_due(&mut self, now: Micros, changed: bool) -> bool {
+        let due = now >= self.due || changed;
+        if due {
+            self.due = now + LOOK;
+        }
+        due
+    }
+
+    /// What is waited for is said now and then.
+    fn may_say(&mut self, now: Micros) -> bool {
+        let may = now >= self.said + SAY_EVERY;
+        if may {
+            self.said = now;
+        }
+        may
+    }
+
+    /// A step of its own, which is waited for before the next: its outcome shows as the text's change.
+    fn propose(&mut self, now: Micros, node: &Node, topic: &str, body: Vec<u8>) -> Proposal {
+        self.due = now + SETTLES;
+        self.proposed += 1;
+        let id = ProposalId(self.me.instance.0 ^ self.me.incarnation, 1 << self.bit | self.proposed);
+        let change = Change::Note { topic: topic.to_owned(), body };
+        Proposal { id, builds_on: node.fleet().number, by: self.name.clone(), change }
+    }
 }
 
 /// What a router tells of itself by its orders and by its rules, in one.
@@ -207,12 +279,7 @@
 
     /// Whether an attempt to a member, with this source, may go out now by what is agreed; what it is done on goes to
     /// the records.
-    pub(crate) fn allows(
-        &self,
-        attempt: &Attempt,
-        to: MemberId,
-        members: &BTreeMap<MemberId, Noted>,
-    ) -> bool {
+    pub(crate) fn allows(&self, attempt: &Attempt, to: MemberId, members: &Members) -> bool {
         let source = attempt.terms.source;
         let allows = self.orders.as_ref().is_none_or(|orders| {
             // Alone, with a confirmation that has run out, it takes nothing new: others may have gone on. Unless staff
@@ -248,9 +315,9 @@
     }
 
     /// A request was answered.
-    pub fn answered(&self, in_time: bool, refused: bool) {
+    pub fn answered(&self, in_time: bool) {
         if let Some(rules) = &self.rules {
-            rules.answered(in_time, refused);
+            rules.answered(in_time);
         }
     }
 
@@ -290,6 +357,9 @@
     lead: Option<orders::Lead>,
     rules: Option<rules::Lead>,
     yard: Yard,
+    withholds: Withholds,
+    /// Its guard is the one that acts: only then does it tell what it acts on, and lead.
+    active: Rc<Cell<bool>>,
     /// Writes to the disk so far.
     writes: u64,
 }
@@ -332,7 +402,7 @@
         let records = conf.records.as_ref().map(|path| Records::open(path, name, me.incarnation));
         let records = records.transpose().map_err(Fault::Disk)?;
         let life = Rc::new(Cell::new(None));
-        let withholds = Withholds { director: yard.director.clone(), by: Rc::default() };
+        let withholds = Withholds::new(yard.director.clone());
         let clock = (conf.within, DRIFT_PPM);
         let (acting, rules) = match &conf.rules {
             Some(terms) => {
@@ -351,7 +421,8 @@
             Some(terms) => {
                 let orders = Rc::new(Orders::new(terms.hold));
                 let (yard, own) = (yard.clone(), life.clone());
-                let lead = orders::Lead::new(terms, clock, (me, name), yard, orders.clone(), own, withholds);
+                let lead =
+                    orders::Lead::new(terms, clock, (me, name), yard, orders.clone(), own, withholds.clone());
                 (Some(orders), Some(lead))
             }
             None => (None, None),
@@ -384,6 +455,8 @@
             lead,
             rules,
             yard: yard.clone(),
+            withholds,
+            active: Rc::new(Cell::new(true)),
             writes: 0,
         })
     }
@@ -399,8 +472,8 @@
             let due = self
                 .node
                 .due()
-                .min(self.lead.as_ref().map_or(u64::MAX, |lead| lead.due))
-                .min(self.rules.as_ref().map_or(u64::MAX, |rules| rules.due))
+                .min(self.lead.as_ref().map_or(u64::MAX, |lead| lead.leading.due))
+                .min(self.rules.as_ref().map_or(u64::MAX, |lead| lead.leading.due))
                 .saturating_sub(steady());
             let tick = async {
                 Timer::after(Duration::from_micros(due)).await;
@@ -462,26 +535,30 @@
         if self.lead.is_none() && self.rules.is_none() {
             return [None, None];
         }
-        let now = steady();
-        let [orders, rules] = reports(&self.node);
-        let step = self.lead.as_mut().and_then(|lead| lead.look(now, &mut self.node, &orders));
-        let other = self.rules.as_mut().and_then(|lead| lead.look(now, &self.node, &rules));
-        let active = self.lead.as_ref().is_none_or(|lead| lead.active.get());
-        if active {
-            let empty: &[u8] = &[];
-            let orders = self.lead.as_ref().map_or(empty, |lead| &lead.told);
-            let rules = self.rules.as_ref().map_or(empty, |lead| &lead.told);
-            self.node.tell(told(orders, rules));
-            let soon = self.lead.as_mut().is_some_and(|lead| std::mem::take(&mut lead.soon))
-                | self.rules.as_mut().is_some_and(|lead| std::mem::take(&mut lead.soon));
-            if soon {
-                self.node.tell_soon();
-            }
-            let alone = self.lead.as_ref().is_some_and(|lead| lead.alone)
-                || self.rules.as_ref().is_some_and(rules::Lead::is_alone);
-            self.yard.drain.borrow_mut().alone(alone);
+        let (now, active) = (steady(), self.active.get());
+        let steps = self.lead.as_mut().is_some_and(|lead| lead.look(now, &self.node, active));
+        let others = self.rules.as_mut().is_some_and(|lead| lead.look(now, &self.node, active));
+        self.withholds.go_on();
+        if !(steps || others) {
+            return [None, None];
+        }
+        let empty: &[u8] = &[];
+        let orders = self.lead.as_ref().map_or(empty, |lead| &lead.told);
+        let rules = self.rules.as_ref().map_or(empty, |lead| &lead.told);
+        self.node.tell(told(orders, rules));
+        let soon = self.lead.as_mut().is_some_and(|lead| std::mem::take(&mut lead.soon))
+            | self.rules.as_mut().is_some_and(|lead| std::mem::take(&mut lead.soon));
+        if soon {
+            self.node.tell_soon();
         }
-        [step, other]
+        let alone = self.lead.as_ref().is_some_and(|lead| lead.alone)
+            || self.rules.as_ref().is_some_and(rules::Lead::is_alone);
+        self.yard.drain.borrow_mut().alone(alone);
+        let [orders, rules] = reports(&self.node);
+        let step = self.lead.as_mut().filter(|_| steps);
+        let step = step.and_then(|lead| lead.step(now, &mut self.node, &orders));
+        let other = self.rules.as_mut().filter(|_| others);
+        [step, other.and_then(|lead| lead.step(now, &self.node, &rules))]
     }
 
     async fn carry_out(&mut self, action: Action) -> Result<(), String> {
@@ -633,17 +710,19 @@
     };
     // The follower's guard counts on until the elector's has a confirmation; only then does the elector tell what it
     // acts on. The follower itself has ended, so its confirmation runs out by itself.
-    let active = actor.lead.as_ref().map(|lead| lead.active.clone());
-    active.iter().for_each(|active| active.set(false));
+    let active = actor.active.clone();
+    active.set(false);
     let switch = async {
         let may = |handle: &Handle| {
-            handle.fence.may_act(steady()).is_some() && handle.orders.as_ref().is_none_or(|o| o.is_member())
+            handle.fence.may_act(steady()).is_some()
+                && handle.orders.as_ref().is_none_or(|orders| orders.is_member())
+                && handle.rules.as_ref().is_none_or(|rules| rules.may())
         };
         while may(&before) && !may(&handle) {
             Timer::after(LOOK_AGAIN).await;
         }
         ready(handle.clone());
-        active.iter().for_each(|active| active.set(true));
+        active.set(true);
         future::pending().await
     };
     future::or(actor.run(), switch).await;
--- a/silverspindle/src/agreement/orders.rs
+++ b/silverspindle/src/agreement/orders.rs
@@ -6,7 +6,7 @@
 
 use async_channel::Sender;
 use bitternhold::{MemberId, Micros, Settings};
-use silverspindle_agreement::{Change, Node, Proposal, ProposalId, Role};
+use silverspindle_agreement::{Node, Proposal, Role};
 use silverspindle_conf::Work as Terms;
 use silverspindle_knowledge::Source;
 use silverspindle_work::{
@@ -14,17 +14,12 @@
     Work,
 };
 
-use super::Withholds;
+use super::records::steady;
+use super::{Leading, Withholds};
 use crate::clock;
 use crate::drain::Drain;
 use crate::traffic::{Board, Message, Noted};
 
-/// How often the leader looks whether there is a step to take.
-const LOOK: Micros = 100_000;
-/// A step that it proposed is waited for so long before it looks again.
-const SETTLES: Micros = 1_000_000;
-/// What holds machines up is said at most so often.
-const SAY_EVERY: Micros = 5_000_000;
 /// The module's limits are looked at so often while there are orders.
 const LIMITS_EVERY: Micros = 1_000_000;
 /// Stands for what a machine can bear where nobody knows.
@@ -110,19 +105,17 @@
 /// The router's part in orders.
 pub struct Lead {
     rules: Rules,
-    me: Source,
     name: String,
     yard: Yard,
     orders: Rc<Orders>,
     /// The life under which it is on the roll.
     life: Rc<Cell<Option<u64>>>,
     watch: Watch,
-    /// The number up to which what is withheld has been taken in.
+    /// The number up to which what is withheld has been taken in, and what is agreed as of then; none: it can't be read.
     seen: Option<(u64, bool)>,
+    work: Option<Work>,
     /// Since when a later life is on the roll.
     followed: Option<Micros>,
-    /// It tells and leads; not before its guard is the one that acts.
-    pub active: Rc<Cell<bool>>,
     withholds: Withholds,
     /// What it tells, and whether others wait for it.
     pub told: Vec<u8>,
@@ -132,12 +125,10 @@
     /// It may send nothing on, and says so at the front.
     pub alone: bool,
     limits: Micros,
-    proposed: u64,
     /// What it waits for as it leads.
     why: Vec<Why>,
-    said: Micros,
-    /// When it looks next.
-    pub due: Micros,
+    /// When it looks next, and what it proposes.
+    pub leading: Leading,
 }
 
 impl Lead {
@@ -156,25 +147,22 @@
         let alone = if terms.hold { Alone::Hold } else { Alone::Stop };
         Self {
             rules: Rules { alone, guards, ..rules },
-            me,
             name: name.to_owned(),
             yard,
             orders,
             life,
             watch: Watch::default(),
             seen: None,
+            work: Some(Work::default()),
             followed: None,
-            active: Rc::new(Cell::new(true)),
             withholds,
             told: Vec::new(),
             soon: false,
             open: BTreeSet::new(),
             alone: true,
             limits: 0,
-            proposed: 0,
             why: Vec::new(),
-            said: 0,
-            due: 0,
+            leading: Leading::new(me, name, 62),
         }
     }
 
@@ -189,25 +177,24 @@
         now < *self.followed.get_or_insert(now) + OVERLAP
     }
 
-    /// Takes in what is agreed now, and tells of it; the leader's next step, if there is one.
-    pub fn look(
-        &mut self,
-        now: Micros,
-        node: &mut Node,
-        reports: &BTreeMap<String, Vec<u8>>,
-    ) -> Option<Proposal> {
+    /// Takes in what is agreed now, and tells of it; whether it is time to look for a step. `active`: its guard is the
+    /// one that acts.
+    pub fn look(&mut self, now: Micros, node: &Node, active: bool) -> bool {
         let member = self.is_member(now, node);
         let note = node.fleet().notes.get(TOPIC);
-        let work = note.map_or(Some(Work::default()), |note| Work::read(&note.body));
         let at = note.map_or(0, |note| note.number);
-        let Some(work) = work else {
-            self.orders.member.set(false);
-            return None;
-        };
+        let news = self.seen.is_none_or(|(seen, _)| seen != at);
+        if news {
+            self.work = note.map_or(Some(Work::default()), |note| Work::read(&note.body));
+            if self.work.is_none() {
+                tracing::error!(number = at, "work: the orders can't be read; this router uses nothing");
+            }
+        }
         let changed = self.seen != Some((at, member));
+        self.seen = Some((at, member));
+        self.orders.member.set(member && self.work.is_some());
+        let Some(work) = self.work.take() else { return false };
         if changed {
-            self.seen = Some((at, member));
-            self.orders.member.set(member);
             let taken = work.at(Stage::Asked).chain(work.at(Stage::Out));
             let out: BTreeSet<MemberId> = taken.filter_map(number).collect();
             if out != *self.orders.out.borrow() {
@@ -218,47 +205,50 @@
             self.withholds.out(out);
         }
         let may = member && node.fence().may_act(now).is_some();
-        let alone = !(self.orders.holds || may);
-        self.alone = alone;
-        if now < self.due && !changed {
-            return None;
-        }
-        self.due = now + LOOK;
-        if !self.active.get() {
-            return None;
-        }
-        self.own_turn(&work);
-        self.tell(now, &work, node);
+        self.alone = !(self.orders.holds || may);
+        let due = self.leading.is_due(now, changed) && active;
         self.soon |= changed;
+        if due {
+            self.own_turn(&work);
+            self.tell(now, &work, node);
+        }
+        self.work = Some(work);
+        due
+    }
+
+    /// The leader's next step, if there is one.
+    pub fn step(
+        &mut self,
+        now: Micros,
+        node: &mut Node,
+        told: &BTreeMap<String, Vec<u8>>,
+    ) -> Option<Proposal> {
+        let ((at, _), work) = self.seen.zip(self.work.as_ref())?;
         if node.role() != Role::Leader || node.fence().may_act(now).is_none() {
             self.watch = Watch::default();
+            self.why.clear();
             return None;
         }
-        let (step, why) = self.watch.next(now, at, &work, &self.sight(node, reports), &self.rules);
+        let (step, why) = self.watch.next(now, at, work, &self.sight(node, told), &self.rules);
         if why.contains(&Why::HandOver) {
             tracing::info!("work: this router's own turn comes: another one is to lead");
             node.hand_over();
         }
-        self.why = why.clone();
+        self.why = why;
         let Some(step) = step else {
-            if !why.is_empty() && now >= self.said + SAY_EVERY {
-                self.said = now;
-                tracing::info!("work: waits: {why:?}");
+            if !self.why.is_empty() && self.leading.may_say(now) {
+                tracing::info!("work: waits: {:?}", self.why);
             }
             return None;
         };
-        match why.first() {
+        match self.why.first() {
             Some(Why::Turn(machine)) => tracing::info!("work: {machine} is asked for"),
             Some(Why::Clear(machine)) => tracing::info!("work: {machine} is out"),
             Some(Why::Warm(machine)) => tracing::info!("work: {machine} is done"),
             Some(Why::TakenBack(machine)) => tracing::info!("work: {machine} is taken back"),
             _ => {}
         }
-        self.due = now + SETTLES.min(self.rules.over);
-        self.proposed += 1;
-        let id = ProposalId(self.me.instance.0 ^ self.me.incarnation, 1 << 62 | self.proposed);
-        let change = Change::Note { topic: TOPIC.to_owned(), body: step.spell() };
-        Some(Proposal { id, builds_on: node.fleet().number, by: self.name.clone(), change })
+        Some(self.leading.propose(now, node, TOPIC, step.spell()))
     }
 
     /// Drains while its own turn lasts.
@@ -283,12 +273,12 @@
             self.limits = now;
             let _ = self.yard.director.try_send(Message::Limits);
         }
-        let unix = clock::now();
+        let (unix, steady) = (clock::now(), steady());
         let members = self.yard.board.members();
         let in_orders: BTreeSet<MemberId> = work.stages.keys().filter_map(number).collect();
         let places: BTreeSet<u32> =
             in_orders.iter().filter_map(|id| members.get(id)).map(|noted| self.yard.place(noted)).collect();
-        let open = self.yard.board.ledger(|ledger| (ledger.open(unix), ledger.loads(unix)));
+        let open = self.yard.board.ledger(|ledger| (ledger.open(steady), ledger.loads(steady)));
         let (open, loads) = open.unwrap_or_default();
         let limits = self.yard.board.limits();
         let near = members.iter().filter(|(_, noted)| places.contains(&self.yard.place(noted)));
--- a/silverspindle/src/agreement/rules.rs
+++ b/silverspindle/src/agreement/rules.rs
@@ -5,33 +5,27 @@
 use std::rc::Rc;
 
 use bitternhold::{MemberId, Micros, Note, Settings};
-use silverspindle_agreement::{Change, Fence, Node, Proposal, ProposalId, Role};
+use silverspindle_agreement::{Fence, Node, Proposal, Role};
 use silverspindle_conf::HalfLives;
 use silverspindle_knowledge::Source;
 use silverspindle_rules::{
     Bucket, Group, Guards, Place, Rules, SHARES, Shares, Sight, State, Step, TOPIC, Told, Watch, Why,
 };
 
-use super::Withholds;
 use super::records::steady;
-use crate::traffic::{Attempt, Message, Noted, OFFICE_TOKEN, PARENT_TOKEN};
+use super::{Leading, Withholds};
+use crate::traffic::{Attempt, Members, Message, OFFICE_TOKEN, PARENT_TOKEN};
 
-/// How often the leader looks whether there is a step to take.
-const LOOK: Micros = 100_000;
-/// A step that it proposed is waited for so long before it looks again.
-const SETTLES: Micros = 1_000_000;
-/// What is waited for is said at most so often.
-const SAY_EVERY: Micros = 5_000_000;
-/// What it asks for and how it serves are counted over so long.
+/// What it asks for is counted over so long.
 const WINDOW: Micros = 2_000_000;
 
-/// Counts of a window, and of the one before.
+/// What it asks of limited sources, in a window and in the one before; and its answers since its start: all, in time.
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
     since: Micros,
     wanted: u32,
-    served: [u32; 3],
-    last: (u32, [u32; 3]),
+    demand: u32,
+    served: [u64; 2],
 }
 
 impl Counts {
@@ -41,8 +35,8 @@
             return;
         }
         let rate = u64::from(self.wanted) * 1_000_000_000 / passed.max(1);
-        self.last = (rate.min(u64::from(u32::MAX)) as u32, self.served);
-        (self.since, self.wanted, self.served) = (now, 0, [0; 3]);
+        self.demand = rate.min(u64::from(u32::MAX)) as u32;
+        (self.since, self.wanted) = (now, 0);
     }
 }
 
@@ -107,12 +101,7 @@
     }
 
     /// Whether an attempt may be written; takes of the router's shares what it may use.
-    pub(crate) fn allows(
-        &self,
-        attempt: &Attempt,
-        to: MemberId,
-        members: &BTreeMap<MemberId, Noted>,
-    ) -> bool {
+    pub(crate) fn allows(&self, attempt: &Attempt, to: MemberId, members: &Members) -> bool {
         if !self.may() || self.refuses(attempt.call.class, attempt.call.group) {
             return false;
         }
@@ -152,6 +141,8 @@
         if office.is_some_and(|rate| !self.office.borrow_mut().take(now, rate)) {
             return look();
         }
+        // Of parents that are gone nothing is kept.
+        self.parents.borrow_mut().retain(|id, _| members.contains_key(id));
         if own.is_some_and(|rate| !self.parents.borrow_mut().entry(source).or_default().take(now, rate)) {
             if office.is_some() {
                 self.office.borrow_mut().put_back();
@@ -178,18 +169,17 @@
         {
             self.parents.borrow_mut().entry(source).or_default().put_back();
         }
-        if tokens != 0 && hit {
+        if (tokens != 0 || attempt.bare.get()) && hit {
             let mut counts = self.counts.borrow_mut();
             counts.wanted = counts.wanted.saturating_sub(1);
         }
     }
 
-    /// A request was answered: in time or not, refused or not.
-    pub fn answered(&self, in_time: bool, refused: bool) {
+    /// A request was answered, in the wanted time or not.
+    pub fn answered(&self, in_time: bool) {
         let served = &mut self.counts.borrow_mut().served;
         served[0] += 1;
-        served[1] += u32::from(in_time);
-        served[2] += u32::from(refused);
+        served[1] += u64::from(in_time);
     }
 
     /// Half-lives by the operators' file, and by what is agreed over it.
@@ -208,7 +198,6 @@
 
 /// The router's part in versions.
 pub struct Lead {
-    me: Source,
     name: String,
     life: Rc<Cell<Option<u64>>>,
     acting: Rc<Acting>,
@@ -231,10 +220,8 @@
     /// See `told`.
     pub soon: bool,
     why: Vec<Why>,
-    proposed: u64,
-    said: Micros,
-    /// When it looks next.
-    pub due: Micros,
+    /// When it looks next, and what it proposes.
+    pub leading: Leading,
 }
 
 impl Lead {
@@ -250,7 +237,6 @@
     ) -> Self {
         let without = super::without;
         Self {
-            me,
             name: name.to_owned(),
             life,
             acting,
@@ -272,29 +258,22 @@
             told: Vec::new(),
             soon: false,
             why: Vec::new(),
-            proposed: 0,
-            said: 0,
-            due: 0,
+            leading: Leading::new(me, name, 61),
         }
     }
 
-    /// Takes in what is agreed now; the leader's next step, if there is one.
-    pub fn look(
-        &mut self,
-        now: Micros,
-        node: &Node,
-        reports: &BTreeMap<String, Vec<u8>>,
-    ) -> Option<Proposal> {
+    /// Takes in what is agreed now, and tells of it; whether it is time to look for a step. `active`: its guard is the
+    /// one that acts.
+    pub fn look(&mut self, now: Micros, node: &Node, active: bool) -> bool {
         let fleet = node.fleet();
         let member = fleet.roll.get(&self.name).zip(self.life.get());
         let stands = member.is_some_and(|(member, own)| member.life >= own && !member.left);
         let latest = member.is_some_and(|(member, own)| member.life == own);
         let notes = [TOPIC, SHARES].map(|topic| fleet.notes.get(topic));
         let at = notes.map(|note| note.map_or(0, |note| note.number));
-        if self.seen != Some((at, stands)) {
+        let changed = self.seen != Some((at, stands));
+        if changed {
             self.seen = Some((at, stands));
-            // Its own step is settled, or another's: looked at, and told, at once.
-            (self.due, self.soon) = (now, true);
             let state = notes[0].map_or(Some(State::default()), |note| State::read(&note.body));
             let shares = notes[1].map_or(Some(Shares::default()), |note| Shares::read(&note.body));
             match state.zip(shares) {
@@ -319,24 +298,29 @@
         }
         let part = if latest { self.shares.of(&self.name, self.guards.shares) } else { 0 };
         self.acting.share.set((part, self.from.unwrap_or(Micros::MAX)));
-        if now < self.due {
-            return None;
+        let due = self.leading.is_due(now, changed) && active;
+        self.soon |= changed;
+        if due {
+            self.tell(now, fleet.number);
         }
-        self.due = now + LOOK;
-        self.tell(now, fleet.number);
+        due
+    }
+
+    /// The leader's next step, if there is one.
+    pub fn step(&mut self, now: Micros, node: &Node, told: &BTreeMap<String, Vec<u8>>) -> Option<Proposal> {
+        let (at, _) = self.seen?;
         if node.role() != Role::Leader || node.fence().may_act(now).is_none() {
             self.watch = Watch::default();
             self.why.clear();
             return None;
         }
-        let sight = self.sight(node, reports);
+        let sight = self.sight(node, told);
         let texts = (&self.state, &self.shares);
         let (step, why) = self.watch.next(now, at, texts, &sight, self.over, self.guards);
-        if step.is_none() && !why.is_empty() && now >= self.said + SAY_EVERY {
-            self.said = now;
-            tracing::info!("rules: waits: {why:?}");
-        }
         self.why = why;
+        if step.is_none() && !self.why.is_empty() && self.leading.may_say(now) {
+            tracing::info!("rules: waits: {:?}", self.why);
+        }
         let (topic, body) = match step? {
             Step::State(state) => {
                 tracing::info!("rules: {:?}", self.why);
@@ -344,11 +328,7 @@
             }
             Step::Shares(shares) => (SHARES, shares.spell()),
         };
-        self.due = now + SETTLES.min(self.over);
-        self.proposed += 1;
-        let id = ProposalId(self.me.instance.0 ^ self.me.incarnation, 1 << 61 | self.proposed);
-        let change = Change::Note { topic: topic.to_owned(), body };
-        Some(Proposal { id, builds_on: fleet.number, by: self.name.clone(), change })
+        Some(self.leading.propose(now, node, topic, body))
     }
 
     /// Acts by the texts from here on.
@@ -396,9 +376,8 @@
         *self.acting.rules.borrow_mut() = rules;
         let half_lives = self.acting.half_lives(self.acting.half_lives.get());
         self.withholds.denied(denied);
-        let director = &self.withholds.director;
-        let _ = director.try_send(Message::Weights(weights));
-        let _ = director.try_send(Message::HalfLives(half_lives));
+        self.withholds.say(1, Message::Weights(weights));
+        self.withholds.say(2, Message::HalfLives(half_lives));
     }
 
     /// Says what it acts on; nothing where no version was ever agreed.
@@ -406,7 +385,7 @@
         let Some(life) = self.life.get().filter(|_| self.state.turn > 0) else { return self.told.clear() };
         let mut counts = self.acting.counts.borrow_mut();
         counts.turn(now);
-        let (demand, served) = counts.last;
+        let Counts { demand, served, .. } = *counts;
         self.told = Told { life, number, cannot: self.cannot.clone(), demand, served }.spell();
     }
 
--- a/silverspindle/src/agreement/staff.rs
+++ b/silverspindle/src/agreement/staff.rs
@@ -224,6 +224,11 @@
     }
 }
 
+/// Whether routers go by a topic's text, so that staff may set it by the commands for it alone.
+pub fn is_taken(topic: &str) -> bool {
+    [TOPIC, silverspindle_rules::TOPIC].iter().any(|own| topic.split(['.', '/']).next() == Some(own))
+}
+
 /// What staff say of work on machines.
 #[derive(Clone, Debug)]
 pub enum Say {
--- a/silverspindle/src/config.rs
+++ b/silverspindle/src/config.rs
@@ -204,6 +204,7 @@
 
 /// Settings of which another kind of value is taken for an absent one, and what that comes to: the safe reading.
 const SAFE: [(&str, &str, &str, &str); 12] = [
+    ("limits", "try_limit", "a number", "one attempt a request"),
     ("limits", "second_copies", "yes or no", "no second copies"),
     ("limits", "cancelling", "yes or no", "nothing is cancelled"),
     ("limits", "probes", "yes or no", "no probes"),
@@ -212,13 +213,17 @@
     ("family_info", "shares_fills", "yes or no", "no fill is joined"),
     ("family_info", "bypass_allowed", "yes or no", "parents and origin take no requests"),
     ("family_info", "heed_within_ms", "a number", "purges are heeded at once"),
-    ("rules", "drain_grace_ms", "a number", "drains are heeded at once"),
-    ("rules", "cold_from", "a number", "a cold cache is taken to have nothing at its start"),
-    ("rules", "fall_multiple", "a number", "a cold cache gets nothing over what it can bear"),
+    ("rules", "cold_from", "a number", "a cold cache bears a hundredth at its start"),
+    ("rules", "fall_multiple", "a number", "all routers share one attempt a window at a cold cache"),
     ("deductions", "handshake", "a number", "connections are not shared"),
 ];
-/// Of which none is safe: the rules on tries and on purges would be broken by guessing.
-const NEEDED: [(&str, &str); 2] = [("limits", "try_limit"), ("family_info", "cleared_within_ms")];
+/// Of which none is safe: without them a cold member passes for a warm one, and a copy older than a purge for a young one.
+const NEEDED: [(&str, &str); 4] = [
+    ("rules", "cold_ms"),
+    ("rules", "tip_after_ms"),
+    ("family_info", "parent_ramp_ms"),
+    ("family_info", "cleared_within_ms"),
+];
 
 /// Reads the settings of a site; what would break a rule is a fault, what has a safe reading is a note.
 fn site(settings: &serde_json::Map<String, Value>, faults: &mut Vec<String>) -> (Catalogue, Vec<String>) {
--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -32,6 +32,7 @@
 
 struct Open {
     call: Rc<Call>,
+    came: Micros,
     port: Rc<dyn Port>,
     seq: i32,
     attempts: u32,
@@ -308,7 +309,8 @@
         let call = Rc::new(call);
         self.by_client.insert((port.id(), seq), id);
         let (out, closed) = (Vec::new(), false);
-        self.requests.insert(id, Open { call: call.clone(), port, seq, attempts: 0, out, closed });
+        self.requests
+            .insert(id, Open { call: call.clone(), came: clock::now(), port, seq, attempts: 0, out, closed });
         self.owed.set(self.owed.get() + 1);
         self.wake(call.deadline + LAST_WORD, Due::Request(id));
         let own = call.copy().and_then(|key| self.copies.get(&key)).map(|copy| {
@@ -349,28 +351,24 @@
         let (port, seq) = (open.port.clone(), open.seq);
         let Call { rid, class, .. } = &*open.call;
         let spare = open.call.deadline.saturating_sub(clock::now());
-        let board = &self.shared.board;
-        match board.version() {
-            // Which versions of the rules it was answered on.
-            Some(rules) => {
-                tracing::trace!(
-                    rid,
-                    class,
-                    attempts = open.attempts,
-                    spare,
-                    rules,
-                    "answer {}",
-                    verdict.name()
-                );
-            }
-            None => tracing::trace!(rid, class, attempts = open.attempts, spare, "answer {}", verdict.name()),
-        }
-        board.answered(spare > 0 && verdict != Verdict::Failed, matches!(verdict, Verdict::Refused { .. }));
+        // Where rules are on, which versions of them it was answered on.
+        let rules = tracing::enabled!(tracing::Level::TRACE).then(|| self.shared.board.version()).flatten();
+        tracing::trace!(rid, class, attempts = open.attempts, spare, rules, "answer {}", verdict.name());
+        let took = clock::now().saturating_sub(open.came);
+        let served = matches!(verdict, Verdict::Served(_) | Verdict::Holds);
+        self.shared.board.answered(served && took <= self.aim(&open.call));
         if self.close(id) {
             port.answer(seq, verdict);
         }
     }
 
+    /// The time in which an answer to this is worth all: the class's, and as many times as it says of the sending's.
+    fn aim(&self, call: &Call) -> Micros {
+        let Some(class) = self.settings.classes.get(call.class) else { return 0 };
+        let sending = call.size_kb.unwrap_or(0.0) / self.settings.flow_kb_per_s.max(1.0);
+        class.aim + (class.aim_stretch * sending * 1e6) as Micros
+    }
+
     fn left(&mut self, id: RequestId) {
         let port = self.requests.get(&id).map(|open| open.port.clone());
         if self.close(id) {
--- a/silverspindle/src/drain.rs
+++ b/silverspindle/src/drain.rs
@@ -101,6 +101,14 @@
     /// Staff ask for a drain. A second drain keeps the time of the first; an ending router stays ending.
     /// Says whether anything changed.
     pub fn drain(&mut self, now: Micros) -> bool {
+        // From here on it is staff's, whoever began it: a turn for work that ends does not undo it.
+        if let Some((_, began)) = &mut self.ordered {
+            *began = false;
+        }
+        self.begin(now)
+    }
+
+    fn begin(&mut self, now: Micros) -> bool {
         match self.phase {
             Phase::Starting | Phase::Serving => {
                 self.phase = Phase::Draining(now);
@@ -116,7 +124,7 @@
     pub fn order(&mut self, now: Micros, out: bool) {
         let (since, began) = self.ordered.unwrap_or((now, false));
         let since = if out { since.min(now.saturating_sub(ORDERED_TAKES)) } else { since };
-        self.ordered = Some((since, self.drain(now) || began));
+        self.ordered = Some((since, self.begin(now) || began));
     }
 
     /// Its turn is over: it takes clients again, unless staff have drained it besides.
@@ -370,6 +378,12 @@
         d.release();
         assert!(!d.ready(), "staff drained it");
         d.resume();
+        d.order(23 * S, false);
+        assert!(!d.drain(24 * S), "it drains already");
+        d.order(25 * S, false);
+        d.release();
+        assert!(!d.ready(), "staff drained it during its turn");
+        d.resume();
         d.order(30 * S, false);
         assert!(d.resume(), "by hand, against the order");
         d.order(31 * S, false);
--- a/silverspindle/src/main.rs
+++ b/silverspindle/src/main.rs
@@ -277,18 +277,8 @@
 enum WorkLine {
     /// Order machines out, one after the other as the fleet can spare them, or together
     Order {
-        /// A box's id on the list; may be given again
-        #[arg(long = "box", value_name = "ID")]
-        boxes: Vec<u32>,
-        /// A parent's id on the list; may be given again
-        #[arg(long = "parent", value_name = "ID")]
-        parents: Vec<u32>,
-        /// A router's name; may be given again
-        #[arg(long = "router", value_name = "NAME")]
-        routers: Vec<String>,
-        /// All at once
-        #[arg(long)]
-        together: bool,
+        #[command(flatten)]
+        machines: Machines,
         /// Why, for people
         #[arg(long, default_value = "")]
         reason: String,
@@ -299,21 +289,11 @@
         #[arg(long)]
         wait: bool,
     },
-    /// What would go in which turn and what would wait and why, were each brought back as soon as it is out; nothing
-    /// is done
+    /// What would go in which turn and what would wait and why, with these besides what is ordered, were each brought
+    /// back as soon as it is out; nothing is done
     Plan {
-        /// A box's id besides what is ordered; may be given again
-        #[arg(long = "box", value_name = "ID")]
-        boxes: Vec<u32>,
-        /// A parent's id
-        #[arg(long = "parent", value_name = "ID")]
-        parents: Vec<u32>,
-        /// A router's name
-        #[arg(long = "router", value_name = "NAME")]
-        routers: Vec<String>,
-        /// All at once
-        #[arg(long)]
-        together: bool,
+        #[command(flatten)]
+        machines: Machines,
     },
     /// Where each machine stands; only one that is 'out' may be unplugged
     Status,
@@ -345,9 +325,28 @@
     Go,
 }
 
-fn machines(boxes: Vec<u32>, parents: Vec<u32>, routers: Vec<String>) -> Vec<Machine> {
-    let listed = boxes.into_iter().map(Machine::Box).chain(parents.into_iter().map(Machine::Parent));
-    listed.chain(routers.into_iter().map(Machine::Router)).collect()
+#[derive(clap::Args)]
+struct Machines {
+    /// A box's id on the list; may be given again
+    #[arg(long = "box", value_name = "ID")]
+    boxes: Vec<u32>,
+    /// A parent's id on the list; may be given again
+    #[arg(long = "parent", value_name = "ID")]
+    parents: Vec<u32>,
+    /// A router's name; may be given again
+    #[arg(long = "router", value_name = "NAME")]
+    routers: Vec<String>,
+    /// All at once
+    #[arg(long)]
+    together: bool,
+}
+
+impl Machines {
+    fn all(self) -> Vec<Machine> {
+        let boxes = self.boxes.into_iter().map(Machine::Box);
+        let listed = boxes.chain(self.parents.into_iter().map(Machine::Parent));
+        listed.chain(self.routers.into_iter().map(Machine::Router)).collect()
+    }
 }
 
 fn work_order(text: &str) -> Result<u64, String> {
@@ -555,20 +554,21 @@
                     }
                     return Ok(());
                 }
-                WorkLine::Plan { boxes, parents, routers, together } => {
-                    let (_, plan) = staff.plan(machines(boxes, parents, routers), together).await?;
+                WorkLine::Plan { machines } => {
+                    let together = machines.together;
+                    let (_, plan) = staff.plan(machines.all(), together).await?;
                     match json {
                         true => println!("{}", staff::plan_json(&plan)),
                         false => print!("{}", staff::plan_text(&plan)),
                     }
                     return Ok(());
                 }
-                WorkLine::Order { boxes, parents, routers, together, reason, order, wait } => {
+                WorkLine::Order { machines, reason, order, wait } => {
                     let id = match &order {
                         Some(text) => work_order(text)?,
                         None => draw()?,
                     };
-                    let machines = machines(boxes, parents, routers);
+                    let (together, machines) = (machines.together, machines.all());
                     let say = Say::Order { machines, together, reason, id };
                     if wait {
                         let (proposal, reply) = staff.say(&say).await?;
@@ -610,6 +610,10 @@
             println!("{settled} decisions in {took:.2} s, {:.0} a second", settled as f64 / took);
             return Ok(());
         }
+        // Routers go by what stands there, and by nothing else if it can't be read.
+        Fleet::Note { topic, .. } if staff::is_taken(&topic) => {
+            return Err(format!("{topic} is the program's own: use 'fleet work' or 'fleet rules'"));
+        }
         Fleet::Note { topic, text } => Change::Note { topic, body: text.into_bytes() },
         Fleet::Electors(Electors::Admit { name }) => staff.seat(&name, true).await?,
         Fleet::Electors(Electors::Dismiss { name }) => staff.seat(&name, false).await?,
--- a/silverspindle/src/management.rs
+++ b/silverspindle/src/management.rs
@@ -20,7 +20,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 
 use crate::clock;
-use crate::drain::Drain;
+use crate::drain::{Drain, Phase};
 
 /// Calls held at a time; the next closes the oldest.
 pub const MOST_CALLS: usize = 8;
@@ -99,8 +99,11 @@
             drain.drain(now);
             (200, "draining")
         }
-        _ if drain.resume() || drain.ready() => (200, "serving"),
-        _ => (409, "ending; nothing brings it back"),
+        _ if matches!(drain.phase(), Phase::Ending(_)) => (409, "ending; nothing brings it back"),
+        _ => {
+            drain.resume();
+            (200, "serving")
+        }
     };
     Read::Answer(Answer { status, text, body_left })
 }
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -40,6 +40,8 @@
 const LOOK_BESIDE: Duration = Duration::from_millis(200);
 /// So often it is looked whether the exchange's address is free.
 const TAKEN_AGAIN: Duration = Duration::from_millis(100);
+/// That it is taken is said again after so long.
+const SAY_TAKEN: bitternhold::Micros = 10_000_000;
 /// Its last word to the other routers, that it is off the roll, takes no longer; SIGKILL may be near.
 const LEAVE: Duration = Duration::from_millis(200);
 /// While it ends, it says every so often what it waits for.
@@ -303,10 +305,17 @@
         }
         Err(e) => return Err(e),
     };
+    let mut said = None;
     Ok(async move {
         let listener = match first {
             Some(listener) => listener,
             None => loop {
+                if said.is_none_or(|at| clock::now() >= at + SAY_TAKEN) {
+                    said = Some(clock::now());
+                    tracing::warn!(
+                        "exchange-listen {address}: taken, by an older process or another program; waiting for it"
+                    );
+                }
                 Timer::after(TAKEN_AGAIN).await;
                 if let Ok(listener) = Async::<TcpListener>::bind(address) {
                     break listener;
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -16,6 +16,7 @@
 use silverspindle_knowledge::Item;
 use silverspindle_work::Ledger;
 
+use crate::agreement::records::steady;
 use crate::copies;
 use crate::feed::{Purged, hex};
 use crate::{agreement, clock, resp};
@@ -202,6 +203,9 @@
     pub started: Micros,
 }
 
+/// Members on the list.
+pub type Members = BTreeMap<MemberId, Noted>;
+
 /// What was told last of the members and of purges, for a last look at the moment of writing.
 #[derive(Debug, Default)]
 pub struct Board {
@@ -209,7 +213,7 @@
     /// Nothing goes out before what is agreed is known: orders for work are on.
     waits: Cell<bool>,
     /// Members on the list.
-    members: RefCell<BTreeMap<MemberId, Noted>>,
+    members: RefCell<Members>,
     /// What is open where; only kept where orders for work are on.
     ledger: RefCell<Option<Ledger>>,
     /// The module's limits of what may be out to members, and whether it has set them aside.
@@ -235,10 +239,10 @@
         self.agreed.borrow().as_ref().is_some_and(|agreed| agreed.refuses(class, group))
     }
 
-    /// A request was answered.
-    pub fn answered(&self, in_time: bool, refused: bool) {
+    /// A request was answered, in the wanted time or not.
+    pub fn answered(&self, in_time: bool) {
         if let Some(agreed) = self.agreed.borrow().as_ref() {
-            agreed.answered(in_time, refused);
+            agreed.answered(in_time);
         }
     }
 
@@ -258,7 +262,9 @@
         if let Some(ledger) = &mut *self.ledger.borrow_mut() {
             let members = [Some(to), attempt.terms.source].into_iter().flatten();
             let members = members.map(|id| id.0 as u32).collect();
-            ledger.begin(clock::now(), attempt.ticket, members, attempt.until);
+            // By the steady clock: what may be open must not end as the Unix clock is set.
+            let (now, left) = (steady(), attempt.until.saturating_sub(clock::now()));
+            ledger.begin(now, attempt.ticket, members, now + left);
         }
     }
 
@@ -269,7 +275,7 @@
         }
         if let Some(ledger) = &mut *self.ledger.borrow_mut() {
             let whole = !attempt.written.get() || (answered && !attempt.terms.mode.renew);
-            ledger.end(clock::now(), attempt.ticket, whole);
+            ledger.end(steady(), attempt.ticket, whole);
         }
     }
 
@@ -302,7 +308,7 @@
     }
 
     /// See [`Board::note_members`].
-    pub fn members(&self) -> BTreeMap<MemberId, Noted> {
+    pub fn members(&self) -> Members {
         self.members.borrow().clone()
     }
 
--- a/silverspindle/tests/config.rs
+++ b/silverspindle/tests/config.rs
@@ -112,11 +112,11 @@
     ];
     assert_eq!(keys, told);
     assert!(config(&file()).unwrap().notes.is_empty(), "a good file has none");
-    odd["settings"]["limits"]["try_limit"] = json!("six");
+    odd["settings"]["rules"]["tip_after_ms"] = json!("soon");
     odd["settings"]["family_info"]["cleared_within_ms"] = json!(true);
     odd["seed"] = json!(7);
     let faults = Config::parse_all(&odd.to_string(), &|_| None).unwrap_err();
-    let keys = ["seed", "settings.limits.try_limit", "settings.family_info.cleared_within_ms"];
+    let keys = ["seed", "settings.rules.tip_after_ms", "settings.family_info.cleared_within_ms"];
     assert!(
         faults.len() == 3
             && faults.iter().zip(keys).all(|(f, k)| f.starts_with(&format!("configuration: {k}: "))),
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -12,7 +12,7 @@
 
 use async_executor::LocalExecutor;
 use rand::{Rng, SeedableRng};
-use rand_distr::{Distribution, Exp, Zipf};
+use rand_distr::Distribution;
 use rand_pcg::Pcg64Mcg;
 use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::Value;
@@ -24,7 +24,7 @@
 use crate::coordinator::Coordinator;
 use crate::office::{Office, Plan, rest};
 use crate::relay::{Relay, Way};
-use crate::trial::{self, LIKING, OBJECTS, Router, Start, WRITES, free, run, well};
+use crate::trial::{self, Router, Start, WRITES, free, run, well};
 use crate::{Micros, SECOND};
 
 const MS: Micros = 1000;
@@ -1164,9 +1164,7 @@
 async fn traffic(rig: &Rc<Rig>, clients: &[Rc<Clients>]) -> io::Result<()> {
     let options = &rig.options;
     let mut random = Pcg64Mcg::seed_from_u64(options.seed);
-    let bad = |e: &dyn std::fmt::Display| io::Error::new(io::ErrorKind::InvalidInput, e.to_string());
-    let objects = Zipf::new(OBJECTS, LIKING).map_err(|e| bad(&e))?;
-    let gaps = Exp::new(options.rate / 1e6).map_err(|e| bad(&e))?;
+    let (objects, gaps) = trial::demand(options.rate)?;
     let begin = clock::now();
     let end = begin + options.seconds * SECOND;
     let mut running = Vec::new();
--- a/standins/src/trial.rs
+++ b/standins/src/trial.rs
@@ -348,6 +348,13 @@
     ]
 }
 
+/// Which objects are asked for, and after which gaps, at so many items a second.
+pub(crate) fn demand(rate: f64) -> io::Result<(Zipf<f64>, Exp<f64>)> {
+    let bad = |e: &dyn std::fmt::Display| io::Error::new(io::ErrorKind::InvalidInput, e.to_string());
+    let objects = Zipf::new(OBJECTS, LIKING).map_err(|e| bad(&e))?;
+    Ok((objects, Exp::new(rate / 1e6).map_err(|e| bad(&e))?))
+}
+
 /// Runs a trial to its end. Ends the routers that it started.
 pub async fn trial(tasks: &Rc<LocalExecutor<'static>>, options: &Options) -> io::Result<Outcome> {
     let folder = tempfile::tempdir()?;
@@ -362,9 +369,7 @@
         well(clients, &router.start.log).await?;
     }
     let mut random = Pcg64Mcg::seed_from_u64(options.seed);
-    let bad = |e: &dyn std::fmt::Display| io::Error::new(io::ErrorKind::InvalidInput, e.to_string());
-    let objects = Zipf::new(OBJECTS, LIKING).map_err(|e| bad(&e))?;
-    let gaps = Exp::new(options.rate / 1e6).map_err(|e| bad(&e))?;
+    let (objects, gaps) = demand(options.rate)?;
     let begin = clock::now();
     let end = begin + options.seconds * SECOND;
     let (mut due, mut script, mut looked) = (begin, options.script.iter().peekable(), begin);
--- a/work/src/told.rs
+++ b/work/src/told.rs
@@ -101,6 +101,7 @@
 impl Ledger {
     /// An attempt by this ticket, at these members (who serves and who is the source), due by then.
     pub fn begin(&mut self, now: Micros, ticket: u64, members: Vec<u32>, until: Micros) {
+        self.turn(now);
         for id in &members {
             self.gauges.entry(*id).or_default().to(now).out += 1;
         }
@@ -131,17 +132,23 @@
 
     /// The mean of attempts out at each member over the last whole window, in thousandths.
     pub fn loads(&mut self, now: Micros) -> BTreeMap<u32, u32> {
+        self.turn(now);
+        self.gauges.iter().map(|(id, gauge)| (*id, gauge.mean)).collect()
+    }
+
+    /// A window ends; nothing is kept of members that none uses any more.
+    fn turn(&mut self, now: Micros) {
         let passed = now.saturating_sub(self.window);
-        if passed >= WINDOW {
-            for gauge in self.gauges.values_mut() {
-                gauge.to(now).mean =
-                    u32::try_from(gauge.area.saturating_mul(1000) / passed).unwrap_or(u32::MAX);
-                gauge.area = 0;
-            }
-            self.window = now;
-            self.gauges.retain(|_, gauge| gauge.out > 0 || gauge.mean > 0);
+        if passed < WINDOW {
+            return;
         }
-        self.gauges.iter().map(|(id, gauge)| (*id, gauge.mean)).collect()
+        for gauge in self.gauges.values_mut() {
+            gauge.to(now).mean = u32::try_from(gauge.area.saturating_mul(1000) / passed).unwrap_or(u32::MAX);
+            gauge.area = 0;
+        }
+        self.window = now;
+        self.gauges.retain(|_, gauge| gauge.out > 0 || gauge.mean > 0);
+        self.lingers.retain(|_, until| *until > now);
     }
 }
 
