--- a/silverspindle/src/agreement/mod.rs
+++ b/silverspindle/src/agreement/mod.rs
@@ -128,7 +128,8 @@
     /// Says what there was no room for.
     fn go_on(&self) {
         for slot in self.untold.borrow_mut().iter_mut() {
-            if let Some(Err(TrySendError::Full(message))) = slot.take().map(|m| self.director.try_send(m)) {
+            let Some(message) = slot.take() else { continue };
+            if let Err(TrySendError::Full(message)) = self.director.try_send(message) {
                 *slot = Some(message);
             }
         }
