Hard cases of orders and versions between processes, step by step

A run could not show that a leader died at this step of a machine, or that a router stood still over these two versions.

Change: the rig plays steps (standins/src/rig/steps.rs): staff's words, what happens to routers, boxes and the coordinator, and what is waited for; no step is judged by how long it takes.

--- a/silverspindle/src/main.rs
+++ b/silverspindle/src/main.rs
@@ -471,6 +471,8 @@
                     Round::Hand => rig::Round::Hand,
                 }),
                 rules,
+                steps: "",
+                least: None,
                 work_routers: routers_too,
                 hold,
                 quiet,
--- a/silverspindle/tests/agreement.rs
+++ b/silverspindle/tests/agreement.rs
@@ -29,6 +29,8 @@
         boxes: 4,
         round: None,
         rules: false,
+        steps: "",
+        least: None,
         work_routers: false,
         hold: false,
         quiet: false,
@@ -211,6 +213,197 @@
     assert!(outcome.is_good() && outcome.findings.made > 2, "{}", rig::report(&options, &outcome));
 }
 
+// ---- Hard cases, each caused in order.
+
+fn steps(options: Options) -> Outcome {
+    let outcome = play(&options);
+    assert!(outcome.is_good(), "{}", rig::report(&options, &outcome));
+    outcome
+}
+
+/// The leader dies at each step of a machine; an order of all electors and the leader goes one by one; back is said twice.
+#[test]
+fn the_leader_dies_at_each_step_of_a_machine_and_electors_go_one_by_one() {
+    let outcome = steps(Options {
+        work: true,
+        steps: "
+            for 2s freeze n3
+            say 0 work order --box 1
+            stage box 1 asked
+            for 1s kill leader
+            mended
+            stage box 1 out
+            mark box 1
+            for 1s kill leader
+            rest 500ms
+            mended
+            back box 1
+            for 1s kill leader
+            mended
+            ended
+            say 0 work order --router n0 --router n1 --router n2
+            through",
+        ..options(8, "")
+    });
+    assert!(outcome.leaders > 2 && outcome.work.0 == 1);
+}
+
+/// Frozen with attempts queued and thawed after the box was called clear; withdrawn between asked and clear; a fleet cut in
+/// half with an order for the same two boxes on each side; back told twice; all killed in mid-order.
+#[test]
+fn orders_hold_through_a_thaw_a_withdrawal_a_cut_and_a_restart_of_all() {
+    steps(Options {
+        work: true,
+        rate: 600.0,
+        steps: "
+            for 7s freeze n3
+            say 0 work order --box 1 --order 00000000000000a1
+            stage box 1 asked
+            say 1 work withdraw 00000000000000a1
+            ended
+            say 0 work order --box 1
+            stage box 1 out
+            mark box 1
+            mended
+            rest 500ms
+            back box 1
+            ended
+            refused 1 work back --box 1; is not out
+            for 5s split n0,n3
+            rest 300ms
+            alone 0 work order --box 1 --box 2
+            say 1 work order --box 2 --box 1
+            stage box 1 out
+            mark box 1
+            mended
+            for 1s kill all
+            mended
+            stage box 2 out
+            back box 1
+            through",
+        ..options(8, "")
+    });
+}
+
+/// A box dies while another is out: the next waits with its figure, and goes when it is back; asked and short, it is taken
+/// back; back with a new start it stays unused, also under the coordinator's drain; an order that can never be is refused; the
+/// coordinator stalls; a router that never comes back is waited for by time, and struck off.
+#[test]
+fn orders_wait_for_what_is_missing_and_a_box_that_comes_back_by_itself_stays_unused() {
+    steps(Options {
+        work: true,
+        steps: "
+            refused 0 work order --together --box 1 --box 2 --box 3 --box 4; would keep 0
+            refused 0 work order --box 77; is on no list
+            say 0 work order --box 1
+            stage box 1 out
+            mark box 1
+            box 1 restart
+            rest 500ms
+            box 3 drain
+            box 4 drain
+            rest 500ms
+            say 0 work order --box 2
+            waits would keep
+            box 3 ready
+            box 4 ready
+            for 3s freeze n4
+            stage box 2 asked
+            box 3 drain
+            box 4 drain
+            stage box 2 waiting
+            box 3 ready
+            box 4 ready
+            mended
+            stage box 2 out
+            stall 5s
+            box 1 drain
+            back box 1
+            stage box 1 warming
+            back box 2
+            mended
+            stage box 1 warming
+            box 1 ready
+            ended
+            for 30s kill n4
+            say 0 work order --box 2
+            stage box 2 out
+            say 0 forget n4
+            back box 2
+            ended",
+        ..options(10, "")
+    });
+}
+
+/// Frozen over two versions and thawed; cut off from all while three pass; a proposal on each side of a cut; the leader dies
+/// between decision and effect; a return while the next is on its way is refused; an upgrade and a restart of all in the
+/// middle; and what is overtaken is refused with the difference.
+#[test]
+fn versions_hold_through_freezes_cuts_and_restarts() {
+    let outcome = steps(Options {
+        rules: true,
+        steps: "
+            for 5s freeze n3
+            propose 0 deny-member 1
+            holds 1
+            mark box 1
+            propose 1 deny-member 1; deny-member 2
+            pending 2
+            refused 0 rules return 1; on its way
+            holds 2
+            mended
+            clear box 1
+            for 8s split n4
+            propose 0 deny-member 3
+            holds 3
+            propose 0 deny-member 3; weight 2 50
+            holds 4
+            propose 1 weight 2 50; fill-from 1 0 office
+            holds 5
+            mended
+            for 4s split n0,n3
+            rest 300ms
+            alone 0 rules return 1
+            propose 1 weight 2 70; fill-from 1 0 office
+            for 1s kill leader
+            holds 6
+            mended
+            for 3s freeze n4
+            propose 0 fill-from 0 1 office; refuse-group 3
+            pending 7
+            for 2s upgrade n1
+            for 1s kill n2
+            mended
+            holds 7
+            propose 0 deny-member 4
+            for 1s kill all
+            mended
+            holds 8
+            refused 0 rules return 1 --builds-on 7; + deny-member 4",
+        ..options(10, "")
+    });
+    assert!(outcome.versions.both > 0 && outcome.versions.apart == 0);
+}
+
+/// A valid version that one router can't carry: it says so, and the change stands where it is until staff strike it off.
+#[test]
+fn a_version_that_one_router_can_not_carry_waits_where_it_stands() {
+    steps(Options {
+        rules: true,
+        least: Some((4, 100)),
+        steps: "
+            propose 0 office-fills 500
+            holds 1
+            propose 0 office-fills 50
+            waits n4 can't carry it: office-fills: 50 is under rules-least-fills 100
+            rest 3s
+            pending 2
+            say 0 forget n4
+            holds 2",
+        ..options(10, "")
+    });
+}
+
 // ---- An elector's disk.
 
 fn folder() -> tempfile::TempDir {
--- a/standins/src/coordinator.rs
+++ b/standins/src/coordinator.rs
@@ -1,6 +1,6 @@
 //! A stand-in coordinator: it keeps its events and gives each router what it lacks, then an empty frame a second.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -23,6 +23,8 @@
     pub address: SocketAddr,
     /// Events from number 2 on; number 1 is the list that routers start with.
     events: RefCell<Vec<News>>,
+    /// It tells nothing, not even that there is nothing.
+    pub stalled: Cell<bool>,
 }
 
 impl Coordinator {
@@ -30,7 +32,7 @@
     pub fn start(tasks: &Rc<LocalExecutor<'static>>) -> io::Result<Rc<Self>> {
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
         let address = listener.get_ref().local_addr()?;
-        let own = Rc::new(Self { address, events: RefCell::default() });
+        let own = Rc::new(Self { address, events: RefCell::default(), stalled: Cell::new(false) });
         let (all, this) = (tasks.clone(), own.clone());
         let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -52,6 +54,9 @@
         stream.read_exact(&mut last).await?;
         let (mut last, mut quiet) = (u64::from_be_bytes(last).max(1), HEARTBEAT);
         loop {
+            while self.stalled.get() {
+                Timer::after(LOOK).await;
+            }
             let next: Vec<News> = self.events.borrow().iter().skip(last as usize - 1).cloned().collect();
             for news in &next {
                 last += 1;
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -1,6 +1,8 @@
 //! The rig: several processes of the program that agree, between relays and under traffic, while some of them are
 //! killed, frozen or cut off. What it came to is judged by [`checker`] from what the processes wrote down.
 
+mod steps;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
@@ -24,6 +26,8 @@
 use crate::coordinator::Coordinator;
 use crate::office::{Office, Plan, rest};
 use crate::relay::{Relay, Way};
+use steps::Play;
+
 use crate::trial::{self, Router, Start, WRITES, free, run, well};
 use crate::{Micros, SECOND};
 
@@ -139,6 +143,10 @@
     /// With orders: one over all boxes and parents, and the run ends with it; or staff's drains by hand through the
     /// coordinator, one machine after the other.
     pub round: Option<Round>,
+    /// What staff do and what happens meanwhile, step by step, in place of what they do by themselves; see [`play`].
+    pub steps: &'static str,
+    /// A router, and the fills a second of which it needs a limit to be at least.
+    pub least: Option<(usize, u64)>,
     /// Staff propose versions of rules.
     pub rules: bool,
     /// Routers, too, and what a router does alone: it serves on and holds work up.
@@ -345,23 +353,39 @@
 }
 
 impl Rig {
-    fn staff(&self, elector: usize) -> PathBuf {
-        self.folder.join(format!("staff{elector}.conf"))
-    }
-
     /// Runs staff's command; what it printed in JSON, and whether it was well.
     async fn command(&self, elector: usize, args: &[&str]) -> (Value, bool) {
-        let mut command = Command::new(&self.options.program);
-        command.args(["fleet", "--json", "--conf"]).arg(self.staff(elector)).args(args);
-        match blocking::unblock(move || command.output()).await {
-            Ok(out) => {
+        self.told(&format!("staff{elector}.conf"), args).await
+    }
+
+    /// The same with this file of staff's.
+    async fn told(&self, conf: &str, args: &[&str]) -> (Value, bool) {
+        match self.run(conf, args).await {
+            Some(out) => {
                 let text = String::from_utf8_lossy(&out.stdout);
                 (serde_json::from_str(text.trim()).unwrap_or(Value::Null), out.status.success())
             }
-            Err(_) => (Value::Null, false),
+            None => (Value::Null, false),
         }
     }
 
+    /// The same, with all that it said.
+    async fn words(&self, elector: usize, args: &[&str]) -> (bool, String) {
+        match self.run(&format!("staff{elector}.conf"), args).await {
+            Some(out) => {
+                let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+                (out.status.success(), text(&out.stdout) + &text(&out.stderr))
+            }
+            None => (false, String::new()),
+        }
+    }
+
+    async fn run(&self, conf: &str, args: &[&str]) -> Option<std::process::Output> {
+        let mut command = Command::new(&self.options.program);
+        command.args(["fleet", "--json", "--conf"]).arg(self.folder.join(conf)).args(args);
+        blocking::unblock(move || command.output()).await.ok()
+    }
+
     async fn leader(&self) -> Option<usize> {
         let (status, _) = self.command(0, &["status"]).await;
         let all = status["electors"].as_array()?;
@@ -677,6 +701,10 @@
         if options.work {
             let _ = writeln!(conf, "work-out 2\nwork-alone {}", if options.hold { "hold" } else { "stop" });
         }
+        if let Some((router, least)) = options.least {
+            let least = if router == usize::from(n) { least } else { 0 };
+            let _ = writeln!(conf, "rules-least-fills {least}");
+        }
         if options.rules && options.round != Some(Round::Hand) {
             let _ = writeln!(conf, "agree-rules on");
         }
@@ -713,6 +741,9 @@
             let _ = writeln!(conf, "agree-elector n{elector} {}", ports[elector].address);
         }
         fs::write(folder.join(format!("staff{first}.conf")), conf)?;
+        // Staff who can reach this one alone.
+        let one = format!("{}agree-elector n{first} {}\n", files("staff"), ports[*first].address);
+        fs::write(folder.join(format!("alone{first}.conf")), one)?;
     }
     Ok((starts, relays))
 }
@@ -776,6 +807,11 @@
         (good && most == count).then_some(())
     };
     until("a first quorum with all routers on the roll", all_on_the_roll).await?;
+    let play = match options.steps {
+        "" => None,
+        _ => Some(Play { rig: rig.clone(), office: office.clone(), coordinator: coordinator.clone() }),
+    };
+    let play = play.map(|play| tasks.spawn(play.run()));
     let work = match options.round.filter(|_| options.work) {
         None => tasks.spawn(work(rig.clone(), yard.clone())),
         Some(round) => tasks.spawn(all_round(rig.clone(), yard.clone(), coordinator.clone(), round)),
@@ -783,7 +819,10 @@
     let rules = tasks.spawn(rules(rig.clone(), yard));
     let played = traffic(&rig, &clients).await;
     rig.ending.set(true);
-    let worked = work.await.and(rules.await);
+    let worked = work.await.and(rules.await).and(match play {
+        Some(play) => play.await,
+        None => Ok(()),
+    });
     let healed = match played.and(worked) {
         Ok(()) => heal(&rig, &clients).await,
         Err(e) => Err(e),
@@ -848,7 +887,7 @@
 /// Staff who work on boxes: order two of them, unplug what they are told is out, bring it back a while later. A box
 /// that staff have been told is out counts all new work that comes to it until they say that it is back.
 async fn work(rig: Rc<Rig>, office: Rc<Office>) -> io::Result<()> {
-    if !rig.options.work {
+    if !rig.options.work || !rig.options.steps.is_empty() {
         return Ok(());
     }
     let mut random = Pcg64Mcg::seed_from_u64(rig.options.seed ^ 0x0ff1ce);
@@ -1012,7 +1051,7 @@
     if rig.options.round == Some(Round::Hand) && !rig.options.work {
         return by_hand(rig).await;
     }
-    if !rig.options.rules {
+    if !rig.options.rules || !rig.options.steps.is_empty() {
         return Ok(());
     }
     let mut random = Pcg64Mcg::seed_from_u64(rig.options.seed ^ 0x001e_57a7);
