--- a/src/choice.rs
+++ b/src/choice.rs
@@ -57,9 +57,6 @@
 const OWN_HIT: f64 = 0.05;
 /// Clocks and the way to the client, taken off the age that a copy may have.
 const OWN_MARGIN: Micros = 150_000;
-/// Notes that speak against the source of a fill; the sorts of members.
-const SOURCE_FAULTS: [Option<Note>; 3] =
-    [Some(Note::SourceRefused), Some(Note::SourceUnreachable), Some(Note::OriginFailed)];
 const CACHES: usize = 0;
 const PARENTS: usize = 1;
 const ORIGIN: usize = 2;
@@ -83,8 +80,7 @@
 impl AgeingFilter {
     /// A filter whose generations hold so many ids, with an extra swap after so quiet a time.
     pub fn new(generation: usize, quiet: Micros) -> Self {
-        let generation = generation.max(1);
-        Self { generation, quiet, ..Self::default() }
+        Self { generation: generation.max(1), quiet, ..Self::default() }
     }
 
     /// Whether the id was seen lately; then notes it as seen.
@@ -268,7 +264,6 @@
             Event::Outcome(outcome) => self.outcome(now, outcome, out),
             Event::Streaming { id, .. } => self.close(id),
             Event::ClientGone { id } => {
-                // Nobody waits for what still runs.
                 let running = self.open.get(&id).map_or(&[][..], |open| &open.attempts);
                 let rest = running.iter().enumerate().filter(|(_, a)| !a.ended && self.settings.cancel);
                 out.extend(rest.map(|(n, _)| Action::Cancel { id, attempt: n as u32 }));
@@ -283,20 +278,16 @@
     }
 
     fn members(&mut self, now: Micros, kind: ListKind, members: Vec<Member>, out: &mut Vec<Action>) {
-        if self.settings.discovery == Discovery::OnRequest {
-            match kind {
-                ListKind::Cached => out.push(Action::Watch),
-                ListKind::Failed => {
-                    self.asks = (self.asks + 1).min(4);
-                    out.push(Action::Timer { delay: ASK_AGAIN << (self.asks - 1), token: ASK_TOKEN });
-                }
-                _ => self.asks = 0,
-            }
+        let asks = self.settings.discovery == Discovery::OnRequest;
+        if kind == ListKind::Failed {
+            self.asks = (self.asks + 1).min(4);
+            let again = Action::Timer { delay: ASK_AGAIN << (self.asks - 1), token: ASK_TOKEN };
+            return out.extend(asks.then_some(again));
         }
-        match kind {
-            ListKind::Failed => return,
-            ListKind::Delta => {}
-            _ => self.peers.values_mut().for_each(|p| p.entry.lifecycle = Lifecycle::Gone),
+        self.asks = 0;
+        out.extend((asks && kind == ListKind::Cached).then_some(Action::Watch));
+        if kind != ListKind::Delta {
+            self.peers.values_mut().for_each(|p| p.entry.lifecycle = Lifecycle::Gone);
         }
         let own = self.draw(u64::MAX);
         for entry in members {
@@ -545,12 +536,9 @@
     /// The paper's test: seen lately, then kept at the middle rank; else passed through. Others here have
     /// seen it with about the chance of their part: then it is kept on trial, at the lowest rank.
     fn keep(&mut self, now: Micros, key: u64, write: bool) -> Keep {
-        if write {
-            return Keep::Pass;
-        }
-        match self.filter.seen(now, key) {
+        match !write && self.filter.seen(now, key) {
             true => Keep::Middle,
-            false if self.draw(u64::from(self.sharers(Some(CACHES)))) > 0 => Keep::Low,
+            false if !write && self.draw(u64::from(self.sharers(Some(CACHES)))) > 0 => Keep::Low,
             false => Keep::Pass,
         }
     }
@@ -752,11 +740,8 @@
         let own = hit || ((told || attempt.source.is_none()) && o.note.is_none());
         if let Some(p) = self.peers.get_mut(&attempt.member).filter(|_| own) {
             // A lost answer is no late one: it counts only while answers come late as well.
-            let counts = match o.status {
-                Status::Timeout => late && p.pace.lateness > LATE_MANY / 2.0,
-                status => matches!(status, Status::Ok | Status::Full),
-            };
-            if counts {
+            let lost = o.status == Status::Timeout && late && p.pace.lateness > LATE_MANY / 2.0;
+            if lost || matches!(o.status, Status::Ok | Status::Full) {
                 p.pace.tell(now, p.open, late || o.status == Status::Full, many, stands_for);
             }
         }
@@ -797,8 +782,7 @@
     fn outcome(&mut self, now: Micros, o: Outcome, out: &mut Vec<Action>) {
         let Some(mut open) = self.open.remove(&o.id) else { return };
         let Some(attempt) = open.attempts.get_mut(o.attempt as usize).filter(|a| !a.ended) else {
-            self.open.insert(o.id, open);
-            return;
+            return drop(self.open.insert(o.id, open));
         };
         attempt.ended = true;
         let proven = [Status::Full, Status::ConnectFailed, Status::Moot, Status::Miss];
@@ -832,7 +816,8 @@
         // Where notes don't tell, a refusal or an error speaks against the source first, then the cache.
         let untold = self.settings.tells != Tells::All && matches!(o.status, Status::Full | Status::Error);
         let again = open.attempts.iter().filter(|a| a.member == o.member).count() > 1;
-        let source_fault = SOURCE_FAULTS.contains(&o.note);
+        let source_fault =
+            matches!(o.note, Some(Note::SourceRefused | Note::SourceUnreachable | Note::OriginFailed));
         match attempt.source {
             source if o.status == Status::Miss && (source.is_none() || attempt.held) => {
                 (open.look.missed, open.look.held_missed) = (true, open.look.held_missed || source.is_some());
