--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,8 +16,8 @@
 const FEW_OPEN: f64 = 4.0;
 /// Part of a cold member's budget that is used; the rest is for chance and for clocks that differ.
 const COLD_MARGIN: f64 = 0.7;
-/// Where that is less than one attempt: turns last so many windows, and have a part of the budget. All that have
-/// one may use it in one window, and all whose turn begins in it: 0.32 x (1 + 2) is less than the whole.
+/// Where that is less than one attempt: turns last so many windows, and have a part of the budget. All that
+/// have one may use it in one window, and all whose turn begins in it: 0.32 x (1 + 2) is less than the whole.
 const TURN: f64 = 2.0;
 const TURN_MARGIN: f64 = 0.32;
 const TURN_STEP: f64 = 1.1;
@@ -967,9 +967,9 @@
         let budget = COLD_MARGIN * multiple * part * warm * window;
         let from = now.saturating_sub(s.fall_window);
         let spent: f64 = p.sent.iter().filter(|(at, _)| *at >= from).map(|(_, w)| w).sum();
-        // A part below one attempt is taken in turns: each director's come at times of its own, as many as the
-        // growth allows, fewer for larger work; in steps, as a turn must not come anew with each estimate. Guards
-        // against directors that save turns up and all send at once. Harm: a turn unused is lost.
+        // A part below one attempt is taken in turns: each director's come at times of its own, as many as
+        // the growth allows, fewer for larger work; in steps, as a turn must not come anew with an estimate.
+        // Guards against directors that save turns up and all send at once. Harm: a turn unused is lost.
         let mean = (self.work.iter().sum::<f64>() / self.work.len().max(1) as f64).max(1e-9);
         let share = TURN_MARGIN * multiple * warm / mean;
         let (pace, first, part) = match share > 0.0 {
