Cold members: a turn only where no attempt fits the share, and after a window without one

At fault: the last line of `within_cold_budget`: near one attempt a window the share and a turn added up. Now a turn counts only where one attempt is over the share, and nothing was sent there within the window.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -983,7 +983,7 @@
         let used = p.sent.back().is_some_and(|(at, _)| now.saturating_sub(*at) as f64 / 1e6 <= since);
         let has_turn =
             since <= window * TURN && (turn as u64).is_multiple_of((work / mean).round().max(1.0) as u64);
-        spent + work <= budget || (has_turn && !used)
+        spent + work <= budget || (work > budget && spent == 0.0 && has_turn && !used)
     }
 
     /// Books what was sent, for the budget of a cold time, and among those out.
