--- /dev/null
+++ b/tests/sizes.rs
@@ -0,0 +1,158 @@
+//! Large requests get their share of answers: limits, second copies, cold budgets and refusals must not fall on them
+//! first. One director before members that serve so many transfers at a time, and sizes that vary widely.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use bitternhold::*;
+use common::*;
+
+const FLOW_KB: f64 = 5_000.0;
+/// A class of large objects and one of small ones, both with sizes from a hundredth of a second of sending on.
+const MEANS: [f64; 2] = [2_000.0, 300.0];
+
+struct Draw(u64);
+
+impl Draw {
+    fn unit(&mut self) -> f64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// For each class, size and whether it was answered, of every request of so many seconds at this load (1: all that the
+/// four caches' links bear), with or without a slow origin and a cold cache in the middle.
+fn play(load: f64, trouble: bool, seed: u64) -> [Vec<(f64, bool)>; 2] {
+    let classes = vec![class(), Class { deadline: 3 * S, aim: 300 * MS, ..class() }];
+    let base = Settings {
+        directors: 1,
+        zone_directors: vec![0, 1],
+        classes,
+        second_copies: true,
+        cancel: true,
+        ..settings()
+    };
+    let mut world = World::new(base);
+    let mut draw = Draw(seed);
+    // Transfers under way on each link: when they end.
+    let mut links: BTreeMap<u64, Vec<Micros>> = BTreeMap::new();
+    let mut due: BTreeMap<(Micros, u64), Event> = BTreeMap::new();
+    let (mut served, mut asked) = (BTreeMap::new(), Vec::<(u128, usize, f64)>::new());
+    let mut attempts: BTreeMap<u128, u32> = BTreeMap::new();
+    let (mut next, mut order) = (0u128, 0u64);
+    let end = world.now + 40 * S;
+    let start = world.now;
+    let mut arrival = world.now;
+    while world.now < end + 6 * S {
+        world.now += 5 * MS;
+        let now = world.now;
+        let mut events = Vec::new();
+        while let Some(entry) = due.first_entry().filter(|e| e.key().0 <= now) {
+            events.push(entry.remove());
+        }
+        let slow = trouble && (start + 10 * S..start + 20 * S).contains(&now);
+        if trouble && now.saturating_sub(start + 20 * S) < 5 * MS {
+            events.push(Event::Members {
+                kind: ListKind::Delta,
+                members: vec![Member { started: now, ..member(2, CACHE) }],
+            });
+        }
+        while arrival < now && now < end {
+            let class = usize::from(draw.unit() < 0.5);
+            // 40 transfers at a time in all; a request takes its size over the flow.
+            let mean = (MEANS[0] + MEANS[1]) / 2.0 / FLOW_KB;
+            arrival += (-draw.unit().max(1e-9).ln() * mean / (40.0 * load) * 1e6) as Micros + 1;
+            next += 1;
+            let kb = 50.0 - MEANS[class] * draw.unit().max(1e-9).ln();
+            asked.push((next, class, kb));
+            let wait = [5, 3][class] * S;
+            let object = format!("o{}", (draw.unit() * draw.unit() * 3_000.0) as u64);
+            events.push(Event::Request(Request {
+                class,
+                size_kb: Some(kb),
+                valid_until: now + wait,
+                ..request(next, &object, now)
+            }));
+        }
+        for event in events {
+            if let Event::Outcome(o) = &event
+                && o.closed
+                && served.insert(o.id.0, true).is_some()
+            {
+                continue;
+            }
+            for action in world.tell(event) {
+                order += 1;
+                match action {
+                    Action::Fetch { id, member, source, until, .. } => {
+                        let number = attempts.entry(id.0).or_default();
+                        let kb = asked[id.0 as usize - 1].2;
+                        let mut all = vec![member.0];
+                        // A third is not there and is filled; a slow origin takes two seconds more.
+                        let fill = source != member && draw.unit() < 0.33;
+                        if fill {
+                            all.push(source.0);
+                        }
+                        let mut took = (kb / FLOW_KB * 1e6) as Micros;
+                        for link in all {
+                            let busy = links.entry(link).or_default();
+                            busy.retain(|at| *at > now);
+                            // Past ten at a time a link is shared.
+                            took = took.max((took as f64 * (busy.len() as f64 + 1.0) / 10.0) as Micros);
+                            busy.push(now + took);
+                        }
+                        took += if fill && slow { 2 * S } else { 10 * MS };
+                        let (at, status) = if now + took < until {
+                            (now + took, Status::Ok)
+                        } else {
+                            (until, Status::Timeout)
+                        };
+                        let note = (status == Status::Ok).then_some(if fill {
+                            Note::FilledByOrigin
+                        } else {
+                            Note::Hit
+                        });
+                        let o = Outcome { note, elapsed: at - now, ..outcome(id.0, *number, member, status) };
+                        *number += 1;
+                        due.insert((at, order), Event::Outcome(o));
+                    }
+                    Action::Timer { delay, token } => {
+                        drop(due.insert((now + delay, order), Event::Timer { token }))
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    let mut out = [Vec::new(), Vec::new()];
+    for (id, class, kb) in asked {
+        out[class].push((kb, served.contains_key(&id)));
+    }
+    out
+}
+
+fn share(requests: &[(f64, bool)]) -> f64 {
+    requests.iter().filter(|(_, answered)| *answered).count() as f64 / requests.len() as f64
+}
+
+#[test]
+fn the_largest_requests_get_their_share_of_answers() {
+    for (load, trouble, least) in [(0.4, false, 2.0 / 3.0), (0.7, true, 0.5), (0.95, true, 0.5)] {
+        for seed in 1..=3 {
+            for (class, mut requests) in play(load, trouble, seed).into_iter().enumerate() {
+                requests.sort_by(|a, b| b.0.total_cmp(&a.0));
+                let tenth = requests.len() / if requests.len() < 400 { 4 } else { 10 };
+                let (all, largest, next) =
+                    (share(&requests), share(&requests[..tenth]), share(&requests[tenth..3 * tenth]));
+                let told = format!(
+                    "load {load} class {class} seed {seed}: {all:.2} of {}, {largest:.2}, {next:.2}",
+                    requests.len()
+                );
+                assert!(all > 0.2, "{told}");
+                assert!(largest >= least * all && next >= least * all, "{told}");
+                println!("{told}");
+            }
+        }
+    }
+}
