--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -195,12 +195,12 @@
             Ok(End::Closing) => stream.get_ref().shutdown(Shutdown::Write).is_ok(),
             Ok(End::Left) => false,
             Err(e) if e.kind() == ErrorKind::InvalidData => {
-                tracing::warn!(client = self.id, "{e}; closed");
+                tracing::warn!(target: "silverspindle::front", client = self.id, "{e}; closed");
                 // Answers that it was given before stay readable.
                 stream.get_ref().shutdown(Shutdown::Write).is_ok()
             }
             Err(e) => {
-                tracing::debug!(client = self.id, "{e}");
+                tracing::debug!(target: "silverspindle::front", client = self.id, "{e}");
                 false
             }
         };
