An attempt never written on a connection may go there; late bookings at a cold member have a test

Cause: found while writing the missing test: what the check turned away as a slow connection came up was decided anew and, as its id was noted for that connection, dialled another, just as slow. At fault: `Order::Unwritten` in upstream.rs kept the note. The test fails without the time for cold bookings (seen); with more than one try it goes on the same connection.

--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -199,6 +199,8 @@
             }
             Order::Answer(line, frame) => self.answer(line, frame).await,
             Order::Unwritten(line, attempt) => {
+                // Its id never stood there: where it is sent anew, this connection, up by now, is the one to take.
+                attempt.call.lines.borrow_mut().retain(|stood| *stood != (self.id, line));
                 let own = |s: &Stream| matches!(s, Stream::Attempt(a, _) if a.ticket == attempt.ticket);
                 if let Some(line) = self.lines.get_mut(&line) {
                     line.streams.retain(|_, stream| !own(stream));
--- a/silverspindle/tests/crossing_peers.rs
+++ b/silverspindle/tests/crossing_peers.rs
@@ -160,6 +160,39 @@
     });
 }
 
+/// What is booked on a cold member is written soon or decided anew: its connection came up late, when others' bookings
+/// may have taken the member's budget. With one try it is refused then; with more it goes on that same connection.
+#[test]
+fn what_was_booked_on_a_cold_member_is_not_written_late() {
+    for tries in [1, 8] {
+        run(async |tasks| {
+            let (gate, (_coordinator, address)) = (Gate::closed(), listen());
+            let mut cold = entry(1, "box", gate.address);
+            cold["up_since_ms"] = (clock::now() / 1000).into();
+            let mut file = configuration(&[cold, entry(99, "origin", address)], address);
+            file["settings"]["rules"]["cold_from"] = json!(0.5);
+            file["settings"]["rules"]["fall_multiple"] = json!(1000.0);
+            file["settings"]["limits"]["connect_timeout_ms"] = json!(20_000.0);
+            file["settings"]["limits"]["second_copies"] = false.into();
+            file["settings"]["limits"]["try_limit"] = tries.into();
+            let router =
+                silverspindle::serve::Router::start(config(&file).unwrap(), Default::default(), tasks)
+                    .unwrap();
+            let client = Client::connect(tasks, router.address).await;
+            client.send(&serve(1, &page(RID), b"")).await;
+            Timer::after(Duration::from_millis(300)).await;
+            let line = gate.open().await;
+            match tries {
+                1 => {
+                    assert!(advice(&client.next().await.unwrap(), 1).is_some());
+                    assert!(reads_nothing(&line).await);
+                }
+                _ => assert!(!reads_nothing(&line).await),
+            }
+        });
+    }
+}
+
 /// A connection that was on its way to an address takes nothing to it once the member listens elsewhere.
 #[test]
 fn an_attempt_follows_its_member_to_a_new_address() {
