--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -314,6 +314,11 @@
         let now = clock::now();
         let idle = self.idle_until(begun).is_some_and(|until| until <= now);
         let half = begun.is_some_and(|begun| now < begun + HALF);
+        // Half a message for so long ends the connection with all that is open on it: who sends it is broken, and the
+        // time that has passed would be over at every further look.
+        if begun.is_some_and(|begun| now >= begun + SILENT) {
+            return true;
+        }
         let front = &self.front;
         let room = front.wanted.replace(front.wanted.get().filter(|id| *id != self.id)) == Some(self.id);
         let asked = room || front.drain.borrow().close(now, self.seen());
--- a/silverspindle/tests/crossing_clients.rs
+++ b/silverspindle/tests/crossing_clients.rs
@@ -106,6 +106,27 @@
     });
 }
 
+/// Half a message behind an open request ends the connection after a while, as it does without one; meanwhile and after
+/// it others are served: a time that is over must not be waited for again and again.
+#[test]
+fn half_a_message_behind_an_open_request_ends_its_connection_alone() {
+    run(async |tasks| {
+        let (world, drain) = (World::new(tasks, 9), drain());
+        let (_front, address) = world.front(tasks, &drain).await;
+        let half = Client::connect(tasks, address).await;
+        half.send(&serve(1, &page(RID), b"")).await;
+        let (open, ..) = world.request().await;
+        half.send(&serve(2, &page(OTHER), b"")[..40]).await;
+        assert_eq!(half.next().await, None);
+        assert!(open.is_gone());
+        let other = Client::connect(tasks, address).await;
+        other.send(&serve(1, &page(THIRD), b"")).await;
+        let (port, seq, _) = world.request().await;
+        port.answer(seq, Verdict::Failed);
+        assert_eq!(other.next().await.unwrap(), thrift::broken(1));
+    });
+}
+
 /// A client that never closes its side holds a closed connection for a bounded time only.
 #[test]
 fn a_closed_connection_does_not_wait_for_its_client_for_ever() {
