--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -566,7 +566,8 @@
         let window = class.filter(|c| c.effect == Effect::Deduplicated).map(|c| c.window);
         let first = open.ran.iter().map(|(_, at)| *at).min();
         let repeat_by = window.zip(first).map(|(window, first)| first.saturating_add(window));
-        let cold_by = cold.then(|| now + self.settings.fall_window / COLD_WAIT);
+        let window = self.settings.fall_window;
+        let cold_by = (cold && window > 0).then(|| now + window / COLD_WAIT);
         let write_by = [repeat_by, cold_by].into_iter().flatten().fold(until, Micros::min);
         self.next += 1;
         let ticket = self.next;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -954,7 +954,7 @@
     /// Whether one more keeps this director's part of what a cold member bears in a window.
     fn within_cold_budget(&self, now: Micros, p: &Peer, work: f64) -> bool {
         let part = self.ramp(now, &p.entry);
-        if part >= 1.0 {
+        if part >= 1.0 || self.settings.fall_window == 0 {
             return true;
         }
         let (s, sort) = (&self.settings, self.sort(&p.entry));
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -195,3 +195,13 @@
         }
     }
 }
+
+/// Where the settings name no time in which a cold member falls over, it has no budget, and is not shut out either.
+#[test]
+fn without_a_window_a_cold_member_is_used() {
+    let members = fleet().into_iter().map(|m| Member { started: START - 1, ..m }).collect();
+    let mut world = World::with(Settings { fall_window: 0, ..settings() }, members);
+    for id in 1..=50 {
+        world.serve(id, &format!("o{id}"));
+    }
+}
