Shares by size under overload: the failing case is back, as a known red test

Cause: I had taken the case at 1.2 times what the links bear out of tests/sizes.rs after it failed. It stands again with the same bounds and seeds, as a test of its own, and is listed in KNOWN-RED.txt. Whether time-outs at the links or refusals are to blame was not traced.

--- a/tests/sizes.rs
+++ b/tests/sizes.rs
@@ -136,23 +136,34 @@
     requests.iter().filter(|(_, answered)| *answered).count() as f64 / requests.len() as f64
 }
 
-#[test]
-fn the_largest_requests_get_their_share_of_answers() {
-    for (load, trouble, least) in [(0.4, false, 2.0 / 3.0), (0.7, true, 0.5), (0.95, true, 0.5)] {
-        for seed in 1..=3 {
-            for (class, mut requests) in play(load, trouble, seed).into_iter().enumerate() {
-                requests.sort_by(|a, b| b.0.total_cmp(&a.0));
-                let tenth = requests.len() / if requests.len() < 400 { 4 } else { 10 };
-                let (all, largest, next) =
-                    (share(&requests), share(&requests[..tenth]), share(&requests[tenth..3 * tenth]));
-                let told = format!(
-                    "load {load} class {class} seed {seed}: {all:.2} of {}, {largest:.2}, {next:.2}",
-                    requests.len()
-                );
-                assert!(all > 0.2, "{told}");
-                assert!(largest >= least * all && next >= least * all, "{told}");
-                println!("{told}");
-            }
+/// Holds the largest tenth (quarter) and the next fifth of each class to this part of the class's answered share.
+fn hold(load: f64, trouble: bool, least: f64) {
+    for seed in 1..=3 {
+        for (class, mut requests) in play(load, trouble, seed).into_iter().enumerate() {
+            requests.sort_by(|a, b| b.0.total_cmp(&a.0));
+            let tenth = requests.len() / if requests.len() < 400 { 4 } else { 10 };
+            let (all, largest, next) =
+                (share(&requests), share(&requests[..tenth]), share(&requests[tenth..3 * tenth]));
+            let told = format!(
+                "load {load} class {class} seed {seed}: {all:.2} of {}, {largest:.2}, {next:.2}",
+                requests.len()
+            );
+            println!("{told}");
+            assert!(all > 0.2, "{told}");
+            assert!(largest >= least * all && next >= least * all, "{told}");
         }
     }
 }
+
+#[test]
+fn the_largest_requests_get_their_share_of_answers() {
+    hold(0.4, false, 2.0 / 3.0);
+    hold(0.7, true, 0.5);
+    hold(0.95, true, 0.5);
+}
+
+/// More is asked than the links bear. Known red: see KNOWN-RED.txt.
+#[test]
+fn the_largest_requests_get_their_share_under_overload() {
+    hold(1.2, true, 0.5);
+}
