--- a/agreement/src/fence.rs
+++ b/agreement/src/fence.rs
@@ -69,18 +69,20 @@
         self.shared.stopped.get()
     }
 
-    pub(crate) fn applied(&self, number: u64, digest: u64) {
+    /// What was applied last, and the digest of all up to it.
+    pub fn applied(&self, number: u64, digest: u64) {
         self.shared.applied.set((number, digest));
     }
 
     /// A later asking counts; an older one that came late does not.
-    pub(crate) fn confirm(&self, confirmation: Confirmation) {
+    pub fn confirm(&self, confirmation: Confirmation) {
         if self.shared.latest.get().is_none_or(|c| c.asked < confirmation.asked) {
             self.shared.latest.set(Some(confirmation));
         }
     }
 
-    pub(crate) fn stop(&self) {
+    /// Nothing is acted on from now on.
+    pub fn stop(&self) {
         self.shared.stopped.set(true);
     }
 }
