Relay: the nodes of the purge log, with leases, watermark, resets and choice of parents

Sources, relays and routers work as docs/relay.md says: batches of nine bytes a purge, one coded batch for all children that are as far, leases from answered reports, a watermark added up at batch ticks, resets for who is too far behind, second choice and way back, following the coordinator where no parent answers.

Design mended: the safe reading's limit is relay-direct, not the lease. A silent router counts as done when its lease ends; with a limit of the lease it could then still serve what was purged just before that, after a source had called the purge everywhere. The age of a confirmation is counted to the report's coming, so that an answer may wait for the batch tick without growing old.

Interface: Update.batch is Coded (shared bytes) in place of a vector; additive: Node::feed, feed_guard, starting_at, and Feed, FeedGuard, Mode, ANY_COPY. A source is told Apply for what is appended and answers with Applied, as all others.

--- a/relay/src/frame.rs
+++ b/relay/src/frame.rs
@@ -1,6 +1,8 @@
 //! What nodes say to each other, as bodies of the exchange's pieces.
 
 use std::fmt;
+use std::ops::Deref;
+use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 
@@ -48,23 +50,53 @@
     pub summary: Summary,
 }
 
+/// Coded bytes that many frames share: a batch is coded once for all children that are as far.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Coded(Rc<[u8]>);
+
+impl From<Vec<u8>> for Coded {
+    fn from(bytes: Vec<u8>) -> Self {
+        Self(bytes.into())
+    }
+}
+
+impl Deref for Coded {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl Serialize for Coded {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Coded {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        <&[u8]>::deserialize(deserializer).map(|bytes| Self(bytes.into()))
+    }
+}
+
 /// Records and a confirmation.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
     /// A coded [`crate::Batch`]; empty: none.
-    pub batch: Vec<u8>,
+    pub batch: Coded,
     /// The answer to a report.
     pub confirm: Option<Confirm>,
 }
 
-/// "`number` was the latest, `age` before this answer": counted back from the child's own asking.
+/// "`number` was the latest, `age` before your report came": so the child counts it back from its own asking.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Confirm {
     /// Which report it answers.
     pub question: u64,
     /// The latest number then.
     pub number: u64,
-    /// How old the parent's own word was.
+    /// How old the parent's own word was when that report came: counted back from the child's own asking.
     pub age: Micros,
 }
 
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -12,15 +12,23 @@
 //!   missing, at a cost that does not grow with the fleet: each relay adds up its children ([`watermark`]). Who is
 //!   dead or cut off stops counting only once its lease has certainly run out.
 
+mod arrivals;
 pub mod batch;
+mod children;
+pub mod feed;
 pub mod frame;
+mod leases;
+mod list;
 pub mod log;
 pub mod node;
+mod parent;
+mod questions;
 pub mod watermark;
 
 pub use batch::Batch;
-pub use frame::{Confirm, Fault, Frame, Report, Subscribe, Update};
-pub use log::{Entry, Log, Record, Reset};
+pub use feed::{Feed, FeedGuard, Mode};
+pub use frame::{Coded, Confirm, Fault, Frame, Report, Subscribe, Update};
+pub use log::{ANY_COPY, Entry, Log, Record, Reset};
 pub use node::{Action, ChildId, Event, Guards, Node, ParentId, Role, Settings};
 pub use silverspindle_agreement::Fence;
 pub use silverspindle_wire::feed::Purged;
@@ -48,6 +56,10 @@
     pub const BATCH: usize = 64 * 1024;
     /// Bytes of one list event: the coordinator's largest.
     pub const LIST: usize = 256 * 1024;
+    /// Bytes of the records that a node keeps for children that come back.
+    pub const LOG: usize = 64 << 20;
+    /// Live leases of a node for each child that it takes: moves and restarts leave some to run out.
+    pub const LEASES_PER_CHILD: usize = 4;
     /// Bytes of a name.
     pub const NAME: usize = 63;
     /// Slowest routers that a report names.
