Operators' file: keys of the relays, with what they need of each other

Need: purges and list events over relays take a role, parents, sources, a lease and bounds from the file, checked before a start. Change: relay-role, relay-parent, relay-source, relay-within, relay-direct, relay-batch, relay-report, relay-children, relay-records and relay-records-file; all need a restart. Off without relay-role.

--- a/conf/src/keys.rs
+++ b/conf/src/keys.rs
@@ -80,7 +80,7 @@
 }
 
 /// Parts of the file, with the directives of each.
-pub const PARTS: [(&str, &[Key]); 6] = [
+pub const PARTS: [(&str, &[Key]); 7] = [
     (
         "Exchange of knowledge between routers, on TCP with mutual TLS 1.3. A router gives when 'exchange-listen' is\n\
          set and asks when there are donors; both need the three files that 'silverspindle keys' makes.",
@@ -214,6 +214,96 @@
             },
         ],
     ),
+    (
+        "Purges and list events over relays in place of the coordinator's own feed to each router. On where 'relay-role' is\n\
+         given; needs the three files of the exchange, and at a source or relay 'exchange-listen'.",
+        &[
+            Key {
+                restart: true,
+                ..key(
+                    "relay-role",
+                    Kind::Choice(&["source", "relay", "router"]),
+                    "A source follows the coordinator, a relay passes on what a parent tells, a router has a parent alone.",
+                )
+                .like("relay")
+            },
+            Key {
+                repeats: true,
+                restart: true,
+                ..key(
+                    "relay-parent",
+                    Kind::Peer,
+                    "A source or relay to take the log from: the name in its certificate, and its exchange-listen; the preferred one first.",
+                )
+                .like("r1 127.0.0.1:7465")
+            },
+            Key {
+                repeats: true,
+                restart: true,
+                ..key(
+                    "relay-source",
+                    Kind::Peer,
+                    "For staff: whom 'fleet purge status' asks. All sources, as each knows its own tree alone.",
+                )
+                .like("s1 127.0.0.1:7465")
+            },
+            Key {
+                restart: true,
+                ..key(
+                    "relay-within",
+                    Kind::Duration(5 * SECOND / 2, HOUR / 60),
+                    "The lease: who has heard nothing for so long serves no copy that is older; the same at every router.",
+                )
+                .or("5s")
+            },
+            Key {
+                restart: true,
+                ..key(
+                    "relay-direct",
+                    Kind::Duration(2 * SECOND, HOUR / 60),
+                    "The same for a router that reaches no parent and follows the coordinator; shorter than relay-within.",
+                )
+                .or("3s")
+            },
+            Key {
+                restart: true,
+                ..key("relay-batch", Kind::Duration(SECOND / 20, 2 * SECOND), "Records are passed on at most so often.")
+                    .or("500ms")
+            },
+            Key {
+                restart: true,
+                ..key(
+                    "relay-report",
+                    Kind::Duration(SECOND / 10, HOUR / 240),
+                    "A parent is told so often what is applied; a quarter of relay-within at most.",
+                )
+                .or("1s")
+            },
+            Key {
+                restart: true,
+                ..key(
+                    "relay-children",
+                    Kind::Count(1, 8192),
+                    "Connections that a source or relay takes, a descriptor each; a router takes none. 700 is 5,600 routers over eight of ten machines.",
+                )
+                .or("700")
+            },
+            Key {
+                restart: true,
+                ..key(
+                    "relay-records",
+                    Kind::Count(1000, 1 << 20),
+                    "Records kept for who comes back, who else gets what they come to; 65,536 are ten minutes at 110 a second.",
+                )
+                .or("65536")
+            },
+            Key {
+                restart: true,
+                ..key("relay-records-file", Kind::Path, "Writes what it applied and acted on, a JSON line each, for a later check.")
+                    .like("/var/log/silverspindle/relay.json")
+            },
+        ],
+    ),
     (
         "How fast another router's word loses weight: after so long it counts half.",
         &[
--- a/conf/src/settings.rs
+++ b/conf/src/settings.rs
@@ -17,6 +17,10 @@
     pub snapshot: Option<Snapshot>,
     /// What the routers agree on; none: off.
     pub agreement: Option<Agreement>,
+    /// Purges and list events over relays; none: off.
+    pub relay: Option<Relay>,
+    /// For staff: the sources, and the files to ask them with; none: no source is named.
+    pub sources: Option<Sources>,
     /// How fast another's word loses weight.
     pub half_lives: HalfLives,
     given: Given,
@@ -104,6 +108,51 @@
     pub lines: BTreeMap<&'static str, usize>,
 }
 
+/// What a router is in the tree over which purges and list events come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayRole {
+    /// It follows the coordinator and passes its events on.
+    Source,
+    /// It has a parent and passes the log on.
+    Relay,
+    /// It has a parent.
+    Router,
+}
+
+/// Purges and list events over relays.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Relay {
+    /// What this router is.
+    pub role: RelayRole,
+    /// PEM files, the exchange's.
+    pub files: Files,
+    /// Parents by the names in their certificates, the preferred one first.
+    pub parents: Vec<(String, SocketAddr)>,
+    /// The lease.
+    pub within: Micros,
+    /// The lease of a router that follows the coordinator itself.
+    pub direct: Micros,
+    /// Records are passed on at most so often.
+    pub batch: Micros,
+    /// A parent is told so often.
+    pub report: Micros,
+    /// Children that it takes; 0 at a router.
+    pub children: usize,
+    /// Records that it keeps.
+    pub records: usize,
+    /// Where its acts are written.
+    pub records_file: Option<PathBuf>,
+}
+
+/// Whom staff ask how far a purge has come.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sources {
+    /// All sources, by the names in their certificates.
+    pub sources: Vec<(String, SocketAddr)>,
+    /// PEM files, the exchange's.
+    pub files: Files,
+}
+
 /// Taking machines out for work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Work {
@@ -146,6 +195,7 @@
         peers
     };
     let (donors, electors) = (peers("donor"), peers("agree-elector"));
+    let (parents, sources) = (peers("relay-parent"), peers("relay-source"));
     let needs = one("exchange-listen").or(one("donor"));
     let agrees = one("agree-elector");
     if let Some((line, _)) = agrees.filter(|_| ![1, 3, 5].contains(&electors.len())) {
@@ -172,7 +222,15 @@
         faults.push(Fault { line: *line, key: "work-out".to_owned(), problem });
     }
     let files = ["exchange-authority", "exchange-certificate", "exchange-key"];
-    if let Some((line, _)) = needs.or(agrees) {
+    let relays = one("relay-role");
+    let role = relays.and_then(|(_, value)| match value {
+        Value::Name(name) if name == "source" => Some(RelayRole::Source),
+        Value::Name(name) if name == "relay" => Some(RelayRole::Relay),
+        Value::Name(_) => Some(RelayRole::Router),
+        _ => None,
+    });
+    relay_faults(given, role, &number, faults);
+    if let Some((line, _)) = needs.or(agrees).or(relays).or(one("relay-source")) {
         for missing in files.iter().filter(|name| path(name).is_none()) {
             let problem = format!("is missing: the exchange on line {line} needs it");
             faults.push(Fault { line: *line, key: (*missing).to_owned(), problem });
@@ -207,13 +265,26 @@
         }),
         exchange: needs.map(|_| Exchange {
             listen: address("exchange-listen"),
-            files,
+            files: files.clone(),
             donors,
             at_once: number("donors-at-once") as usize,
             ask_for: number("ask-for"),
             give_rate: number("give-rate"),
             newcomers: number("give-newcomers") as usize,
         }),
+        relay: role.map(|role| Relay {
+            role,
+            files: files.clone(),
+            parents,
+            within: number("relay-within"),
+            direct: number("relay-direct"),
+            batch: number("relay-batch"),
+            report: number("relay-report"),
+            children: if role == RelayRole::Router { 0 } else { number("relay-children") as usize },
+            records: number("relay-records") as usize,
+            records_file: path("relay-records-file"),
+        }),
+        sources: (!sources.is_empty()).then(|| Sources { sources, files: files.clone() }),
         snapshot: path("snapshot-directory").map(|directory| Snapshot {
             directory,
             every: number("snapshot-every"),
@@ -224,6 +295,56 @@
     }
 }
 
+/// What the directives of the relays must be together.
+fn relay_faults(
+    given: &Given,
+    role: Option<RelayRole>,
+    number: &impl Fn(&str) -> u64,
+    faults: &mut Vec<Fault>,
+) {
+    let line = |key: &str| given.get(key).and_then(|all| all.first()).map(|(line, _)| *line);
+    let mut fault = |line: usize, key: &str, problem: &str| {
+        faults.push(Fault { line, key: key.to_owned(), problem: problem.to_owned() });
+    };
+    let Some((role, at)) = role.zip(line("relay-role")) else {
+        // Staff's own file names the sources and nothing else; what has a default stands in every file that is shown.
+        for (key, line) in ["relay-parent", "relay-records-file"].map(|key| (key, line(key))) {
+            if let Some(line) = line {
+                fault(line, key, "needs relay-role: this router takes no part without");
+            }
+        }
+        return;
+    };
+    match (role, line("relay-parent")) {
+        (RelayRole::Source, Some(line)) => {
+            fault(line, "relay-parent", "a source has none: its records come from the coordinator");
+        }
+        (RelayRole::Relay | RelayRole::Router, None) => {
+            fault(
+                at,
+                "relay-role",
+                "needs relay-parent lines: a relay or router takes the log from a parent",
+            );
+        }
+        _ => {}
+    }
+    if role != RelayRole::Router && line("exchange-listen").is_none() {
+        fault(at, "relay-role", "needs exchange-listen: others take the log from a source or relay there");
+    }
+    let [within, direct, report] = ["relay-within", "relay-direct", "relay-report"].map(number);
+    // A duration out of its bounds has its fault already; its default is no reason for another.
+    let line_of = |keys: [&str; 2]| keys.into_iter().filter_map(line).max().unwrap_or(at);
+    if direct >= within {
+        let problem =
+            "must be shorter than relay-within: nobody counts a router that follows the coordinator";
+        fault(line_of(["relay-direct", "relay-within"]), "relay-direct", problem);
+    }
+    if report > within / 4 {
+        let problem = "must be a quarter of relay-within at most: its age adds up from parent to child";
+        fault(line_of(["relay-report", "relay-within"]), "relay-report", problem);
+    }
+}
+
 impl Conf {
     /// The file in effect, defaults filled in; read back it comes to the same settings.
     pub fn show(&self) -> String {
--- a/conf/tests/conf.rs
+++ b/conf/tests/conf.rs
@@ -45,11 +45,65 @@
     assert_eq!(faults("agree-within 100ms\n"), ["1: agree-within: must lie between 500ms and 1m"]);
 }
 
+/// Guards against a tree in which nobody has the log, or in which a lease ends before its answers come.
+#[test]
+fn a_role_among_relays_needs_what_carries_it() {
+    let files = "exchange-authority a\nexchange-certificate c\nexchange-key k\n";
+    let read_with = |more: &str| read(&format!("{files}{more}"));
+    let found = |more: &str| {
+        let all = read_with(more).unwrap_err();
+        all.iter().map(|fault| format!("{} {}", fault.line, fault.key)).collect::<Vec<_>>()
+    };
+    let router =
+        read_with("relay-role router\nrelay-parent r1 127.0.0.1:1\nrelay-parent r2 127.0.0.1:2\n").unwrap();
+    assert_eq!((router.exchange, router.sources), (None, None));
+    let relay = router.relay.unwrap();
+    assert_eq!((relay.role, relay.children, relay.records), (RelayRole::Router, 0, 65_536));
+    assert_eq!((relay.within, relay.direct), (5_000_000, 3_000_000));
+    assert_eq!((relay.batch, relay.report), (500_000, 1_000_000));
+    let names: Vec<&str> = relay.parents.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(names, ["r1", "r2"], "in the order of preference");
+    let source = read_with("exchange-listen 127.0.0.1:7\nrelay-role source\nrelay-children 8192\n").unwrap();
+    assert_eq!(source.relay.unwrap().children, 8192);
+
+    assert_eq!(found("relay-role router\n"), ["4 relay-role"], "without a parent");
+    assert_eq!(
+        found("relay-role relay\nrelay-parent r1 127.0.0.1:1\n"),
+        ["4 relay-role"],
+        "without a listener"
+    );
+    assert_eq!(found("relay-role source\n"), ["4 relay-role"], "without a listener");
+    let listens = "exchange-listen 127.0.0.1:7\nrelay-role source\n";
+    assert_eq!(found(&format!("{listens}relay-parent r1 127.0.0.1:1\n")), ["6 relay-parent"]);
+    assert_eq!(found(&format!("{listens}relay-direct 5s\n")), ["6 relay-direct"]);
+    assert_eq!(found(&format!("{listens}relay-within 3s\n")), ["6 relay-direct", "6 relay-report"]);
+    assert_eq!(found(&format!("{listens}relay-report 1300ms\n")), ["6 relay-report"]);
+    assert_eq!(found(&format!("{listens}relay-children 8193\n")), ["6 relay-children"]);
+    assert_eq!(found(&format!("{listens}relay-direct 1900ms\n")), ["6 relay-direct"]);
+    let routes = "relay-role router\nrelay-parent r1 127.0.0.1:1\n";
+    assert_eq!(found(&format!("{routes}relay-parent r1 127.0.0.1:2\n")), ["6 relay-parent"], "twice");
+    assert_eq!(
+        found("relay-parent r1 127.0.0.1:1\nrelay-records-file /r\n"),
+        ["4 relay-parent", "5 relay-records-file"]
+    );
+    assert_eq!(faults("relay-role router\nrelay-parent r1 127.0.0.1:1\n").len(), 3, "the three files");
+    assert_eq!(faults("relay-role boss\n"), ["1: relay-role: \"boss\" is none of source, relay, router"]);
+}
+
+/// Staff's own file takes no part: it names whom to ask.
+#[test]
+fn staff_name_the_sources_alone() {
+    let files = "exchange-authority a\nexchange-certificate c\nexchange-key k\n";
+    let conf = read(&format!("{files}relay-source s1 127.0.0.1:1\nrelay-source s2 127.0.0.1:2\n")).unwrap();
+    assert_eq!((conf.sources.unwrap().sources.len(), conf.relay), (2, None));
+}
+
 #[test]
 fn an_empty_file_turns_nothing_on() {
     for text in ["", "\n\n# a remark\n   \t# another\n"] {
         let conf = read(text).unwrap();
         assert_eq!((&conf.exchange, &conf.snapshot), (&None, &None));
+        assert_eq!((&conf.relay, &conf.sources), (&None, &None));
         assert_eq!(conf, Conf::default());
     }
 }
