--- a/agreement/src/lib.rs
+++ b/agreement/src/lib.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod forming;
 mod node;
+mod pieces;
 mod wire;
 
 pub use decision::{Change, LEAST_LEASE, Proposal, ProposalId, Refusal, Seat, Verdict, bounds};
@@ -19,7 +20,8 @@
 pub use fence::{Confirmation, Fence};
 pub use fleet::{Elector, Fleet, Member, Note};
 pub use node::{Action, Applied, Event, Guards, Node, Reply, Role, Status, Terms};
-pub use wire::{Assembler, Frame, MOST_FRAME, Malformed, PIECE, pieces};
+pub use pieces::{MOST_FRAME, Malformed, PIECE, Pieces, pieces};
+pub use wire::{Assembler, Frame};
 
 /// Microseconds.
 pub type Micros = u64;
--- a/agreement/src/wire.rs
+++ b/agreement/src/wire.rs
@@ -1,20 +1,14 @@
 //! What routers say to each other about decisions, as bodies of the exchange's frames.
 
-use std::fmt;
-
 use raft::eraftpb as pb;
 use serde::{Deserialize, Serialize};
 
 use crate::Micros;
-use crate::decision::{Proposal, ProposalId, Verdict, bounds};
+use crate::decision::{Proposal, ProposalId, Verdict};
 use crate::disk::{self, Entry, Snapshot};
 use crate::fleet::Fleet;
 use crate::node::Status;
-
-/// The longest frame, whole.
-pub const MOST_FRAME: usize = bounds::FRAME;
-/// A frame goes in pieces of so many bytes.
-pub const PIECE: usize = 48 * 1024;
+use crate::pieces::Pieces;
 
 /// No term and no number comes to this in any router's life; Raft counts on from what it is told.
 const FAR: u64 = 1 << 48;
@@ -225,56 +219,5 @@
     }
 }
 
-/// Why a peer's bytes are no frame.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Malformed {
-    /// More bytes than any frame has.
-    TooLong,
-    /// It can't be read.
-    Body,
-}
-
-impl fmt::Display for Malformed {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            Malformed::TooLong => write!(f, "a frame longer than {MOST_FRAME} bytes"),
-            Malformed::Body => f.write_str("a frame that can't be read"),
-        }
-    }
-}
-
-/// Spells a frame in pieces, each with a first byte that is 1 in the last one.
-pub fn pieces(frame: &Frame) -> Vec<Vec<u8>> {
-    let bytes = postcard::to_stdvec(frame).unwrap_or_default();
-    let count = bytes.len().div_ceil(PIECE).max(1);
-    let mut chunks = bytes.chunks(PIECE);
-    let piece = |n: usize, chunk: &[u8]| [&[u8::from(n + 1 == count)], chunk].concat();
-    (0..count).map(|n| piece(n, chunks.next().unwrap_or_default())).collect()
-}
-
-/// Puts pieces together again.
-#[derive(Debug, Default)]
-pub struct Assembler {
-    bytes: Vec<u8>,
-}
-
-impl Assembler {
-    /// Takes a piece; a frame where it was the last.
-    pub fn piece(&mut self, piece: &[u8]) -> Result<Option<Frame>, Malformed> {
-        let (last, bytes) = piece.split_first().ok_or(Malformed::Body)?;
-        if self.bytes.len() + bytes.len() > MOST_FRAME {
-            return Err(Malformed::TooLong);
-        }
-        self.bytes.extend_from_slice(bytes);
-        match last {
-            0 => Ok(None),
-            _ => {
-                let whole = std::mem::take(&mut self.bytes);
-                match postcard::take_from_bytes(&whole) {
-                    Ok((frame, [])) => Ok(Some(frame)),
-                    _ => Err(Malformed::Body),
-                }
-            }
-        }
-    }
-}
+/// Puts the pieces of frames together again.
+pub type Assembler = Pieces<Frame>;
--- a/knowledge/src/protocol.rs
+++ b/knowledge/src/protocol.rs
@@ -80,6 +80,11 @@
     },
     /// A piece of what is said there.
     Piece(Vec<u8>),
+    /// Instead of a newcomer's question: this connection carries purges and list events, in pieces as well.
+    Subscribe {
+        /// Who it is.
+        me: Source,
+    },
 }
 
 /// What a donor will give.
@@ -132,6 +137,7 @@
         Message::End => frame(5, |out| out),
         Message::Open { me } => versioned(6, version, me),
         Message::Piece(piece) => frame(7, |out| [out, piece.clone()].concat()),
+        Message::Subscribe { me } => versioned(8, version, me),
     }
 }
 
@@ -149,6 +155,7 @@
         5 if rest.is_empty() => Message::End,
         6 => Message::Open { me: read(versioned_body(rest)?)? },
         7 => Message::Piece(rest.to_vec()),
+        8 => Message::Subscribe { me: read(versioned_body(rest)?)? },
         kind => return Err(Malformed::Kind(kind)),
     })
 }
--- a/silverspindle/src/agreement/links.rs
+++ b/silverspindle/src/agreement/links.rs
@@ -1,116 +1,32 @@
-//! Connections that carry what routers agree on: the exchange's, with its TLS and frames.
+//! Connections that carry what routers agree on: the queue of each one to an elector, and who calls an elector.
 
 use std::cell::RefCell;
-use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use async_io::{Async, Timer};
+use async_io::Timer;
 use bitternhold::Micros;
-use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, future, io as streams};
-use futures_rustls::{TlsConnector, client::TlsStream};
-use rustls::pki_types::ServerName;
-use silverspindle_agreement::{Assembler, Frame, pieces};
-use silverspindle_knowledge::Source;
-use silverspindle_knowledge::protocol::{self, Message, VERSION};
+use silverspindle_agreement::Frame;
+use silverspindle_knowledge::protocol::Message;
 
 use super::Handle;
-use crate::framing::Messages;
-use crate::knowledge::exchange::{CONNECT, HANDSHAKE, STALL, measure, within};
-use crate::knowledge::keys::Tls;
+use crate::links::{Accepted, Connector, Service, both, write};
 
-/// A write that gets no further for so long ends its connection.
-const WRITE: Duration = Duration::from_secs(2);
 /// After a failure it is tried again between these, drawn anew each time so that many don't come with one beat.
 const SOONEST: u64 = 50;
 const LATEST: u64 = 500;
 /// A connection that nothing was sent on for so many stated times is closed.
 const IDLE: u32 = 10;
 
-/// What it takes to connect.
-#[derive(Clone)]
-pub struct Connector {
-    /// Who this is.
-    pub me: Source,
-    /// Keys, read anew on SIGHUP.
-    pub tls: Rc<RefCell<Tls>>,
-}
-
 /// The queue of a connection to an elector.
 pub struct Link {
     /// What goes to it.
     pub frames: Sender<Frame>,
 }
 
-impl Connector {
-    /// A connection to the router with this name in its certificate, open for frames.
-    pub async fn connect(&self, name: &str, at: SocketAddr) -> io::Result<TlsStream<Async<TcpStream>>> {
-        let server = ServerName::try_from(name.to_owned()).map_err(io::Error::other)?;
-        let connector = TlsConnector::from(self.tls.borrow().client.clone());
-        let stream = within(CONNECT, "connection", Async::<TcpStream>::connect(at)).await?;
-        let _ = stream.get_ref().set_nodelay(true);
-        let mut stream = within(HANDSHAKE, "handshake", connector.connect(server, stream)).await?;
-        stream.write_all(&protocol::encode(&Message::Open { me: self.me }, VERSION)).await?;
-        stream.flush().await?;
-        Ok(stream)
-    }
-}
-
-/// Writes a frame in its pieces.
-pub async fn write(stream: &mut (impl AsyncWrite + Unpin), frame: &Frame) -> io::Result<()> {
-    for piece in pieces(frame) {
-        let bytes = protocol::encode(&Message::Piece(piece), VERSION);
-        within(WRITE, "room for a frame", stream.write_all(&bytes)).await?;
-    }
-    within(WRITE, "room for a frame", stream.flush()).await
-}
-
-/// Reads frames until the connection ends.
-pub async fn read(stream: impl AsyncRead + Unpin, mut each: impl FnMut(Frame)) -> io::Result<()> {
-    let mut messages = Messages::new(stream, measure, 16 * 1024).or_stall(STALL);
-    let mut whole = Assembler::default();
-    let malformed = |why: &dyn std::fmt::Display| io::Error::new(io::ErrorKind::InvalidData, why.to_string());
-    while let Some(bytes) = messages.next().await? {
-        match protocol::decode(&bytes).map_err(|e| malformed(&e))? {
-            Message::Piece(piece) => {
-                if let Some(frame) = whole.piece(&piece).map_err(|e| malformed(&e))? {
-                    each(frame);
-                }
-            }
-            _ => return Err(malformed(&"another kind of frame among pieces")),
-        }
-    }
-    Ok(())
-}
-
-/// Both ways at once, until one of them ends.
-pub async fn both<S: AsyncRead + AsyncWrite + Unpin>(
-    stream: S,
-    frames: &Receiver<Frame>,
-    idle: Option<Duration>,
-    each: impl FnMut(Frame),
-) -> io::Result<()> {
-    let (reader, mut writer) = streams::split(stream);
-    let writes = async {
-        loop {
-            let quiet = async {
-                match idle {
-                    Some(idle) => Timer::after(idle).await,
-                    None => Timer::never().await,
-                };
-                None
-            };
-            match future::or(async { frames.recv().await.ok() }, quiet).await {
-                Some(frame) => write(&mut writer, &frame).await?,
-                None => return writer.close().await,
-            }
-        }
-    };
-    future::or(writes, read(reader, each)).await
-}
-
 /// The connection to an elector, made when there is something to send; for ever.
 pub async fn run(
     connector: Connector,
@@ -124,13 +40,17 @@
     let mut failing = false;
     while let Ok(first) = frames.recv().await {
         let talk = async {
-            let mut stream = connector.connect(&name, at).await?;
+            let mut stream = connector.connect(&name, at, &Message::Open { me: connector.me }).await?;
             write(&mut stream, &first).await?;
             if failing {
                 tracing::info!(peer = name, "agreement: heard again at {at}");
             }
             failing = false;
-            both(stream, &frames, Some(idle), |frame| handle.heard(&name, frame)).await
+            let heard = |frame| {
+                handle.heard(&name, frame);
+                Ok(())
+            };
+            both(stream, &frames, Some(idle), heard).await
         };
         if let Err(e) = talk.await {
             if !failing {
@@ -144,3 +64,26 @@
         }
     }
 }
+
+/// Takes connections of callers for the handle that is the router's now: another one takes over in an upgrade.
+pub struct Current(pub Rc<RefCell<Option<Handle>>>);
+
+impl Service for Current {
+    /// It lives as long as its peer likes, bounded in number by the handle.
+    fn accept(&self, name: &str, stream: Accepted) -> Result<Pin<Box<dyn Future<Output = ()>>>, String> {
+        let handle = self.0.borrow().clone().ok_or("this router agrees on nothing")?;
+        let caller = handle.caller(name).ok_or("too many callers")?;
+        let (current, name) = (self.0.clone(), name.to_owned());
+        Ok(Box::pin(async move {
+            let heard = |frame| {
+                if let Some(handle) = &*current.borrow() {
+                    handle.heard(&name, frame);
+                }
+                Ok(())
+            };
+            if let Err(e) = both(stream, &caller.frames, None, heard).await {
+                tracing::debug!(peer = name, "agreement: {e}");
+            }
+        }))
+    }
+}
--- a/silverspindle/src/agreement/mod.rs
+++ b/silverspindle/src/agreement/mod.rs
@@ -28,15 +28,18 @@
 pub mod staff;
 pub mod store;
 
-use links::{Connector, Link};
+use links::Link;
 use orders::Orders;
 pub use orders::Yard;
-use records::{Records, steady};
+use records::Records;
 use rules::Acting;
 pub use store::Fault;
 use store::{Store, draw};
 
-use crate::traffic::{Attempt, Members, Message};
+use crate::guards::without;
+use crate::links::Connector;
+use crate::steady::{DRIFT_PPM, steady};
+use crate::traffic::{Attempt, Guard, Members, Message};
 
 /// Whoever leads answers by this topic with what it waits for with versions.
 pub const RULES_SIGHT: &str = "rules/sight";
@@ -45,8 +48,6 @@
 const OUTBOX: usize = 64;
 /// Connections of callers with one name: staff's commands at a time.
 const OF_ONE_NAME: usize = 16;
-/// Steady clocks run wrong by so many parts in a million at most: a bad crystal's tenfold.
-const DRIFT_PPM: u64 = 1000;
 /// A proposal is tried for so many stated times before its maker hears that its outcome is not known.
 const PATIENCE: Micros = 3;
 /// Its own joining is proposed again after so long.
@@ -69,10 +70,6 @@
     }
 }
 
-fn without(guard: &str) -> bool {
-    cfg!(debug_assertions) && std::env::var("SILVERSPINDLE_WITHOUT").is_ok_and(|out| out == guard)
-}
-
 /// How often whoever goes by an agreed text looks at it.
 const LOOK: Micros = 100_000;
 /// A step that it proposed is waited for so long before it looks again.
@@ -278,9 +275,21 @@
         outcome.recv().await.ok().flatten()
     }
 
-    /// Whether an attempt to a member, with this source, may go out now by what is agreed; what it is done on goes to
-    /// the records.
-    pub(crate) fn allows(&self, attempt: &Attempt, to: MemberId, members: &Members) -> bool {
+    fn act(&self) {
+        if let Some(records) = &self.records {
+            records.act(&self.fence, self.rules.as_ref().map(|rules| rules.of()));
+        }
+    }
+
+    /// Half-lives as they hold over the operators' file's.
+    pub fn half_lives(&self, own: HalfLives) -> HalfLives {
+        self.rules.as_ref().map_or(own, |rules| rules.half_lives(own))
+    }
+}
+
+impl Guard for Handle {
+    /// What it is done on goes to the records.
+    fn allows(&self, attempt: &Attempt, to: MemberId, members: &Members) -> bool {
         let source = attempt.terms.source;
         let allows = self.orders.as_ref().is_none_or(|orders| {
             // Alone, with a confirmation that has run out, it takes nothing new: others may have gone on. Unless staff
@@ -297,40 +306,24 @@
         allows
     }
 
-    fn act(&self) {
-        if let Some(records) = &self.records {
-            records.act(&self.fence, self.rules.as_ref().map(|rules| rules.of()));
-        }
-    }
-
-    /// An attempt ended.
-    pub(crate) fn over(&self, attempt: &Attempt, note: Option<Note>) {
+    fn over(&self, attempt: &Attempt, note: Option<Note>) {
         if let Some(rules) = &self.rules {
             rules.over(attempt, note);
         }
     }
 
-    /// Whether a request of this class and group is refused.
-    pub fn refuses(&self, class: usize, group: u64) -> bool {
+    fn refuses(&self, class: usize, group: u64) -> bool {
         self.rules.as_ref().is_some_and(|rules| rules.refuses(class, group))
     }
 
-    /// A request was answered.
-    pub fn answered(&self, in_time: bool) {
+    fn answered(&self, in_time: bool) {
         if let Some(rules) = &self.rules {
             rules.answered(in_time);
         }
     }
 
-    /// The versions that it acts on, and its share of limits.
-    pub fn version(&self) -> Option<(String, u32)> {
-        let (of, share) = self.rules.as_ref()?.of();
-        Some((of.to_string(), share))
-    }
-
-    /// Half-lives as they hold over the operators' file's.
-    pub fn half_lives(&self, own: HalfLives) -> HalfLives {
-        self.rules.as_ref().map_or(own, |rules| rules.half_lives(own))
+    fn version(&self) -> Option<String> {
+        Some(self.rules.as_ref()?.of().0.to_string())
     }
 }
 
--- a/silverspindle/src/agreement/orders.rs
+++ b/silverspindle/src/agreement/orders.rs
@@ -14,10 +14,10 @@
     Work,
 };
 
-use super::records::steady;
 use super::{Leading, Withholds};
 use crate::clock;
 use crate::drain::Drain;
+use crate::steady::steady;
 use crate::traffic::{Board, Message, Noted};
 
 /// The module's limits are looked at so often while there are orders.
--- a/silverspindle/src/agreement/records.rs
+++ b/silverspindle/src/agreement/records.rs
@@ -7,20 +7,15 @@
 use std::path::Path;
 
 use bitternhold::Micros;
-use rustix::time::{ClockId, clock_gettime};
 use serde_json::json;
 use silverspindle_agreement::Fence;
 use silverspindle_rules::Group;
 
+use crate::steady::steady;
+
 /// Acts nearer to each other are one record, as are times without a confirmation.
 const APART: Micros = 5_000;
 
-/// The steady clock, which goes on while the machine sleeps.
-pub fn steady() -> Micros {
-    let time = clock_gettime(ClockId::Boottime);
-    (time.tv_sec as u64).saturating_mul(1_000_000) + (time.tv_nsec as u64) / 1000
-}
-
 /// A router's record file.
 #[derive(Debug)]
 pub struct Records {
--- a/silverspindle/src/agreement/rules.rs
+++ b/silverspindle/src/agreement/rules.rs
@@ -12,8 +12,8 @@
     Bucket, Group, Guards, Place, Rules, SHARES, Shares, Sight, State, Step, TOPIC, Told, Watch, Why,
 };
 
-use super::records::steady;
 use super::{Leading, Withholds};
+use crate::steady::steady;
 use crate::traffic::{Attempt, Members, Message, OFFICE_TOKEN, PARENT_TOKEN};
 
 /// What it asks for is counted over so long.
--- a/silverspindle/src/agreement/staff.rs
+++ b/silverspindle/src/agreement/staff.rs
@@ -19,15 +19,15 @@
     Change, Frame, Proposal, ProposalId, Refusal, Reply, Role, Seat, Status, Verdict,
 };
 use silverspindle_conf::{Agreement, Conf};
+use silverspindle_knowledge::protocol::Message::Open;
 use silverspindle_knowledge::{InstanceId, Source};
 use silverspindle_rules::{Head, Past, Refused as RulesRefused, Rules, Shares, State, Way};
 use silverspindle_work::{Machine, Order, Rules as WorkRules, SIGHT, Sight, Stage, TOPIC, Why, Work};
 
-use super::links::{self, Connector};
 use super::store::draw;
 use crate::clock;
-use crate::knowledge::exchange::within;
 use crate::knowledge::keys::{self, Tls};
+use crate::links::{self, Connector, within};
 
 /// An elector that does not say how it stands within that is not heard.
 const STATUS: Duration = Duration::from_secs(2);
@@ -70,28 +70,10 @@
         patience: Duration,
         mut good: impl FnMut(Frame) -> Option<T>,
     ) -> io::Result<T> {
-        let mut stream = self.connector.connect(name, *at).await?;
-        links::write(&mut stream, &frame).await?;
-        let found = RefCell::new(None);
-        let (tell, told) = async_channel::bounded::<()>(1);
-        let read = async {
-            let each = |frame| {
-                if let Some(answer) = good(frame) {
-                    *found.borrow_mut() = Some(answer);
-                    let _ = tell.try_send(());
-                }
-            };
-            links::read(stream, each).await?;
-            Err(io::Error::other(
-                "closed without an answer: is the agreement on there, and this name an operator's?",
-            ))
-        };
-        let answered = async {
-            let _ = told.recv().await;
-            Ok(())
-        };
-        within(patience, "answer", future::or(answered, read)).await?;
-        found.take().ok_or_else(|| io::Error::other("no answer"))
+        let first = Open { me: self.connector.me };
+        let stream = self.connector.connect(name, *at, &first).await?;
+        let why = "is the agreement on there, and this name an operator's?";
+        links::ask(stream, &frame, patience, why, &mut good).await
     }
 
     /// How each elector stands.
@@ -157,7 +139,11 @@
     /// So many decisions, as fast as the electors make them, through one connection; how many were settled.
     pub async fn burst(&self, count: u64) -> Result<u64, String> {
         let (elector, at) = self.agreement.electors.first().ok_or("no agree-elector")?;
-        let mut stream = self.connector.connect(elector, *at).await.map_err(|e| e.to_string())?;
+        let mut stream = self
+            .connector
+            .connect(elector, *at, &Open { me: self.connector.me })
+            .await
+            .map_err(|e| e.to_string())?;
         let heard = self.status().await;
         let known = heard.iter().filter_map(|(_, s)| s.as_ref().ok()).map(|s| s.number).max();
         let (builds_on, run) = (known.ok_or("no elector is heard")?, draw()?);
@@ -187,6 +173,7 @@
                         let _ = tell.try_send(());
                     }
                 }
+                Ok(())
             });
             let all = async {
                 let _ = told.recv().await;
--- a/silverspindle/src/coordinator.rs
+++ b/silverspindle/src/coordinator.rs
@@ -6,12 +6,16 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
+use bitternhold::Micros;
+use bytes::Bytes;
 use futures_lite::{AsyncWriteExt, future};
 use std::io;
 use std::net::TcpStream;
+use std::pin::pin;
 
 use crate::feed::{self, Event, News};
 use crate::framing::Messages;
+use crate::steady::steady;
 
 /// An empty frame comes each second: without any for so long the coordinator has stopped. All counts as told 7 s after,
 /// heard or not: that leaves time for three connections in a row that fall silent at once.
@@ -26,15 +30,49 @@
 const AGAIN_MOST: Duration = Duration::from_millis(500);
 const CHUNK: usize = 16 * 1024;
 
+/// The socket is looked at this often at least, to know since when all that has come was read.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// An event as it came.
+#[derive(Debug)]
+pub struct Told {
+    /// What it says.
+    pub event: Event,
+    /// The whole frame.
+    pub frame: Bytes,
+    /// It came after this time of the steady clock: nothing was there to be read then.
+    pub after: Micros,
+}
+
+/// Where events go.
+pub trait Sink {
+    /// Whether it wants to know after which time an event came.
+    const TIMED: bool = false;
+    /// Whether nobody takes them any more.
+    fn is_closed(&self) -> bool;
+    /// Takes an event; false where nobody does.
+    fn tell(&self, told: Told) -> impl Future<Output = bool>;
+}
+
+impl<N: From<News>> Sink for Sender<N> {
+    fn is_closed(&self) -> bool {
+        Sender::is_closed(self)
+    }
+
+    async fn tell(&self, told: Told) -> bool {
+        self.send(told.event.news.into()).await.is_ok()
+    }
+}
+
 /// What the actor needs.
 #[derive(Debug)]
-pub struct Coordinator {
+pub struct Coordinator<S> {
     /// Where the coordinator listens.
     pub address: SocketAddr,
     /// The last event that is known.
     pub last: u64,
     /// Where events go.
-    pub news: Sender<News>,
+    pub news: S,
     /// Tells where the coordinator listens from now on.
     pub moves: Receiver<SocketAddr>,
     /// A gap behind this event was asked for again and came again: there is nothing to fill it.
@@ -49,7 +87,7 @@
     future::or(work, late).await
 }
 
-impl Coordinator {
+impl<S: Sink> Coordinator<S> {
     /// Runs until the director is gone.
     pub async fn run(mut self) {
         let moves = self.moves.clone();
@@ -94,23 +132,21 @@
         within(CONNECT, (&stream).write_all(&self.last.to_be_bytes())).await?;
         tracing::info!(event = self.last, "coordinator {}: following", self.address);
         let mut frames = Messages::new(&stream, feed::measure, CHUNK).or_stall(STALL);
+        // The time since when nothing is left unread: what comes then was not there yet, however late it is read.
+        let mut empty = steady();
         loop {
-            let Some(frame) = within(SILENT, frames.next()).await? else {
+            let Some(frame) = within(SILENT, looking(S::TIMED, frames.next(), &mut empty)).await? else {
                 return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "closed"));
             };
-            let Event { index, news } = feed::decode(&frame)?;
+            let event = feed::decode(&frame)?;
+            let index = event.index;
+            // Nothing more to tell: what was told is current.
+            let current = event.news == News::Nothing;
             // What came already, before a break, is not told twice: an old list would undo newer changes.
-            if news == News::Nothing {
-                // Nothing more to tell: what was told is current.
-                if self.news.send(news).await.is_err() {
-                    return Ok(());
-                }
-                continue;
-            }
-            if index <= self.last {
+            if index <= self.last && !current {
                 continue;
             }
-            if index > self.last + 1 {
+            if index > self.last + 1 && !current {
                 let missing = format!("events {} to {} are missing", self.last + 1, index - 1);
                 // What is missing may be a drain or a purge: it is asked for again, by connecting from the last event
                 // that is known. A coordinator that has no more to tell than this is believed the second time.
@@ -119,11 +155,35 @@
                 }
                 tracing::warn!(event = index, "coordinator: {missing}, also when asked again");
             }
-            if self.news.send(news).await.is_err() {
+            if !self.news.tell(Told { event, frame, after: empty }).await {
                 return Ok(());
             }
             // Only now: dropped before, on a move, the event is asked for again.
-            self.last = index;
+            if !current {
+                self.last = index;
+            }
+        }
+    }
+}
+
+/// A read; where it is timed, with the last time at which there was nothing to be read yet.
+async fn looking<T>(timed: bool, read: impl Future<Output = T>, empty: &mut Micros) -> T {
+    if !timed {
+        return read.await;
+    }
+    let mut read = pin!(read);
+    loop {
+        let began = steady();
+        if let Some(done) = future::poll_once(&mut read).await {
+            return done;
+        }
+        *empty = began;
+        let again = async {
+            Timer::after(LOOK).await;
+            None
+        };
+        if let Some(done) = future::or(async { Some((&mut read).await) }, again).await {
+            return done;
         }
     }
 }
--- a/silverspindle/src/copies.rs
+++ b/silverspindle/src/copies.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use bitternhold::Micros;
+use bitternhold::{EVERY_GROUP, Micros};
 use bytes::Bytes;
 
 use crate::feed::Purged;
@@ -80,7 +80,7 @@
     pub fn keep(&mut self, now: Micros, key: Key, group: u64, tag: &[u8], stamp: Micros, body: &[u8]) {
         let size = body.len() + tag.len() + ENTRY;
         let old = self.copies.get(&key).is_some_and(|c| c.stamp > stamp);
-        let purged = [Purged::Object(key.0), Purged::Group(group)];
+        let purged = [Purged::Object(key.0), Purged::Group(group), Purged::Group(EVERY_GROUP)];
         let purged = purged.iter().filter_map(|what| self.purges.get(what)).any(|(at, _)| stamp <= *at);
         if size > self.room || old || purged {
             return;
@@ -130,7 +130,7 @@
                 self.copies.range(parts).filter(|(_, c)| c.stamp <= at).map(|(key, _)| *key).collect()
             }
             Purged::Group(group) => {
-                let old = |c: &Copy| c.group == group && c.stamp <= at;
+                let old = |c: &Copy| (c.group == group || group == EVERY_GROUP) && c.stamp <= at;
                 self.copies.iter().filter(|(_, c)| old(c)).map(|(key, _)| *key).collect()
             }
         };
--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -9,16 +9,17 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use bitternhold::{
-    Action, Effect, Event, FillMode, Keep, Lifecycle, ListKind, Member, MemberId, Micros, Outcome, Own,
-    Request, RequestId, Settings, Status,
+    Action, EVERY_GROUP, Effect, Event, FillMode, Keep, Lifecycle, ListKind, Member, MemberId, Micros,
+    Outcome, Own, Request, RequestId, Settings, Status,
 };
 use futures_lite::future;
 use silverspindle_knowledge::Item;
 
-use crate::copies::Copies;
+use crate::copies::{Copies, Copy};
 use crate::feed::{Listed, News, Purged};
 use crate::knowledge::Knowledge;
-use crate::traffic::{Attempt, Call, End, Message, Port, Shared, Terms, Verdict};
+use crate::steady::steady;
+use crate::traffic::{Attempt, Call, End, Message, Notice, Port, Shared, Terms, Verdict};
 use crate::upstream::{Order, Peer};
 use crate::withheld::Withheld;
 use crate::{clock, invariant};
@@ -29,6 +30,8 @@
 const BATCH: usize = 64;
 /// The module's last word comes with the time-outs at the deadline; so much later one is given without it.
 const LAST_WORD: Micros = 5_000;
+/// While the feed's lease has run out the module is told so this often, as the age that it was told grows from then on.
+const TELL_STALE: Micros = 1_000_000;
 
 struct Open {
     call: Rc<Call>,
@@ -90,6 +93,8 @@
     knowledge: Option<Knowledge>,
     /// What the routers have agreed not to use.
     withheld: Withheld,
+    /// When the module was last told that the feed's lease has run out, by the steady clock.
+    told_stale: Option<Micros>,
     next: u64,
 }
 
@@ -112,6 +117,7 @@
             copies,
             knowledge: None,
             withheld: Withheld::default(),
+            told_stale: None,
             next: 0,
         }
     }
@@ -156,7 +162,7 @@
 
     /// Runs until both mailboxes are closed. News go ahead of everything else that waits: a purge or a drain
     /// must not queue behind requests that would be sent without it.
-    pub async fn run(mut self, news: Receiver<News>, mailbox: Receiver<Message>) {
+    pub async fn run(mut self, news: Receiver<Notice>, mailbox: Receiver<Message>) {
         loop {
             let due = self.due.keys().next().map(|(at, _)| *at);
             let wake = async {
@@ -166,10 +172,10 @@
                 };
                 Some(Next::Due)
             };
-            let told = async { news.recv().await.ok().map(Next::News) };
+            let told = async { news.recv().await.ok().map(Next::Notice) };
             let message = async { mailbox.recv().await.ok().map(|message| Next::Message(Box::new(message))) };
             match future::or(told, future::or(message, wake)).await {
-                Some(Next::News(told)) => self.news(told, ListKind::Full),
+                Some(Next::Notice(told)) => self.notice(told),
                 Some(Next::Message(message)) => self.message(*message),
                 Some(Next::Due) => {}
                 None => return,
@@ -177,7 +183,7 @@
             let mut batch = BATCH;
             loop {
                 if let Ok(told) = news.try_recv() {
-                    self.news(told, ListKind::Full);
+                    self.notice(told);
                 } else if let Some(message) = (batch > 0).then(|| mailbox.try_recv().ok()).flatten() {
                     batch -= 1;
                     self.message(message);
@@ -189,6 +195,19 @@
         }
     }
 
+    fn notice(&mut self, notice: Notice) {
+        match notice {
+            Notice::News(news) => self.news(news, ListKind::Full),
+            Notice::PurgedBefore(at) => {
+                let what = Purged::Group(EVERY_GROUP);
+                self.knowledge.iter_mut().for_each(|k| k.purged(what, at));
+                self.purged(what, at);
+            }
+            Notice::Batch { after, number } => self.shared.board.applied(Some(after), number),
+            Notice::Reset { number } => self.shared.board.applied(None, number),
+        }
+    }
+
     /// Takes news in. A whole list is of this kind: read back at the start, or told.
     pub fn news(&mut self, news: News, whole: ListKind) {
         match news {
@@ -323,13 +342,12 @@
         self.requests.insert(id, open);
         self.owed.set(self.owed.get() + 1);
         self.wake(call.deadline + LAST_WORD, Due::Request(id));
-        let own = call.copy().and_then(|key| self.copies.get(&key)).map(|copy| {
-            let now = clock::now();
-            Own {
-                age: now.saturating_sub(copy.stamp),
-                unseen: now.saturating_sub(copy.seen),
-                wait: self.copies.wait(now, copy.bytes(call.holds(&copy.tag))),
-            }
+        let now = clock::now();
+        let young = |copy: &&Copy| self.is_young(now, copy.stamp);
+        let own = call.copy().and_then(|key| self.copies.get(&key)).filter(young).map(|copy| Own {
+            age: now.saturating_sub(copy.stamp),
+            unseen: now.saturating_sub(copy.seen),
+            wait: self.copies.wait(now, copy.bytes(call.holds(&copy.tag))),
         });
         self.event(Event::Request(Request {
             own,
@@ -395,6 +413,10 @@
         if let Some(open) = self.requests.get_mut(&out.id).filter(|_| never_ran.contains(&end.status)) {
             open.ran.retain(|(ticket, _)| *ticket != end.ticket);
         }
+        if end.status == Status::Moot {
+            // Perhaps the limit of its copy's age did not do: what is decided instead goes by a new one.
+            self.told_stale = None;
+        }
         if end.status == Status::Moot && out.attempt.client.is_gone() {
             // Found at the moment of writing, before the front told: there is nothing to decide any more.
             self.left(out.id);
@@ -440,7 +462,8 @@
         let young = |stamp: Micros| {
             terms.is_some_and(|c| c.fresh == 0 || now.saturating_sub(stamp) < c.fresh + c.stale)
         };
-        let Some(copy) = self.copies.get(&key).filter(|copy| young(copy.stamp)).cloned() else {
+        let young = |copy: &&Copy| young(copy.stamp) && self.is_young(now, copy.stamp);
+        let Some(copy) = self.copies.get(&key).filter(young).cloned() else {
             return self.answer(id, Verdict::Refused { backoff: None });
         };
         let holds = call.holds(&copy.tag);
@@ -449,6 +472,11 @@
         self.answer(id, if holds { Verdict::Holds } else { Verdict::Served(copy.body) });
     }
 
+    /// Whether a copy that the origin gave out then is younger than the feed's lease, where that has run out.
+    fn is_young(&self, now: Micros, stamp: Micros) -> bool {
+        self.shared.board.oldest().is_none_or(|oldest| now.saturating_sub(stamp) < oldest)
+    }
+
     /// An attempt is out no more; whether its request is finished.
     fn let_go(&mut self, id: RequestId, ticket: u64) -> bool {
         let Some(open) = self.requests.get_mut(&id) else { return true };
@@ -490,8 +518,24 @@
         }
     }
 
+    /// Tells the module that copies as old as the feed's lease may be purged, while that has run out. Told again before
+    /// the age has grown past the lease: an attempt with a later limit is never written.
+    fn tell_stale(&mut self) {
+        let Some(oldest) = self.shared.board.oldest_asked() else {
+            self.told_stale = None;
+            return;
+        };
+        let now = steady();
+        if self.told_stale.is_none_or(|told| now >= told + TELL_STALE) {
+            self.told_stale = Some(now);
+            let age = oldest.saturating_sub(TELL_STALE);
+            self.backlog.push_back(Event::Purged { object: None, group: EVERY_GROUP, age });
+        }
+    }
+
     /// Tells the module an event and does what it says; what comes of that is told in turn.
     fn event(&mut self, event: Event) {
+        self.tell_stale();
         self.backlog.push_back(event);
         while let Some(event) = self.backlog.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
@@ -635,7 +679,7 @@
 }
 
 enum Next {
-    News(News),
+    Notice(Notice),
     Message(Box<Message>),
     Due,
 }
--- a/silverspindle/src/knowledge/exchange.rs
+++ b/silverspindle/src/knowledge/exchange.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,8 +13,8 @@
 use async_io::{Async, Timer};
 use bitternhold::Micros;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, future};
-use futures_rustls::{TlsAcceptor, TlsConnector};
-use rustls::pki_types::{CertificateDer, ServerName};
+use futures_rustls::TlsAcceptor;
+use rustls::pki_types::CertificateDer;
 use silverspindle_conf::Exchange;
 use silverspindle_knowledge::asking::{Action, Asking, Event};
 use silverspindle_knowledge::giving::{CHUNK, Giving};
@@ -22,15 +23,10 @@
 
 use super::Steady;
 use super::keys::{self, Tls};
-use crate::agreement;
-use crate::framing::{self, Messages};
+use crate::framing::Messages;
+use crate::links::{Accepted, CONNECT, Connector, HANDSHAKE, STALL, Service, malformed, measure, within};
 use crate::traffic::Message;
 
-/// A connection not up by then has failed; the same for the handshake on it, and for the first frame.
-pub(crate) const CONNECT: Duration = Duration::from_secs(1);
-pub(crate) const HANDSHAKE: Duration = Duration::from_secs(2);
-/// Half a frame without more for so long is a stop.
-pub(crate) const STALL: Duration = Duration::from_secs(1);
 /// A whole exchange takes no longer, however it drips.
 const WHOLE: Duration = Duration::from_secs(10);
 /// Connections of newcomers that may be before their first frame; a bound on descriptors besides those served.
@@ -51,26 +47,6 @@
     gives + conf.at_once.min(conf.donors.len())
 }
 
-pub(crate) async fn within<T>(
-    time: Duration,
-    what: &str,
-    work: impl Future<Output = io::Result<T>>,
-) -> io::Result<T> {
-    let late = async {
-        Timer::after(time).await;
-        Err(io::Error::new(io::ErrorKind::TimedOut, format!("no {what} in time")))
-    };
-    future::or(work, late).await
-}
-
-pub(crate) fn measure(buffer: &[u8]) -> Result<usize, framing::Malformed> {
-    protocol::measure(buffer).map_err(|_| framing::Malformed("a frame longer than any may be"))
-}
-
-fn malformed(why: Malformed) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, why.to_string())
-}
-
 async fn frame(frames: &mut Messages<impl AsyncRead + Unpin>) -> io::Result<bytes::Bytes> {
     let closed = || io::Error::new(io::ErrorKind::UnexpectedEof, "closed by the peer");
     frames.next().await?.ok_or_else(closed)
@@ -106,7 +82,11 @@
     at_the_door: Cell<usize>,
     director: Sender<Message>,
     /// What routers agree on, where that is on.
-    agreement: RefCell<Option<agreement::Handle>>,
+    agreement: RefCell<Option<Rc<dyn Service>>>,
+    /// Who takes purges and list events from this one, where that is on.
+    distribution: RefCell<Option<Rc<dyn Service>>>,
+    /// Connections beyond the usual that may be before their first frame.
+    more_at_the_door: Cell<usize>,
 }
 
 impl Hub {
@@ -126,12 +106,21 @@
             at_the_door: Cell::new(0),
             director,
             agreement: RefCell::new(None),
+            distribution: RefCell::new(None),
+            more_at_the_door: Cell::new(0),
         }))
     }
 
     /// Connections that open for it carry what routers agree on from now on.
-    pub fn agree(&self, handle: agreement::Handle) {
-        *self.agreement.borrow_mut() = Some(handle);
+    pub fn agree(&self, service: Rc<dyn Service>) {
+        *self.agreement.borrow_mut() = Some(service);
+        self.more_at_the_door.set(AT_THE_DOOR_AGREED);
+    }
+
+    /// Connections that subscribe carry purges and list events from now on.
+    pub fn distribute(&self, service: Rc<dyn Service>) {
+        *self.distribution.borrow_mut() = Some(service);
+        self.more_at_the_door.set(AT_THE_DOOR_AGREED);
     }
 
     /// Takes new settings and reads the keys anew. A fault keeps the old ones.
@@ -165,8 +154,7 @@
                     continue;
                 }
             };
-            let agreed = self.agreement.borrow().as_ref().map_or(0, |_| AT_THE_DOOR_AGREED);
-            if self.at_the_door.get() >= AT_THE_DOOR + agreed {
+            if self.at_the_door.get() >= AT_THE_DOOR + self.more_at_the_door.get() {
                 // Who is turned away here has no certificate shown yet; a newcomer comes again by itself.
                 continue;
             }
@@ -175,13 +163,7 @@
             let serve = async move {
                 match within(WHOLE, "end", hub.serve(stream)).await {
                     Ok(None) => {}
-                    // It lives as long as its peer likes, bounded in number by the handle.
-                    Ok(Some((stream, name, caller))) => {
-                        let heard = |frame| hub.heard(&name, frame);
-                        if let Err(e) = agreement::links::both(stream, &caller.frames, None, heard).await {
-                            tracing::debug!(peer = name, "agreement: {e}");
-                        }
-                    }
+                    Ok(Some(stays)) => stays.await,
                     Err(e) => tracing::warn!(peer = %from, "a newcomer was not served: {e}"),
                 }
             };
@@ -189,12 +171,6 @@
         }
     }
 
-    fn heard(&self, from: &str, frame: silverspindle_agreement::Frame) {
-        if let Some(handle) = &*self.agreement.borrow() {
-            handle.heard(from, frame);
-        }
-    }
-
     /// Serves a newcomer whole, or takes a connection in that stays.
     async fn serve(&self, stream: Async<TcpStream>) -> io::Result<Option<Staying>> {
         let _ = stream.get_ref().set_nodelay(true);
@@ -211,12 +187,12 @@
         let me = match protocol::decode(&hello) {
             Ok(Frame::Hello { me }) if me.instance == InstanceId::of(&name) => me,
             Ok(Frame::Open { me }) if me.instance == InstanceId::of(&name) => {
-                let handle = self.agreement.borrow().clone();
-                let handle = handle.ok_or_else(|| io::Error::other("this router agrees on nothing"))?;
-                let caller = handle.caller(&name).ok_or_else(|| io::Error::other("too many callers"))?;
-                return Ok(Some((stream, name, caller)));
+                return stays(&self.agreement, "this router agrees on nothing", &name, stream);
             }
-            Ok(Frame::Hello { .. } | Frame::Open { .. }) => {
+            Ok(Frame::Subscribe { me }) if me.instance == InstanceId::of(&name) => {
+                return stays(&self.distribution, "this router passes no purges on", &name, stream);
+            }
+            Ok(Frame::Hello { .. } | Frame::Open { .. } | Frame::Subscribe { .. }) => {
                 return Err(io::Error::other("the name is not the certificate's"));
             }
             Ok(_) => return Err(malformed(Malformed::Kind(hello[4]))),
@@ -311,10 +287,8 @@
     }
 
     async fn fetch(&self, name: &str, at: SocketAddr) -> io::Result<Answer> {
-        let server = ServerName::try_from(name.to_owned()).map_err(io::Error::other)?;
-        let connector = TlsConnector::from(self.tls.borrow().client.clone());
-        let stream = within(CONNECT, "connection", Async::<TcpStream>::connect(at)).await?;
-        let mut stream = within(HANDSHAKE, "handshake", connector.connect(server, stream)).await?;
+        let connector = Connector { me: self.me, tls: self.tls.clone() };
+        let mut stream = connector.reach(name, at).await?;
         let asked = self.steady.now();
         stream.write_all(&protocol::encode(&Frame::Hello { me: self.me }, VERSION)).await?;
         stream.flush().await?;
@@ -348,8 +322,19 @@
     }
 }
 
-/// A connection that stays: its stream, the name in its certificate, its place on the list.
-type Staying = (futures_rustls::server::TlsStream<Async<TcpStream>>, String, agreement::Caller);
+/// The life of a connection that stays.
+type Staying = Pin<Box<dyn Future<Output = ()>>>;
+
+/// Hands a connection that stays to whom it opened for.
+fn stays(
+    service: &RefCell<Option<Rc<dyn Service>>>,
+    off: &str,
+    name: &str,
+    stream: Accepted,
+) -> io::Result<Option<Staying>> {
+    let service = service.borrow().clone().ok_or_else(|| io::Error::other(off))?;
+    service.accept(name, stream).map(Some).map_err(io::Error::other)
+}
 
 enum Answer {
     Busy(Micros),
--- a/silverspindle/src/knowledge/mod.rs
+++ b/silverspindle/src/knowledge/mod.rs
@@ -6,7 +6,8 @@
 use std::time::Instant;
 
 use bitternhold::{
-    self as module, Inherited, InheritedMember, InheritedPace, MemberId, MemberReport, Micros, Settings,
+    self as module, EVERY_GROUP, Inherited, InheritedMember, InheritedPace, MemberId, MemberReport, Micros,
+    Settings,
 };
 use silverspindle_conf::HalfLives;
 use silverspindle_knowledge::list::{self, OwnList};
@@ -87,6 +88,7 @@
 fn named(what: Purged) -> silverspindle_knowledge::Purged {
     match what {
         Purged::Object(key) => silverspindle_knowledge::Purged::Object(key),
+        Purged::Group(EVERY_GROUP) => silverspindle_knowledge::Purged::All,
         Purged::Group(group) => silverspindle_knowledge::Purged::Group(group),
     }
 }
--- /dev/null
+++ b/silverspindle/src/links.rs
@@ -0,0 +1,187 @@
+//! Connections between routers: TCP with mutual TLS, the exchange's frames on it, and frames of any type that go over
+//! it in pieces, both ways at once. Below the exchange, the agreement and the distribution, which all use it.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, future, io as streams};
+use futures_rustls::{TlsConnector, client, server};
+use rustls::pki_types::ServerName;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use silverspindle_agreement::{Pieces, pieces};
+use silverspindle_knowledge::Source;
+use silverspindle_knowledge::protocol::{self, Malformed, Message, VERSION};
+
+use crate::framing::{self, Messages};
+use crate::knowledge::keys::Tls;
+
+/// A connection not up by then has failed; the same for its first frame.
+pub(crate) const CONNECT: Duration = Duration::from_secs(1);
+/// The same for the handshake on it.
+pub(crate) const HANDSHAKE: Duration = Duration::from_secs(2);
+/// Half a frame without more for so long is a stop.
+pub(crate) const STALL: Duration = Duration::from_secs(1);
+/// A write that gets no further for so long ends its connection.
+const WRITE: Duration = Duration::from_secs(2);
+/// Bytes that are read at a time.
+const CHUNK: usize = 16 * 1024;
+
+/// A connection that a peer has made.
+pub type Accepted = server::TlsStream<Async<TcpStream>>;
+/// A connection made to a peer.
+pub type Connected = client::TlsStream<Async<TcpStream>>;
+
+/// Takes over connections that stay, once their first frame is read.
+pub trait Service {
+    /// The life of a connection of the peer with this name in its certificate, or why it is refused.
+    fn accept(&self, name: &str, stream: Accepted) -> Result<Pin<Box<dyn Future<Output = ()>>>, String>;
+}
+
+/// Work that fails where it takes longer.
+pub(crate) async fn within<T>(
+    time: Duration,
+    what: &str,
+    work: impl Future<Output = io::Result<T>>,
+) -> io::Result<T> {
+    let late = async {
+        Timer::after(time).await;
+        Err(io::Error::new(io::ErrorKind::TimedOut, format!("no {what} in time")))
+    };
+    future::or(work, late).await
+}
+
+/// Bytes that the exchange's first frame in a buffer needs.
+pub(crate) fn measure(buffer: &[u8]) -> Result<usize, framing::Malformed> {
+    protocol::measure(buffer).map_err(|_| framing::Malformed("a frame longer than any may be"))
+}
+
+pub(crate) fn malformed(why: impl std::fmt::Display) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, why.to_string())
+}
+
+/// What it takes to connect.
+#[derive(Clone)]
+pub struct Connector {
+    /// Who this is.
+    pub me: Source,
+    /// Keys, read anew on SIGHUP.
+    pub tls: Rc<RefCell<Tls>>,
+}
+
+impl Connector {
+    /// A connection to the router with this name in its certificate.
+    pub async fn reach(&self, name: &str, at: SocketAddr) -> io::Result<Connected> {
+        let server = ServerName::try_from(name.to_owned()).map_err(io::Error::other)?;
+        let connector = TlsConnector::from(self.tls.borrow().client.clone());
+        let stream = within(CONNECT, "connection", Async::<TcpStream>::connect(at)).await?;
+        let _ = stream.get_ref().set_nodelay(true);
+        within(HANDSHAKE, "handshake", connector.connect(server, stream)).await
+    }
+
+    /// The same, with this first frame sent on it.
+    pub async fn connect(&self, name: &str, at: SocketAddr, first: &Message) -> io::Result<Connected> {
+        let mut stream = self.reach(name, at).await?;
+        stream.write_all(&protocol::encode(first, VERSION)).await?;
+        stream.flush().await?;
+        Ok(stream)
+    }
+}
+
+/// Writes a frame in its pieces.
+pub async fn write<F: Serialize>(stream: &mut (impl AsyncWrite + Unpin), frame: &F) -> io::Result<()> {
+    for piece in pieces(frame) {
+        let bytes = protocol::encode(&Message::Piece(piece), VERSION);
+        within(WRITE, "room for a frame", stream.write_all(&bytes)).await?;
+    }
+    within(WRITE, "room for a frame", stream.flush()).await
+}
+
+/// Reads frames until the connection ends, or one can't be taken.
+pub async fn read<F: DeserializeOwned>(
+    stream: impl AsyncRead + Unpin,
+    mut each: impl FnMut(F) -> io::Result<()>,
+) -> io::Result<()> {
+    let mut messages = Messages::new(stream, measure, CHUNK).or_stall(STALL);
+    let mut whole = Pieces::default();
+    while let Some(bytes) = messages.next().await? {
+        match protocol::decode(&bytes).map_err(malformed)? {
+            Message::Piece(piece) => {
+                if let Some(frame) = whole.piece(&piece).map_err(malformed)? {
+                    each(frame)?;
+                }
+            }
+            _ => return Err(malformed(Malformed::Kind(bytes[4]))),
+        }
+    }
+    Ok(())
+}
+
+/// Both ways at once, until one of them ends. One on which nothing is sent for as long as `idle` is closed.
+pub async fn both<F, S>(
+    stream: S,
+    frames: &Receiver<F>,
+    idle: Option<Duration>,
+    each: impl FnMut(F) -> io::Result<()>,
+) -> io::Result<()>
+where
+    F: Serialize + DeserializeOwned,
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let (reader, mut writer) = streams::split(stream);
+    let writes = async {
+        loop {
+            let quiet = async {
+                match idle {
+                    Some(idle) => Timer::after(idle).await,
+                    None => Timer::never().await,
+                };
+                None
+            };
+            match future::or(async { frames.recv().await.ok() }, quiet).await {
+                Some(frame) => write(&mut writer, &frame).await?,
+                None => return writer.close().await,
+            }
+        }
+    };
+    future::or(writes, read(reader, each)).await
+}
+
+/// Asks, and waits for the first frame that is an answer. `why`: what may be wrong where the peer closes instead.
+pub async fn ask<F, T>(
+    mut stream: Connected,
+    question: &F,
+    patience: Duration,
+    why: &str,
+    mut good: impl FnMut(F) -> Option<T>,
+) -> io::Result<T>
+where
+    F: Serialize + DeserializeOwned,
+{
+    write(&mut stream, question).await?;
+    let found = RefCell::new(None);
+    let (tell, told) = async_channel::bounded::<()>(1);
+    let each = |frame| {
+        if let Some(answer) = good(frame) {
+            *found.borrow_mut() = Some(answer);
+            let _ = tell.try_send(());
+        }
+        Ok(())
+    };
+    let reads = async {
+        read(stream, each).await?;
+        Err(io::Error::other(format!("closed without an answer: {why}")))
+    };
+    let answered = async {
+        let _ = told.recv().await;
+        Ok(())
+    };
+    within(patience, "answer", future::or(answered, reads)).await?;
+    found.take().ok_or_else(|| io::Error::other("no answer"))
+}
--- a/silverspindle/src/main.rs
+++ b/silverspindle/src/main.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+mod purge;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -207,6 +209,9 @@
     /// Settings and lists with versions
     #[command(subcommand)]
     Rules(RulesLine),
+    /// Purges and list events over relays
+    #[command(subcommand)]
+    Purge(purge::Line),
 }
 
 #[derive(Subcommand)]
@@ -518,6 +523,10 @@
             keys::issue(&folder, &name, days).map_err(one)?
         }
         Command::Keys(Keys::Show { file }) => print!("{}", keys::show(&file).map_err(one)?),
+        Command::Fleet { conf, json, what: Fleet::Purge(line), .. } => {
+            let conf = read_conf(named(conf).as_deref())?;
+            async_io::block_on(line.run(&conf, json)).map_err(one)?;
+        }
         Command::Fleet { conf, json, id, what } => {
             let conf = read_conf(named(conf).as_deref())?;
             let staff = Staff::new(&conf).map_err(one)?;
@@ -602,6 +611,7 @@
             return tell(id, &reply, json);
         }
         Fleet::Rules(line) => return rules(staff, line, json).await,
+        Fleet::Purge(_) => return Err("is asked of the sources".to_owned()),
         Fleet::Join { name } => Change::Join { name, life: 0 },
         Fleet::Forget { name, life: None } => Change::Forget { name },
         Fleet::Forget { name, life: Some(life) } => Change::Leave { name, life },
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -11,18 +11,20 @@
 use async_io::{Async, Timer};
 use bitternhold::ListKind;
 use futures_lite::future;
-use silverspindle_conf::Conf;
+use silverspindle_conf::{Conf, Files};
 use silverspindle_knowledge::{InstanceId, Source};
 
-use crate::agreement::{self, links::Connector};
+use crate::agreement;
 use crate::config::Config;
 use crate::coordinator::Coordinator;
 use crate::copies::Copies;
 use crate::director::{self, Director, Owed};
+use crate::distribution;
 use crate::drain::{self, Drain};
 use crate::front::{Front, most_clients};
 use crate::knowledge::exchange::{self, Hub};
 use crate::knowledge::{Knowledge, keys::Tls, snapshots};
+use crate::links::Connector;
 use crate::management::Management;
 use crate::traffic::{Board, Descriptors, Message, Shared};
 use crate::upgrade::{Beside, part};
@@ -35,6 +37,8 @@
 const MOST_COPIES: usize = 12_000_000;
 /// Moves of the coordinator that may wait to be taken in.
 const MOVES: usize = 4;
+/// Descriptors for caches without which a relay that has clients does not start.
+const LEAST_FOR_PEERS: usize = 16;
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// What an older process holds is looked at so often, while there is one.
 const LOOK_BESIDE: Duration = Duration::from_millis(200);
@@ -80,10 +84,17 @@
         let calls = config.management.map_or(0, |_| crate::management::MOST_CALLS + 1);
         let board = Rc::new(Board::default());
         let agrees = conf.agreement.as_ref().map_or(0, agreement::descriptors);
-        let descriptors =
-            Descriptors::new(config.sockets.saturating_sub(
-                most_clients(config.sockets) + OTHER_DESCRIPTORS + exchanges + agrees + calls,
-            ));
+        let relays = conf.relay.as_ref().map_or(0, distribution::descriptors);
+        let others = OTHER_DESCRIPTORS + exchanges + agrees + relays + calls;
+        let peers = config.sockets.saturating_sub(most_clients(config.sockets) + others);
+        if conf.relay.is_some() && peers < LEAST_FOR_PEERS {
+            let lacks = format!(
+                "limits.sockets: {} leave {peers} for caches, relay-children take {relays}",
+                config.sockets
+            );
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, lacks));
+        }
+        let descriptors = Descriptors::new(peers);
         let shared = Rc::new(Shared {
             catalogue: catalogue.clone(),
             board: board.clone(),
@@ -98,6 +109,8 @@
         let who = knowledge.as_ref().map(|k| (k.me, k.steady));
         let mut director = Director::new(config.seed, shared, owed.clone(), copies).with_knowledge(knowledge);
         let (last, known) = config.known;
+        let cleared = catalogue.settings.purge_done + catalogue.settings.purge_grace;
+        let of_relays = conf.relay.as_ref().map(|_| known.clone());
         known.into_iter().for_each(|event| director.news(event.news, ListKind::Cached));
         if let Some((snapshot, (me, _))) = conf.snapshot.clone().zip(who) {
             let file = snapshots::path(&snapshot.directory, me.instance);
@@ -134,10 +147,7 @@
             }
             let instance = InstanceId::of(&config.name);
             let me = who.map_or(Source { instance, incarnation: clock::now() }, |(me, _)| me);
-            let tls = match &hub {
-                Some(hub) => hub.tls.clone(),
-                None => Rc::new(RefCell::new(Tls::read(&terms.files).map_err(io::Error::other)?)),
-            };
+            let tls = keys_of(hub.as_deref(), &terms.files)?;
             let (owed, own) = (owed.clone(), front.clone());
             let yard = agreement::Yard {
                 board: board.clone(),
@@ -156,13 +166,13 @@
                 board.wait();
                 drain.borrow_mut().alone(true);
             }
-            let (hub, board, all) = (hub.clone(), board, agreed.clone());
+            let (hub, board, all) = (hub.clone(), board.clone(), agreed.clone());
             let ready = move |handle: agreement::Handle| {
+                board.agree(Rc::new(handle.clone()));
+                *all.borrow_mut() = Some(handle);
                 if let Some(hub) = &hub {
-                    hub.agree(handle.clone());
+                    hub.agree(Rc::new(agreement::links::Current(all.clone())));
                 }
-                board.agree(handle.clone());
-                *all.borrow_mut() = Some(handle);
             };
             let connector = Connector { me, tls };
             let part =
@@ -171,9 +181,34 @@
         }
         tasks.spawn(director.run(news, messages)).detach();
         let (moves, moved) = async_channel::bounded(MOVES);
-        let coordinator =
-            Coordinator { address: config.coordinator, last, news: tell, moves: moved, gap: None };
-        tasks.spawn(coordinator.run()).detach();
+        match conf.relay.clone().zip(of_relays) {
+            None => {
+                let coordinator =
+                    Coordinator { address: config.coordinator, last, news: tell, moves: moved, gap: None };
+                tasks.spawn(coordinator.run()).detach();
+            }
+            Some((terms, known)) => {
+                let instance = InstanceId::of(&config.name);
+                let me = who.map_or(Source { instance, incarnation: clock::now() }, |(me, _)| me);
+                let around = distribution::Surroundings {
+                    me,
+                    name: config.name.clone(),
+                    connector: Connector { me, tls: keys_of(hub.as_deref(), &terms.files)? },
+                    tasks: tasks.clone(),
+                    board: board.clone(),
+                    cleared,
+                    notices: tell,
+                    coordinator: config.coordinator,
+                    moves: moved,
+                    applied: last,
+                    known,
+                };
+                let service = distribution::start(terms, around).map_err(io::Error::other)?;
+                if let Some((hub, service)) = hub.as_ref().zip(service) {
+                    hub.distribute(service);
+                }
+            }
+        }
         let to_director = mailbox.clone();
         let beside = std::env::var_os("TMPDIR")
             .and_then(|directory| Beside::enter(std::path::Path::new(&directory), address, clock::now()))
@@ -281,6 +316,14 @@
     }
 }
 
+/// The keys for connections to other routers: the exchange's where it is on, as those are read anew on SIGHUP.
+fn keys_of(hub: Option<&Hub>, files: &Files) -> io::Result<Rc<RefCell<Tls>>> {
+    match hub {
+        Some(hub) => Ok(hub.tls.clone()),
+        None => Ok(Rc::new(RefCell::new(Tls::read(files).map_err(io::Error::other)?))),
+    }
+}
+
 /// While an older process of this router stands beside it, both keep to one limit: this one takes what that one leaves.
 async fn share(
     beside: Rc<Beside>,
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -10,16 +10,18 @@
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use bitternhold::settings::Catalogue;
-use bitternhold::{FillMode, Keep, Lifecycle, Load, Member, MemberId, Micros, Note, Settings, Status};
+use bitternhold::{
+    EVERY_GROUP, FillMode, Keep, Lifecycle, Load, Member, MemberId, Micros, Note, Settings, Status,
+};
 use bytes::Bytes;
 use silverspindle_conf::HalfLives;
 use silverspindle_knowledge::Item;
 use silverspindle_work::Ledger;
 
-use crate::agreement::records::steady;
 use crate::copies;
-use crate::feed::{Purged, hex};
-use crate::{agreement, clock, resp};
+use crate::feed::{News, Purged, hex};
+use crate::steady::steady;
+use crate::{clock, resp};
 
 /// A request, whatever protocol it came by.
 #[derive(Debug)]
@@ -219,10 +221,78 @@
 /// Members on the list.
 pub type Members = BTreeMap<MemberId, Noted>;
 
+/// What routers agree on, asked at the moment of acting.
+pub trait Guard: Debug {
+    /// Whether an attempt to a member may go out now.
+    fn allows(&self, attempt: &Attempt, to: MemberId, members: &Members) -> bool;
+    /// An attempt ended.
+    fn over(&self, attempt: &Attempt, note: Option<Note>);
+    /// Whether a request of this class and group is refused.
+    fn refuses(&self, class: usize, group: u64) -> bool;
+    /// A request was answered, in the wanted time or not.
+    fn answered(&self, in_time: bool);
+    /// The versions that it acts on; none: rules are off.
+    fn version(&self) -> Option<String>;
+}
+
+/// How fresh the feed of purges is at a moment.
+#[derive(Clone, Copy, Debug)]
+pub struct Freshness {
+    /// The moment, by the steady clock.
+    pub at: Micros,
+    /// How old the feed's confirmation is; none: it has never had one.
+    pub age: Option<Micros>,
+    /// Where the lease has run out: copies older than this may have been purged without this router's knowing.
+    pub oldest: Option<Micros>,
+}
+
+/// How fresh the feed of purges is, asked at the moment of acting.
+pub trait Lease: Debug {
+    /// Now.
+    fn look(&self) -> Freshness;
+    /// The director has taken a batch in, numbers from behind `after` up to `number`.
+    fn applied(&self, after: u64, number: u64);
+    /// The director has taken in what stands for all numbers up to this one.
+    fn reset(&self, number: u64);
+    /// An attempt goes out that was held against this look.
+    fn acted(&self, attempt: &Attempt, look: Freshness);
+}
+
+/// What the director is told by whoever follows the list and the purges, in order.
+#[derive(Debug)]
+pub enum Notice {
+    /// An event of the coordinator's.
+    News(News),
+    /// All copies from before then may be purged.
+    PurgedBefore(Micros),
+    /// What was told since is the whole batch of these numbers.
+    Batch {
+        /// The number before the first.
+        after: u64,
+        /// The last.
+        number: u64,
+    },
+    /// What was told since stands for all numbers up to this one.
+    Reset {
+        /// The last.
+        number: u64,
+    },
+}
+
+impl From<News> for Notice {
+    fn from(news: News) -> Self {
+        Self::News(news)
+    }
+}
+
 /// What was told last of the members and of purges, for a last look at the moment of writing.
 #[derive(Debug, Default)]
 pub struct Board {
-    agreed: RefCell<Option<agreement::Handle>>,
+    agreed: RefCell<Option<Rc<dyn Guard>>>,
+    /// The feed of purges, where it has a lease.
+    lease: RefCell<Option<Rc<dyn Lease>>>,
+    /// So long after a purge the caches have dropped all older copies.
+    cleared: Cell<Micros>,
     /// Nothing goes out before what is agreed is known: orders for work are on.
     waits: Cell<bool>,
     /// Members on the list.
@@ -238,8 +308,37 @@
 
 impl Board {
     /// What routers agree on is in force from now on.
-    pub fn agree(&self, handle: agreement::Handle) {
-        *self.agreed.borrow_mut() = Some(handle);
+    pub fn agree(&self, guard: Rc<dyn Guard>) {
+        *self.agreed.borrow_mut() = Some(guard);
+    }
+
+    /// The feed of purges has a lease from now on. So long after a purge the caches have dropped all older copies.
+    pub fn lease(&self, lease: Rc<dyn Lease>, cleared: Micros) {
+        *self.lease.borrow_mut() = Some(lease);
+        self.cleared.set(cleared);
+    }
+
+    /// While the feed's lease has run out: copies older than this are not to be served.
+    pub fn oldest(&self) -> Option<Micros> {
+        self.lease.borrow().as_ref()?.look().oldest
+    }
+
+    /// The same for caches' copies; none where the caches have dropped them by then themselves.
+    pub fn oldest_asked(&self) -> Option<Micros> {
+        self.asked(self.oldest()?)
+    }
+
+    fn asked(&self, oldest: Micros) -> Option<Micros> {
+        (oldest <= self.cleared.get()).then_some(oldest)
+    }
+
+    /// The director has taken a batch in, or what stands for all numbers up to this one.
+    pub fn applied(&self, after: Option<u64>, number: u64) {
+        match (self.lease.borrow().as_ref(), after) {
+            (Some(lease), Some(after)) => lease.applied(after, number),
+            (Some(lease), None) => lease.reset(number),
+            (None, _) => {}
+        }
     }
 
     /// Nothing goes out before what is agreed is known here.
@@ -261,7 +360,7 @@
 
     /// The versions that it acts on, for its log; none: rules are off.
     pub fn version(&self) -> Option<String> {
-        Some(self.agreed.borrow().as_ref()?.version()?.0)
+        self.agreed.borrow().as_ref()?.version()
     }
 
     /// Orders for work are on: what is open where is kept, and nothing goes out before they are known here.
@@ -362,17 +461,26 @@
     pub(crate) fn allows(&self, attempt: &Attempt, to: MemberId) -> bool {
         let purges = self.purges.borrow();
         let since = |what| purges.get(&what).is_some_and(|(told, _)| *told > attempt.decided);
+        let look = self.lease.borrow().as_ref().map(|lease| lease.look());
+        let oldest = look.and_then(|look| self.asked(look.oldest?));
         let allows = clock::now() < attempt.write_by
             && !attempt.call.over.get()
             && !attempt.client.is_gone()
             && self.is_ready(to)
             && attempt.terms.source.is_none_or(|source| self.is_ready(source))
             && !since(Purged::Group(attempt.call.group))
-            && !attempt.call.key().is_some_and(|key| since(Purged::Object(key)));
-        match self.agreed.borrow().as_ref() {
+            && !since(Purged::Group(EVERY_GROUP))
+            && !attempt.call.key().is_some_and(|key| since(Purged::Object(key)))
+            // Decided before the feed's lease ran out, it asks for copies that may be purged.
+            && oldest.is_none_or(|oldest| attempt.terms.max_age.is_some_and(|age| age <= oldest));
+        let allows = match self.agreed.borrow().as_ref() {
             Some(agreed) => allows && agreed.allows(attempt, to, &self.members.borrow()),
             None => allows && !self.waits.get(),
+        };
+        if let Some((lease, look)) = self.lease.borrow().as_ref().zip(look).filter(|_| allows) {
+            lease.acted(attempt, look);
         }
+        allows
     }
 }
 
--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! The shared helper: messages in random pieces, and a router between scripted parties on loopback.
 #![allow(dead_code)]
 
+pub mod office;
+pub mod relays;
 pub mod world;
 
 use std::future::Future;
--- /dev/null
+++ b/silverspindle/tests/common/office.rs
@@ -0,0 +1,81 @@
+//! Routers with keys of one office, each before its own coordinator.
+
+use std::path::{Path, PathBuf};
+
+use silverspindle::knowledge::keys;
+use silverspindle_conf::Files;
+use silverspindle_standins::ports::Port;
+
+use super::*;
+
+/// A folder of keys for n0, n1 and more, new for each test.
+pub struct Office(pub PathBuf);
+
+impl Office {
+    pub fn new() -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let name = format!("office-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let _ = std::fs::remove_dir_all(&folder);
+        keys::init(&folder, 100).unwrap();
+        ["n0", "n1", "n2", "n3"].iter().for_each(|name| keys::issue(&folder, name, 100).unwrap());
+        Self(folder)
+    }
+
+    pub fn files(&self, name: &str) -> Files {
+        let file = |name: String| self.0.join(name);
+        Files {
+            authority: file("authority.pem".into()),
+            certificate: file(format!("{name}.pem")),
+            key: file(format!("{name}.key")),
+        }
+    }
+
+    pub fn conf(&self, name: &str, more: &str) -> Conf {
+        let Files { authority, certificate, key } = self.files(name);
+        let text = format!(
+            "exchange-authority '{}'\nexchange-certificate '{}'\nexchange-key '{}'\n{more}",
+            authority.display(),
+            certificate.display(),
+            key.display()
+        );
+        silverspindle_conf::read(&text).unwrap()
+    }
+}
+
+impl Drop for Office {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A port for a router that starts later, held for the test's life: other runs of these tests ask for ports too.
+pub fn free() -> SocketAddr {
+    static HELD: std::sync::Mutex<Vec<Port>> = std::sync::Mutex::new(Vec::new());
+    let port = Port::hold(ip()).unwrap();
+    let address = port.address;
+    HELD.lock().unwrap().push(port);
+    address
+}
+
+/// A router of this name before these caches, with its coordinator's listener.
+pub fn named(
+    tasks: &Tasks,
+    name: &str,
+    caches: &[SocketAddr],
+    conf: Conf,
+) -> (Router, Async<std::net::TcpListener>) {
+    let (coordinator, address) = listen();
+    let mut members: Vec<Value> = (1..).zip(caches).map(|(id, at)| entry(id, "box", *at)).collect();
+    members.push(entry(99, "origin", address));
+    let mut file = configuration(&members, address);
+    file["name"] = name.into();
+    (Router::start(config(&file).unwrap(), conf, tasks).unwrap(), coordinator)
+}
+
+/// A coordinator's connection, once its router has said what it has.
+pub async fn feed(coordinator: &Async<std::net::TcpListener>) -> Async<std::net::TcpStream> {
+    let mut feed = coordinator.accept().await.unwrap().0;
+    feed.read_exact(&mut [0; 8]).await.unwrap();
+    feed
+}
--- /dev/null
+++ b/silverspindle/tests/common/relays.rs
@@ -0,0 +1,232 @@
+//! What the tests of the distribution need: a coordinator with a log, a connection that can be cut, records read back.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use serde_json::Value;
+use tracing_subscriber::fmt::MakeWriter;
+
+use super::office::Office;
+use super::*;
+
+/// Short, so that a lease that ends ends soon.
+pub const TERMS: &str = "relay-within 2500ms\nrelay-direct 2s\nrelay-batch 50ms\nrelay-report 200ms\n";
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Events from number 2 on, told to whoever asks, with the word that it is current each few turns.
+#[derive(Default)]
+pub struct Events {
+    told: RefCell<Vec<Vec<u8>>>,
+    /// Nothing more is told, not even that.
+    pub silent: Cell<bool>,
+}
+
+impl Events {
+    /// Adds an event.
+    pub fn tell(&self, kind: u8, payload: &[u8]) {
+        let number = self.told.borrow().len() as u64 + 2;
+        self.told.borrow_mut().push(event(number, kind, payload));
+    }
+
+    /// Adds a purge of an object, now.
+    pub fn purge(&self, object: u64) {
+        let ms = silverspindle::clock::now() / 1000;
+        self.tell(3, &[object.to_be_bytes(), ms.to_be_bytes()].concat());
+    }
+
+    /// The coordinator of one router; gives how many follow it.
+    pub fn serve(self: &Rc<Self>, tasks: &Tasks, listener: Async<TcpListener>) -> Rc<Cell<usize>> {
+        let (open, own, all) = (Rc::new(Cell::new(0)), self.clone(), tasks.clone());
+        let counted = open.clone();
+        let accept = async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (own, open) = (own.clone(), counted.clone());
+                let follow = async move {
+                    open.set(open.get() + 1);
+                    let _ = own.follow(stream).await;
+                    open.set(open.get() - 1);
+                };
+                all.spawn(follow).detach();
+            }
+        };
+        tasks.spawn(accept).detach();
+        open
+    }
+
+    async fn follow(&self, stream: Async<TcpStream>) -> io::Result<()> {
+        let mut last = [0; 8];
+        (&stream).read_exact(&mut last).await?;
+        let mut told = u64::from_be_bytes(last).max(1) as usize - 1;
+        let closed = async {
+            let read = (&stream).read(&mut [0; 1]).await;
+            read.map(drop)
+        };
+        let tell = async {
+            loop {
+                let new: Vec<Vec<u8>> = self.told.borrow().iter().skip(told).cloned().collect();
+                if !self.silent.get() {
+                    told += new.len();
+                    (&stream).write_all(&new.concat()).await?;
+                    (&stream).write_all(&event(0, 0, b"")).await?;
+                }
+                Timer::after(10 * LOOK).await;
+            }
+        };
+        future::or(closed, tell).await
+    }
+}
+
+/// A way to an address that can be cut.
+pub struct Gate {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Closed where it is cut.
+    open: Rc<RefCell<async_channel::Receiver<()>>>,
+    held: RefCell<Option<async_channel::Sender<()>>>,
+}
+
+impl Gate {
+    pub fn to(tasks: &Tasks, target: SocketAddr) -> Self {
+        let (listener, address) = listen();
+        let open = Rc::new(RefCell::new(async_channel::bounded(1).1));
+        let (all, state) = (tasks.clone(), open.clone());
+        let accept = async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let open = state.borrow().clone();
+                // Who comes while it is cut is turned away.
+                if !open.is_closed() {
+                    all.spawn(async move { drop(pass(stream, target, open).await) }).detach();
+                }
+            }
+        };
+        tasks.spawn(accept).detach();
+        let gate = Self { address, open, held: RefCell::default() };
+        gate.mend();
+        gate
+    }
+
+    /// All connections end, and no new one is made.
+    pub fn cut(&self) {
+        self.held.borrow_mut().take();
+    }
+
+    pub fn mend(&self) {
+        let (held, open) = async_channel::bounded(1);
+        (*self.held.borrow_mut(), *self.open.borrow_mut()) = (Some(held), open);
+    }
+}
+
+async fn pass(one: Async<TcpStream>, target: SocketAddr, cut: async_channel::Receiver<()>) -> io::Result<()> {
+    let other = Async::<TcpStream>::connect(target).await?;
+    let there = futures_lite::io::copy(&one, &other);
+    let back = futures_lite::io::copy(&other, &one);
+    let cut = async {
+        let _ = cut.recv().await;
+        Ok(0)
+    };
+    future::or(cut, future::or(there, back)).await.map(drop)
+}
+
+/// Where a router's records go.
+pub fn records_path(office: &Office, name: &str) -> PathBuf {
+    office.0.join(format!("{name}.records.json"))
+}
+
+/// The operators' file of a router with this role.
+pub fn terms(office: &Office, name: &str, more: &str) -> silverspindle_conf::Conf {
+    let records = records_path(office, name);
+    office.conf(name, &format!("{TERMS}relay-records-file '{}'\n{more}", records.display()))
+}
+
+/// Lines of a record file; half a line at its end is left out.
+pub fn records(path: &Path) -> Vec<Value> {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
+    whole.lines().map(|line| serde_json::from_str(line).unwrap()).collect()
+}
+
+/// Waits until a line is as wanted; gives all lines up to then.
+pub async fn until_record(path: &Path, good: impl Fn(&Value) -> bool) -> Vec<Value> {
+    loop {
+        let all = records(path);
+        if all.iter().any(&good) {
+            return all;
+        }
+        Timer::after(LOOK).await;
+    }
+}
+
+/// Waits until the log is applied up to a number, and checks that all of it was, once and in order, from number 1.
+pub async fn until_applied(path: &Path, number: u64) -> Vec<Value> {
+    let all =
+        until_record(path, |line| line["kind"] == "applied" && line["to"].as_u64() >= Some(number)).await;
+    let mut applied = 1;
+    for line in all.iter().filter(|line| line["kind"] == "applied") {
+        assert_eq!(line["from"], applied, "{all:?}");
+        applied = line["to"].as_u64().unwrap();
+    }
+    all
+}
+
+/// Waits until the latest word on the reading is this one.
+pub async fn until_mode(path: &Path, mode: &str) {
+    loop {
+        let all = records(path);
+        if all.iter().rfind(|line| line["kind"] == "mode").is_some_and(|line| line["mode"] == mode) {
+            return;
+        }
+        Timer::after(LOOK).await;
+    }
+}
+
+/// Waits until something holds.
+pub async fn until(good: impl Fn() -> bool) {
+    while !good() {
+        Timer::after(LOOK).await;
+    }
+}
+
+/// This thread's log lines.
+#[derive(Clone, Default)]
+pub struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Lines {
+    /// From now on, until the guard is dropped.
+    pub fn capture() -> (Self, tracing::subscriber::DefaultGuard) {
+        let lines = Self::default();
+        let subscriber = tracing_subscriber::fmt().with_writer(lines.clone()).with_ansi(false).finish();
+        (lines, tracing::subscriber::set_default(subscriber))
+    }
+
+    /// Lines with these words.
+    pub fn with(&self, words: &str) -> Vec<String> {
+        let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
+        text.lines().filter(|line| line.contains(words)).map(str::to_owned).collect()
+    }
+}
+
+impl io::Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl<'a> MakeWriter<'a> for Lines {
+    type Writer = Self;
+
+    fn make_writer(&'a self) -> Self {
+        self.clone()
+    }
+}
--- /dev/null
+++ b/silverspindle/tests/distribution.rs
@@ -0,0 +1,440 @@
+//! Purges and list events over relays, between routers on loopback: order, parents that go, the coordinator as the last
+//! resort, what a router with a stale feed may ask for, and peers that break the protocol.
+
+mod common;
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use async_io::Async;
+use bitternhold::Status;
+use common::office::*;
+use common::relays::*;
+use common::world::World;
+use common::*;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_rustls::TlsAcceptor;
+use silverspindle::distribution::staff::{Progress, Staff};
+use silverspindle::knowledge::keys::Tls;
+use silverspindle::links::{self, Connected, Connector};
+use silverspindle::traffic::{Attempt, Freshness, Lease};
+use silverspindle::upstream::Order;
+use silverspindle_agreement::PIECE;
+use silverspindle_conf::Conf;
+use silverspindle_knowledge::protocol::{self, Message, VERSION};
+use silverspindle_knowledge::{InstanceId, Source};
+use silverspindle_relay::{
+    Batch, Entry, Frame, Lagging, NodeId, Purged, Record, Report, Status as Word, Subscribe, Summary, Update,
+};
+
+/// A source of this office before its coordinator.
+fn source(tasks: &Tasks, office: &Office, events: &Rc<Events>) -> SocketAddr {
+    let at = free();
+    let conf = terms(office, "n0", &format!("relay-role source\nexchange-listen {at}\nrelay-children 20\n"));
+    let (_router, listener) = named(tasks, "n0", &[], conf);
+    events.serve(tasks, listener);
+    at
+}
+
+/// The file of a router with these parents.
+fn router(office: &Office, name: &str, parents: &[(&str, SocketAddr)]) -> Conf {
+    let parents = parents.iter().map(|(name, at)| format!("relay-parent {name} {at}\n"));
+    terms(office, name, &format!("relay-role router\n{}", parents.collect::<String>()))
+}
+
+/// What reaches a cache for a request, which is answered with a copy of this age.
+async fn want(client: &Client, cache: &Cache, seq: i32, object: &str, age_ms: u64) -> Command {
+    let rid = format!("{seq:016x}");
+    let mut fields: Vec<(&str, &str)> = page("");
+    (fields[1].1, fields[3].1) = (&rid, object);
+    client.send(&serve(seq, &fields, b"")).await;
+    let (want, line) = cache.next().await;
+    let stamp = silverspindle::clock::now() / 1000 - age_ms;
+    reply(&line, &[&rid, "HIT", &format!("version=4be0c1927d55a6f3,stamp={stamp},why=warm"), "x"]).await;
+    assert_eq!(client.next().await.unwrap(), served(seq, b"x"));
+    want
+}
+
+fn newer(want: &Command) -> Option<u64> {
+    field(want, "newer").map(|ms| ms.parse().unwrap())
+}
+
+const OBJECT: &str = "7f3a9c21e0b4d655";
+const OTHER: &str = "00000000000000b7";
+
+/// Purges and drains reach a router over two levels of relays, each once and in order, and bind what it asks for; the
+/// coordinator is never asked.
+#[test]
+fn a_router_takes_the_log_from_its_parent_alone() {
+    run(async |tasks| {
+        let (office, events, at) = (Office::new(), Rc::new(Events::default()), free());
+        let above = source(tasks, &office, &events);
+        let relay =
+            format!("relay-role relay\nexchange-listen {at}\nrelay-children 20\nrelay-parent n0 {above}\n");
+        let (_relay, silent_too) = named(tasks, "n1", &[], terms(&office, "n1", &relay));
+        let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+        let (below, silent) =
+            named(tasks, "n2", &[one.address, two.address], router(&office, "n2", &[("n1", at)]));
+        let path = records_path(&office, "n2");
+        until_mode(&path, "relay").await;
+        events.tell(2, &record(1, 1, one.address));
+        (0..40).for_each(|n| events.purge(n));
+        events.purge(u64::from_str_radix(OBJECT, 16).unwrap());
+        until_applied(&path, 43).await;
+        let client = Client::connect(tasks, below.address).await;
+        // Box 1 drains; a copy from before the purge will not do.
+        let wanted = want(&client, &two, 1, OBJECT, 0).await;
+        assert!(newer(&wanted).is_some_and(|ms| ms < 60_000), "{wanted:?}");
+        assert!(one.nothing_came());
+        let attempts = until_record(&path, |line| line["kind"] == "attempt").await;
+        let attempt = attempts.iter().find(|line| line["kind"] == "attempt").unwrap();
+        assert_eq!((&attempt["number"], &attempt["mode"]), (&43.into(), &"relay".into()));
+        assert_eq!((&attempt["object"], &attempt["group"]), (&OBJECT.into(), &17.into()));
+        assert!(attempt["age"].is_u64() && attempt["limit"].is_u64(), "{attempt}");
+        for listener in [&silent, &silent_too] {
+            assert!(future::poll_once(listener.accept()).await.is_none(), "the coordinator was asked");
+        }
+    });
+}
+
+/// A relay is gone: its router takes the log from the next one, from where it was.
+#[test]
+fn a_router_whose_parent_has_gone_takes_the_log_from_the_next_one() {
+    run(async |tasks| {
+        let (office, events) = (Office::new(), Rc::new(Events::default()));
+        let above = source(tasks, &office, &events);
+        let relay = |name: &str| {
+            let at = free();
+            let conf = format!(
+                "relay-role relay\nexchange-listen {at}\nrelay-children 20\nrelay-parent n0 {above}\n"
+            );
+            let (_router, listener) = named(tasks, name, &[], terms(&office, name, &conf));
+            (at, listener)
+        };
+        let ((first, _one), (second, _two)) = (relay("n1"), relay("n2"));
+        let gate = Gate::to(tasks, first);
+        let conf = router(&office, "n3", &[("n1", gate.address), ("n2", second)]);
+        let (_router, silent) = named(tasks, "n3", &[], conf);
+        let path = records_path(&office, "n3");
+        events.purge(1);
+        until_applied(&path, 2).await;
+        gate.cut();
+        (0..20).for_each(|n| events.purge(n));
+        until_applied(&path, 22).await;
+        assert!(future::poll_once(silent.accept()).await.is_none(), "the coordinator was asked");
+    });
+}
+
+/// Where no parent is to be had a router follows the coordinator, from where it was, and leaves it once a parent is
+/// there again; nothing is lost or applied twice on the way.
+#[test]
+fn without_a_parent_a_router_follows_the_coordinator_for_as_long() {
+    run(async |tasks| {
+        let (office, events) = (Office::new(), Rc::new(Events::default()));
+        let gate = Gate::to(tasks, source(tasks, &office, &events));
+        let (_router, listener) = named(tasks, "n1", &[], router(&office, "n1", &[("n0", gate.address)]));
+        let following = events.serve(tasks, listener);
+        let path = records_path(&office, "n1");
+        events.purge(1);
+        until_applied(&path, 2).await;
+        until_mode(&path, "relay").await;
+        assert_eq!(following.get(), 0);
+        gate.cut();
+        until(|| following.get() == 1).await;
+        events.purge(2);
+        until_applied(&path, 3).await;
+        until_mode(&path, "direct").await;
+        gate.mend();
+        until(|| following.get() == 0).await;
+        events.purge(3);
+        until_applied(&path, 4).await;
+        until_mode(&path, "relay").await;
+    });
+}
+
+/// A router whose feed nobody confirms, neither a parent nor the coordinator, asks for young copies alone and serves
+/// none of its own that is older. Heard again it serves them: they were there all the time.
+#[test]
+fn with_a_stale_feed_only_young_copies_are_asked_for_and_served() {
+    run(async |tasks| {
+        let (office, events, cache) = (Office::new(), Rc::new(Events::default()), Cache::start(tasks));
+        let gate = Gate::to(tasks, source(tasks, &office, &events));
+        let conf = router(&office, "n1", &[("n0", gate.address)]);
+        let (below, _silent) = named(tasks, "n1", &[cache.address], conf);
+        let path = records_path(&office, "n1");
+        let client = Client::connect(tasks, below.address).await;
+        until_mode(&path, "relay").await;
+        // Fresh: any copy will do, and an old one is kept. The start's reading may bind for a while.
+        let mut seq = 0;
+        loop {
+            seq += 1;
+            let object = format!("{:016x}", 1000 + seq);
+            if newer(&want(&client, &cache, seq, &object, 0).await).is_none() {
+                break;
+            }
+        }
+        want(&client, &cache, 10_000, OBJECT, 20_000).await;
+        let mut fields: Vec<(&str, &str)> = page("00000000000000aa");
+        fields[3].1 = OBJECT;
+        client.send(&serve(10_001, &fields, b"")).await;
+        assert_eq!(client.next().await.unwrap(), served(10_001, b"x"));
+        assert!(cache.nothing_came(), "served from the router's own copy while the feed is fresh");
+        gate.cut();
+        until_mode(&path, "safe").await;
+        for (seq, object) in [(10_002, OTHER), (10_003, OBJECT), (10_004, OBJECT)] {
+            let wanted = want(&client, &cache, seq, object, 20_000).await;
+            assert!(newer(&wanted).is_some_and(|ms| ms <= 2_000), "{wanted:?}");
+        }
+        let all = records(&path);
+        let stale = all.iter().filter(|line| line["kind"] == "attempt" && line["mode"] == "safe");
+        assert!(stale.clone().count() >= 3);
+        assert!(stale.clone().all(|line| line["limit"].as_u64().is_some_and(|us| us <= 2_000_000)));
+    });
+}
+
+/// A feed by script.
+#[derive(Debug, Default)]
+struct Scripted {
+    oldest: Cell<Option<u64>>,
+    acted: RefCell<Vec<u64>>,
+}
+
+impl Lease for Scripted {
+    fn look(&self) -> Freshness {
+        Freshness { at: 0, age: None, oldest: self.oldest.get() }
+    }
+    fn applied(&self, _: u64, _: u64) {}
+    fn reset(&self, _: u64) {}
+    fn acted(&self, attempt: &Attempt, _: Freshness) {
+        self.acted.borrow_mut().push(attempt.ticket);
+    }
+}
+
+/// Guards against what was decided while the feed was fresh, waited, and would go out after: it asks for copies that may
+/// be purged. One with a limit that does is written, and one where caches have dropped such copies by themselves.
+#[test]
+fn what_was_decided_before_the_lease_ran_out_is_not_written_after() {
+    run(async |tasks| {
+        let (world, feed) = (World::new(tasks, 8), Rc::new(Scripted::default()));
+        world.shared.board.lease(feed.clone(), 6_500_000);
+        let peer = world.peer();
+        let attempt = |ticket: u64, rid: &str, max_age| {
+            let mut attempt = Rc::into_inner(world.attempt(ticket, rid)).unwrap();
+            attempt.terms.max_age = max_age;
+            Rc::new(attempt)
+        };
+        let unlimited = attempt(1, "00000000000000a1", None);
+        let too_old = attempt(2, "00000000000000a2", Some(2_000_001));
+        let young = attempt(3, "00000000000000a3", Some(2_000_000));
+        feed.oldest.set(Some(2_000_000));
+        for attempt in [unlimited, too_old, young] {
+            peer.send(Order::Send(attempt)).await.unwrap();
+        }
+        let (wanted, line) = world.cache.next().await;
+        assert_eq!(wanted[1], "00000000000000a3");
+        let ends = [world.end().await, world.end().await];
+        assert!(ends.contains(&(1, Status::Moot)) && ends.contains(&(2, Status::Moot)), "{ends:?}");
+        reply(&line, &["00000000000000a3", "NONE", "-", ""]).await;
+        assert_eq!(world.end().await.0, 3);
+        assert!(world.cache.nothing_came());
+        feed.oldest.set(Some(7_000_000));
+        peer.send(Order::Send(attempt(4, "00000000000000a4", None))).await.unwrap();
+        assert_eq!(world.cache.next().await.0[1], "00000000000000a4");
+        assert_eq!(*feed.acted.borrow(), [3, 4]);
+    });
+}
+
+/// Without a role nothing changes: the coordinator is followed, no copy is too old, and nobody is served as a child.
+#[test]
+fn without_a_role_the_coordinator_is_followed_and_nobody_subscribes() {
+    run(async |tasks| {
+        let (office, at, cache) = (Office::new(), free(), Cache::start(tasks));
+        let (off, coordinator) =
+            named(tasks, "n0", &[cache.address], office.conf("n0", &format!("exchange-listen {at}")));
+        let mut told = feed(&coordinator).await;
+        told.write_all(&event(2, 2, &record(2, 1, cache.address))).await.unwrap();
+        let client = Client::connect(tasks, off.address).await;
+        assert_eq!(newer(&want(&client, &cache, 1, OBJECT, 0).await), None);
+        let mut child = child(&office, "n1", at).await;
+        assert!(closed(&mut child).await, "nobody takes the log from it");
+    });
+}
+
+// ---- Peers that break the protocol.
+
+/// A connection to n0 as this router, with its first frame sent.
+async fn child(office: &Office, name: &str, at: SocketAddr) -> Connected {
+    let me = Source { instance: InstanceId::of(name), incarnation: 1 };
+    let tls = Rc::new(RefCell::new(Tls::read(&office.files(name)).unwrap()));
+    Connector { me, tls }.connect("n0", at, &Message::Subscribe { me }).await.unwrap()
+}
+
+/// Reads on until the peer ends the connection.
+async fn closed(stream: &mut Connected) -> bool {
+    let mut buffer = [0; 4096];
+    while stream.read(&mut buffer).await.is_ok_and(|n| n > 0) {}
+    true
+}
+
+fn subscribe(name: &str, applied: u64) -> Frame {
+    let node = NodeId { instance: InstanceId::of(name).0, incarnation: 1 };
+    Frame::Subscribe(Subscribe { node, applied })
+}
+
+fn report(question: u64, watermark: u64) -> Frame {
+    Frame::Report(Report { question, watermark, summary: Summary::default() })
+}
+
+/// A frame longer than any may be, in pieces of which none is the last.
+fn endless() -> Vec<u8> {
+    let piece = protocol::encode(&Message::Piece([vec![0], vec![7; PIECE]].concat()), VERSION);
+    piece.repeat((1 << 20) / PIECE + 1)
+}
+
+fn garbled() -> Vec<u8> {
+    protocol::encode(&Message::Piece(vec![1, 99, 99]), VERSION)
+}
+
+/// A child that claims what it can't have, goes back, takes another's name, sends without end or what can't be read: its
+/// connection ends, with one line in the log; the others go on.
+#[test]
+fn a_child_that_breaks_the_protocol_is_cut_off_and_no_other_is() {
+    let (lines, _guard) = Lines::capture();
+    run(async |tasks| {
+        let (office, events) = (Office::new(), Rc::new(Events::default()));
+        let above = source(tasks, &office, &events);
+        let (_good, _silent) = named(tasks, "n1", &[], router(&office, "n1", &[("n0", above)]));
+        let path = records_path(&office, "n1");
+        events.purge(1);
+        until_applied(&path, 2).await;
+        let update = Frame::Update(Update::default());
+        let wrongs: [(&str, Vec<Frame>); 5] = [
+            ("a watermark beyond the log", vec![subscribe("n2", 1), report(1, 99)]),
+            ("a question from the past", vec![subscribe("n2", 1), report(2, 1), report(1, 1)]),
+            ("another's name", vec![subscribe("n3", 1)]),
+            ("a report before it has subscribed", vec![report(1, 1)]),
+            ("an update from a child", vec![subscribe("n2", 1), update]),
+        ];
+        for (what, frames) in wrongs {
+            let mut stream = child(&office, "n2", above).await;
+            for frame in &frames {
+                links::write(&mut stream, frame).await.unwrap();
+            }
+            assert!(closed(&mut stream).await, "{what}");
+        }
+        for bytes in [endless(), garbled()] {
+            let mut stream = child(&office, "n2", above).await;
+            // It may be cut off before all is written.
+            let _ = stream.write_all(&bytes).await;
+            let _ = stream.flush().await;
+            assert!(closed(&mut stream).await);
+        }
+        events.purge(2);
+        until_applied(&path, 3).await;
+        let said = lines.with("a child's connection ends");
+        assert!(!said.is_empty() && said.len() < 7, "{said:?}");
+        assert!(said.iter().all(|line| line.contains("n2")), "{said:?}");
+    });
+}
+
+/// A parent by script, with n0's keys: what it says on each connection, one after the other; then it stays open.
+fn parent(tasks: &Tasks, office: &Office, says: Vec<Vec<u8>>) -> SocketAddr {
+    let (listener, at) = listen();
+    let acceptor = TlsAcceptor::from(Tls::read(&office.files("n0")).unwrap().server.clone());
+    let serve = async move {
+        for bytes in says {
+            let stream: Async<std::net::TcpStream> = listener.accept().await.unwrap().0;
+            let Ok(mut stream) = acceptor.accept(stream).await else { continue };
+            let _ = stream.write_all(&bytes).await;
+            let _ = stream.flush().await;
+            let mut buffer = [0; 4096];
+            while stream.read(&mut buffer).await.is_ok_and(|n| n > 0) {}
+        }
+        future::pending::<()>().await;
+    };
+    tasks.spawn(serve).detach();
+    at
+}
+
+fn spelt(frame: &Frame) -> Vec<u8> {
+    let pieces = silverspindle_agreement::pieces(frame);
+    pieces.into_iter().flat_map(|piece| protocol::encode(&Message::Piece(piece), VERSION)).collect()
+}
+
+fn update(after: u64, numbers: &[u64]) -> Vec<u8> {
+    let entry = |number: &u64| Entry::Purge { what: Purged::Object(*number), at_ms: 1 };
+    let records = numbers.iter().map(|number| Record { number: *number, entry: entry(number) }).collect();
+    let batch = Batch { after, records }.encode().into();
+    spelt(&Frame::Update(Update { batch, confirm: None }))
+}
+
+/// A parent whose batch leaves a gap, that sends without end, what can't be read or what only a child says: the connection
+/// ends, with one line in the log, and what it then says well is applied from where the router was.
+#[test]
+fn a_parent_that_breaks_the_protocol_is_left_and_nothing_is_lost() {
+    let (lines, _guard) = Lines::capture();
+    run(async |tasks| {
+        let office = Office::new();
+        let ask = spelt(&Frame::Ask { number: 0 });
+        let says =
+            vec![update(5, &[6]), endless(), garbled(), ask, [update(1, &[2, 3]), update(3, &[4])].concat()];
+        let at = parent(tasks, &office, says);
+        let (_router, _silent) = named(tasks, "n1", &[], router(&office, "n1", &[("n0", at)]));
+        until_applied(&records_path(&office, "n1"), 4).await;
+        let said = lines.with("a parent");
+        assert!(!said.is_empty() && said.len() < 4, "{said:?}");
+    });
+}
+
+// ---- Staff.
+
+/// A number is done everywhere once the source's leases from before its start have run out and all below have it; a
+/// source that can't be asked makes it not known.
+#[test]
+fn staff_hear_when_a_number_is_done_everywhere_and_who_is_not_heard() {
+    run(async |tasks| {
+        let (office, events) = (Office::new(), Rc::new(Events::default()));
+        let above = source(tasks, &office, &events);
+        let (_below, _silent) = named(tasks, "n1", &[], router(&office, "n1", &[("n0", above)]));
+        events.purge(1);
+        until_applied(&records_path(&office, "n1"), 2).await;
+        let staff = Staff::new(&office.conf("n3", &format!("relay-source n0 {above}"))).unwrap();
+        let said = Cell::new(0);
+        staff.wait(0, |progress| said.set(said.get() + u32::from(progress.everywhere != Some(true)))).await;
+        assert!(said.get() > 0, "not known at first");
+        let progress = staff.progress(2).await;
+        assert_eq!((progress.number, progress.everywhere, progress.watermark), (2, Some(true), 2));
+        assert!(progress.age.is_some() && progress.routers > 0, "{progress:?}");
+        assert_eq!(staff.progress(3).await.everywhere, Some(false), "not told yet");
+        let two = format!("relay-source n0 {above}\nrelay-source n2 {}", free());
+        let progress = Staff::new(&office.conf("n3", &two)).unwrap().progress(2).await;
+        assert_eq!((progress.everywhere, progress.silent[0].0.as_str()), (None, "n2"));
+    });
+}
+
+/// Of several sources the least counts, and who is slowest below any.
+#[test]
+fn what_several_sources_say_adds_up_to_the_least() {
+    let lagging = |name: &str, applied| Lagging { name: name.to_owned(), applied };
+    let word = |watermark, everywhere, slow: Vec<Lagging>| Word {
+        number: 9,
+        latest: 9,
+        watermark,
+        everywhere,
+        age: Some(watermark),
+        summary: Summary { routers: 10, expired: 1, lagging: slow },
+    };
+    let one = ("s1".to_owned(), Ok(word(9, Some(true), vec![lagging("a", 9)])));
+    let two = ("s2".to_owned(), Ok(word(7, Some(false), vec![lagging("b", 7)])));
+    let fresh = ("s2".to_owned(), Ok(word(9, None, vec![])));
+    let silent = ("s2".to_owned(), Err("closed".to_owned()));
+    let all = Progress::of(9, &vec![one.clone(), two]);
+    assert_eq!((all.everywhere, all.watermark, all.routers, all.expired), (Some(false), 7, 20, 2));
+    assert_eq!((all.lagging[0].name.as_str(), all.age), ("b", Some(9)));
+    assert_eq!(Progress::of(9, &vec![one.clone(), fresh]).everywhere, None);
+    assert_eq!(Progress::of(9, &vec![one.clone(), silent.clone()]).everywhere, None);
+    assert_eq!(Progress::of(9, &vec![one]).everywhere, Some(true));
+    assert!(Progress::of(9, &vec![silent]).text().contains("source s2 can't be asked: closed"));
+    assert_eq!(Progress::of(9, &vec![]).everywhere, None);
+}
--- a/silverspindle/tests/exchange.rs
+++ b/silverspindle/tests/exchange.rs
@@ -4,94 +4,18 @@
 mod common;
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU32, Ordering};
 
 use async_io::Async;
+use common::office::*;
 use common::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use futures_rustls::TlsAcceptor;
-use serde_json::Value;
 use silverspindle::knowledge::keys::{self, Tls};
 use silverspindle::knowledge::snapshots;
-use silverspindle::serve::Router;
-use silverspindle_conf::{Conf, Files};
 use silverspindle_knowledge::protocol::{self, Message, Offer, VERSION};
 use silverspindle_knowledge::*;
-use silverspindle_standins::ports::Port;
-
-/// A folder of keys for n0, n1 and more, new for each test.
-struct Office(PathBuf);
-
-impl Office {
-    fn new() -> Self {
-        static NEXT: AtomicU32 = AtomicU32::new(0);
-        let name = format!("office-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-        let _ = std::fs::remove_dir_all(&folder);
-        keys::init(&folder, 100).unwrap();
-        ["n0", "n1", "n2", "n3"].iter().for_each(|name| keys::issue(&folder, name, 100).unwrap());
-        Self(folder)
-    }
-
-    fn files(&self, name: &str) -> Files {
-        let file = |name: String| self.0.join(name);
-        Files {
-            authority: file("authority.pem".into()),
-            certificate: file(format!("{name}.pem")),
-            key: file(format!("{name}.key")),
-        }
-    }
-
-    fn conf(&self, name: &str, more: &str) -> Conf {
-        let Files { authority, certificate, key } = self.files(name);
-        let text = format!(
-            "exchange-authority '{}'\nexchange-certificate '{}'\nexchange-key '{}'\n{more}",
-            authority.display(),
-            certificate.display(),
-            key.display()
-        );
-        silverspindle_conf::read(&text).unwrap()
-    }
-}
-
-impl Drop for Office {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
-/// A port for a router that starts later, held for the test's life: other runs of these tests ask for ports too.
-fn free() -> SocketAddr {
-    static HELD: std::sync::Mutex<Vec<Port>> = std::sync::Mutex::new(Vec::new());
-    let port = Port::hold(ip()).unwrap();
-    let address = port.address;
-    HELD.lock().unwrap().push(port);
-    address
-}
-
-/// A router of this name before these caches, with its coordinator's listener.
-fn named(
-    tasks: &Tasks,
-    name: &str,
-    caches: &[SocketAddr],
-    conf: Conf,
-) -> (Router, Async<std::net::TcpListener>) {
-    let (coordinator, address) = listen();
-    let mut members: Vec<Value> = (1..).zip(caches).map(|(id, at)| entry(id, "box", *at)).collect();
-    members.push(entry(99, "origin", address));
-    let mut file = configuration(&members, address);
-    file["name"] = name.into();
-    (Router::start(config(&file).unwrap(), conf, tasks).unwrap(), coordinator)
-}
-
-/// A coordinator's connection, once its router has said what it has.
-async fn feed(coordinator: &Async<std::net::TcpListener>) -> Async<std::net::TcpStream> {
-    let mut feed = coordinator.accept().await.unwrap().0;
-    feed.read_exact(&mut [0; 8]).await.unwrap();
-    feed
-}
 
 /// Asks for an object until the command that reaches a cache is as wanted; how the others answered tells which
 /// cache was asked.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -911,7 +911,8 @@
 
     /// The age that no copy from before a purge has, while such may be about. Never 0, which means no limit.
     fn purge_age(&self, now: Micros, key: u64, group: u64) -> Option<Micros> {
-        let at = self.purges.get(&(key, false)).max(self.purges.get(&(group, true)))?;
+        let told = [(key, false), (group, true), (EVERY_GROUP, true)].map(|what| self.purges.get(&what));
+        let at = told.into_iter().max().flatten()?;
         let age = now.saturating_sub(*at);
         let about = age <= self.settings.purge_done + self.settings.purge_grace;
         about.then(|| age.saturating_sub(1_000).max(1))
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,6 +7,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MemberId(pub u64);
 
+/// A purge of this group concerns all objects of every group.
+pub const EVERY_GROUP: u64 = u64::MAX;
+
 /// One try of a client; never used again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u128);
@@ -381,7 +384,7 @@
     Purged {
         /// The object, or the whole group.
         object: Option<String>,
-        /// The group.
+        /// The group; [`EVERY_GROUP`]: any copy of that age may be purged.
         group: u64,
         /// Time since the purge.
         age: Micros,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -252,6 +252,19 @@
     assert!(w.serve(3, "a").max_age.is_some_and(|age| age < 100 * MS));
 }
 
+/// A feed that may have missed purges: no copy as old is asked for or served, of whatever object; a later purge of an
+/// object goes before.
+#[test]
+fn a_purge_of_every_group_covers_all_objects() {
+    let mut w = World::new(settings());
+    w.tell(Event::Purged { object: None, group: EVERY_GROUP, age: 3 * S });
+    w.tell(Event::Purged { object: Some("a".into()), group: 7, age: 100 * MS });
+    assert!(w.serve(1, "a").max_age.is_some_and(|age| age < 100 * MS));
+    assert!(w.serve(2, "b").max_age.is_some_and(|age| age < 3 * S && age > 2 * S));
+    w.now += 10 * S;
+    assert_eq!(w.serve(3, "b").max_age, None, "all older copies are dropped by then");
+}
+
 #[test]
 fn the_fresh_time_caps_the_age_after_a_purge() {
     let mut w = World::new(Settings { classes: vec![Class { fresh: S, ..class() }], ..settings() });
