Relays in the program: shorter frames from children, resets, moves of the coordinator, tests

A child's frame is 16 KiB at most: what many children may leave half sent is bounded by that. Tests for a router that is too far behind, a source whose coordinator moves, and lists known at the start.

--- a/agreement/src/pieces.rs
+++ b/agreement/src/pieces.rs
@@ -25,7 +25,7 @@
 impl fmt::Display for Malformed {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            Malformed::TooLong => write!(f, "a frame longer than {MOST_FRAME} bytes"),
+            Malformed::TooLong => f.write_str("a frame longer than any may be"),
             Malformed::Body => f.write_str("a frame that can't be read"),
         }
     }
@@ -44,12 +44,20 @@
 #[derive(Debug)]
 pub struct Pieces<F> {
     bytes: Vec<u8>,
+    most: usize,
     frame: PhantomData<F>,
 }
 
 impl<F> Default for Pieces<F> {
     fn default() -> Self {
-        Self { bytes: Vec::new(), frame: PhantomData }
+        Self::up_to(MOST_FRAME)
+    }
+}
+
+impl<F> Pieces<F> {
+    /// For frames of so many bytes at most.
+    pub fn up_to(most: usize) -> Self {
+        Self { bytes: Vec::new(), most, frame: PhantomData }
     }
 }
 
@@ -57,7 +65,7 @@
     /// Takes a piece; a frame where it was the last.
     pub fn piece(&mut self, piece: &[u8]) -> Result<Option<F>, Malformed> {
         let (last, bytes) = piece.split_first().ok_or(Malformed::Body)?;
-        if self.bytes.len() + bytes.len() > MOST_FRAME {
+        if self.bytes.len() + bytes.len() > self.most {
             return Err(Malformed::TooLong);
         }
         self.bytes.extend_from_slice(bytes);
--- a/silverspindle/src/agreement/links.rs
+++ b/silverspindle/src/agreement/links.rs
@@ -9,7 +9,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use bitternhold::Micros;
-use silverspindle_agreement::Frame;
+use silverspindle_agreement::{Frame, MOST_FRAME};
 use silverspindle_knowledge::protocol::Message;
 
 use super::Handle;
@@ -50,7 +50,7 @@
                 handle.heard(&name, frame);
                 Ok(())
             };
-            both(stream, &frames, Some(idle), heard).await
+            both(stream, &frames, Some(idle), MOST_FRAME, heard).await
         };
         if let Err(e) = talk.await {
             if !failing {
@@ -81,7 +81,7 @@
                 }
                 Ok(())
             };
-            if let Err(e) = both(stream, &caller.frames, None, heard).await {
+            if let Err(e) = both(stream, &caller.frames, None, MOST_FRAME, heard).await {
                 tracing::debug!(peer = name, "agreement: {e}");
             }
         }))
--- a/silverspindle/src/agreement/staff.rs
+++ b/silverspindle/src/agreement/staff.rs
@@ -16,7 +16,7 @@
 use rustls::pki_types::pem::PemObject;
 use serde_json::{Value, json};
 use silverspindle_agreement::{
-    Change, Frame, Proposal, ProposalId, Refusal, Reply, Role, Seat, Status, Verdict,
+    Change, Frame, MOST_FRAME, Proposal, ProposalId, Refusal, Reply, Role, Seat, Status, Verdict,
 };
 use silverspindle_conf::{Agreement, Conf};
 use silverspindle_knowledge::protocol::Message::Open;
@@ -164,7 +164,7 @@
             let (tell, told) = async_channel::bounded(WINDOW as usize);
             let wanted = sent - settled;
             let mut got = 0;
-            let read = links::read(&mut stream, |frame| {
+            let read = links::read(&mut stream, MOST_FRAME, |frame| {
                 if let Frame::Settled { id: ProposalId(whose, _), verdict: Some(_) } = frame
                     && whose == run
                 {
--- a/silverspindle/src/distribution/children.rs
+++ b/silverspindle/src/distribution/children.rs
@@ -17,7 +17,9 @@
 use crate::links::{Accepted, Service, both};
 
 /// Frames of children that may wait at the core; who sends more is cut off.
-const INBOX: usize = 8192;
+const INBOX: usize = 4096;
+/// Bytes of a child's frame: a report names a few routers.
+const MOST: usize = 16 * 1024;
 /// Frames that may wait for a child; one that takes none is cut off.
 const OUTBOX: usize = 16;
 /// Connections under one name: of more the oldest ends, as its peer has most likely given it up.
@@ -137,7 +139,7 @@
         Ok(Box::pin(async move {
             let children = &on_list.children;
             let heard = |frame| children.heard(on_list.number, &name, frame);
-            match both(stream, &frames, Some(children.0.idle), heard).await {
+            match both(stream, &frames, Some(children.0.idle), MOST, heard).await {
                 Err(e) if e.kind() == io::ErrorKind::InvalidData => {
                     children.0.limited.warn(&name, format_args!("a child's connection ends: {e}"));
                 }
--- a/silverspindle/src/distribution/parents.rs
+++ b/silverspindle/src/distribution/parents.rs
@@ -6,7 +6,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use silverspindle_knowledge::protocol::Message;
-use silverspindle_relay::{Frame, ParentId};
+use silverspindle_relay::{Frame, ParentId, bounds};
 
 use crate::links::{Connector, both};
 
@@ -66,7 +66,7 @@
         let _ = inbox.send(Heard::Up).await;
         let full = |_| std::io::Error::other("more frames than can be taken");
         let heard = |frame| inbox.try_send(Heard::Frame(frame)).map_err(full);
-        both(stream, &outbox, None::<Duration>, heard).await
+        both(stream, &outbox, None::<Duration>, bounds::FRAME, heard).await
     };
     let why = match whole.await {
         Ok(()) => "closed".to_owned(),
--- a/silverspindle/src/links.rs
+++ b/silverspindle/src/links.rs
@@ -15,7 +15,7 @@
 use rustls::pki_types::ServerName;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use silverspindle_agreement::{Pieces, pieces};
+use silverspindle_agreement::{MOST_FRAME, Pieces, pieces};
 use silverspindle_knowledge::Source;
 use silverspindle_knowledge::protocol::{self, Malformed, Message, VERSION};
 
@@ -103,13 +103,14 @@
     within(WRITE, "room for a frame", stream.flush()).await
 }
 
-/// Reads frames until the connection ends, or one can't be taken.
+/// Reads frames of so many bytes at most until the connection ends, or one can't be taken.
 pub async fn read<F: DeserializeOwned>(
     stream: impl AsyncRead + Unpin,
+    most: usize,
     mut each: impl FnMut(F) -> io::Result<()>,
 ) -> io::Result<()> {
     let mut messages = Messages::new(stream, measure, CHUNK).or_stall(STALL);
-    let mut whole = Pieces::default();
+    let mut whole = Pieces::up_to(most);
     while let Some(bytes) = messages.next().await? {
         match protocol::decode(&bytes).map_err(malformed)? {
             Message::Piece(piece) => {
@@ -123,11 +124,13 @@
     Ok(())
 }
 
-/// Both ways at once, until one of them ends. One on which nothing is sent for as long as `idle` is closed.
+/// Both ways at once, until one of them ends. `most`: bytes of a frame of the peer's. One on which nothing is sent for as
+/// long as `idle` is closed.
 pub async fn both<F, S>(
     stream: S,
     frames: &Receiver<F>,
     idle: Option<Duration>,
+    most: usize,
     each: impl FnMut(F) -> io::Result<()>,
 ) -> io::Result<()>
 where
@@ -150,7 +153,7 @@
             }
         }
     };
-    future::or(writes, read(reader, each)).await
+    future::or(writes, read(reader, most, each)).await
 }
 
 /// Asks, and waits for the first frame that is an answer. `why`: what may be wrong where the peer closes instead.
@@ -175,7 +178,7 @@
         Ok(())
     };
     let reads = async {
-        read(stream, each).await?;
+        read(stream, MOST_FRAME, each).await?;
         Err(io::Error::other(format!("closed without an answer: {why}")))
     };
     let answered = async {
--- a/silverspindle/tests/distribution.rs
+++ b/silverspindle/tests/distribution.rs
@@ -193,6 +193,88 @@
     });
 }
 
+/// A router that comes with less than its parent keeps gets what the records come to: the list, and how old a copy of
+/// anything may be; then the log goes on behind that.
+#[test]
+fn a_router_that_is_too_far_behind_gets_what_the_records_come_to() {
+    run(async |tasks| {
+        let (office, events, at) = (Office::new(), Rc::new(Events::default()), free());
+        let more =
+            format!("relay-role source\nexchange-listen {at}\nrelay-children 20\nrelay-records 1000\n");
+        let (one, two) = (Cache::start(tasks), Cache::start(tasks));
+        let caches = [one.address, two.address];
+        let (_source, listener) = named(tasks, "n0", &caches, terms(&office, "n0", &more));
+        events.serve(tasks, listener);
+        events.tell(2, &record(1, 1, one.address));
+        (0..1500).for_each(|n| events.purge(n));
+        until_applied(&records_path(&office, "n0"), 1502).await;
+        let conf = router(&office, "n1", &[("n0", at)]);
+        let (below, _silent) = named(tasks, "n1", &caches, conf);
+        let path = records_path(&office, "n1");
+        let all = until_record(&path, |line| line["kind"] == "applied" && line["to"] == 1502).await;
+        let reset = all.iter().find(|line| line["kind"] == "reset").unwrap();
+        let number = reset["number"].as_u64().unwrap();
+        assert!(number > 400 && number <= 502, "{reset}");
+        assert!(all.iter().any(|line| line["kind"] == "applied" && line["from"] == number), "joined on");
+        until_mode(&path, "relay").await;
+        let client = Client::connect(tasks, below.address).await;
+        let wanted = want(&client, &two, 1, OTHER, 0).await;
+        assert!(newer(&wanted).is_some_and(|ms| ms < 60_000), "any object may be purged: {wanted:?}");
+        assert!(one.nothing_came(), "it drains");
+    });
+}
+
+/// SIGHUP names another coordinator: a source goes on there, from its last number.
+#[test]
+fn a_source_whose_coordinator_moves_goes_on_there() {
+    run(async |tasks| {
+        let (office, events, at) = (Office::new(), Rc::new(Events::default()), free());
+        let conf =
+            || terms(&office, "n0", &format!("relay-role source\nexchange-listen {at}\nrelay-children 20\n"));
+        let (router, listener) = named(tasks, "n0", &[], conf());
+        let before = events.serve(tasks, listener);
+        let path = records_path(&office, "n0");
+        events.purge(1);
+        until_applied(&path, 2).await;
+        let (elsewhere, address) = listen();
+        let after = events.serve(tasks, elsewhere);
+        let mut file = configuration(&[entry(99, "origin", address)], address);
+        file["name"] = "n0".into();
+        router.reload(config(&file), Ok(conf())).await;
+        until(|| before.get() == 0 && after.get() == 1).await;
+        events.purge(2);
+        until_applied(&path, 3).await;
+    });
+}
+
+/// What a source knew at its start is in its log like what comes later: a child that knows less gets it.
+#[test]
+fn what_a_source_knew_at_its_start_reads_back_from_its_records() {
+    use bitternhold::{Lifecycle, Member, MemberId};
+    use silverspindle::distribution::translate;
+    use silverspindle::feed::{Event, Listed, News};
+    let (_, address) = listen();
+    let member = Member {
+        id: MemberId(7),
+        lifecycle: Lifecycle::Draining,
+        zone: 3,
+        kind: 1,
+        cell: 300,
+        weight: 1.25,
+        started: 1_764_576_000_123_000,
+    };
+    let members = vec![Listed { member, address }];
+    let whole = News::Members { complete: true, members };
+    let purge = News::Purged { what: Purged::Group(17), at: 5_000 };
+    let events = [Event { index: 4, news: whole.clone() }, Event { index: 9, news: purge.clone() }];
+    let records = translate::known(&events);
+    assert_eq!(records.iter().map(|record| record.number).collect::<Vec<_>>(), [4, 9]);
+    let read: Vec<News> = records.iter().map(|record| translate::news(&record.entry).unwrap()).collect();
+    assert_eq!(read, [whole, purge]);
+    assert!(translate::news(&Entry::List(vec![1, 2, 3])).is_err(), "half a record");
+    assert!(translate::news(&Entry::List(vec![0])).is_err(), "no list");
+}
+
 /// A feed by script.
 #[derive(Debug, Default)]
 struct Scripted {
