--- a/silverspindle/src/distribution/actor.rs
+++ b/silverspindle/src/distribution/actor.rs
@@ -245,8 +245,8 @@
         match action {
             Action::Connect(parent) => self.connect(parent),
             Action::Disconnect { parent, fault } => self.disconnect(parent, fault),
-            Action::ToParent(frame) => self.to_parent(frame),
-            Action::ToChild { child, frame } => self.to_child(child, frame),
+            Action::ToParent(frame) => self.send_to_parent(frame),
+            Action::ToChild { child, frame } => self.send_to_child(child, frame),
             Action::EndChild { child, fault } => self.children.end(child, fault),
             Action::Apply(records) => return self.apply(records).await,
             Action::ApplyReset(reset) => return self.apply_reset(&reset).await,
@@ -278,13 +278,13 @@
     }
 
     /// Lost where the connection is not up or takes nothing: the next report says more.
-    fn to_parent(&self, frame: Frame) {
+    fn send_to_parent(&self, frame: Frame) {
         if let Some(parent) = &self.parent {
             let _ = parent.frames.try_send(frame);
         }
     }
 
-    fn to_child(&mut self, child: ChildId, frame: Frame) {
+    fn send_to_child(&mut self, child: ChildId, frame: Frame) {
         if !self.children.send(child, frame) {
             self.handle(Event::ChildDown(child));
         }
