--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,4 +2,5 @@
 //! the same run, event by event.
 
 pub mod cost;
+pub mod data_path;
 pub mod swarm;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,7 +5,9 @@
 use std::time::Instant;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use serde::Serialize;
 use silverspindle_lab::cost;
+use silverspindle_lab::data_path::{self, filter};
 use silverspindle_lab::swarm::{self, Options, Without};
 
 /// Many routers' real cores on a made-up clock and network
@@ -48,6 +50,36 @@
         #[arg(long, default_value_t = 1000)]
         entries: u32,
     },
+    /// Processor time a request and a purge, and bytes of state, by size, with a fit
+    DataPath {
+        /// Listed caches, listed parents
+        #[arg(long, value_delimiter = ',', default_value = "10,100,400,1300", value_parser = clap::value_parser!(u64).range(1..=5000))]
+        members: Vec<u64>,
+        /// Purges a second
+        #[arg(long, value_delimiter = ',', default_value = "10,110,1000", value_parser = clap::value_parser!(u64).range(1..=5000))]
+        purges: Vec<u64>,
+        /// A row a line as JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// What the filter of seen objects tells at the peak, by the size of its generations
+    Filter {
+        /// Ids of a generation
+        #[arg(long, value_delimiter = ',', default_value = "4096,16384,65536,262144,1048576,4194304", value_parser = clap::value_parser!(u64).range(1..=100_000_000))]
+        generations: Vec<u64>,
+        /// Exponents of the Zipf law by which objects are asked for
+        #[arg(long, value_delimiter = ',', default_value = "0.7,0.9,1.0")]
+        exponents: Vec<f64>,
+        /// Copies that one cache holds
+        #[arg(long, value_delimiter = ',', default_value = "125000,1250000", value_parser = clap::value_parser!(u64).range(1..=10_000_000))]
+        rooms: Vec<u64>,
+        /// Simulated seconds
+        #[arg(long, default_value_t = 4_000, value_parser = clap::value_parser!(u64).range(4..=100_000))]
+        seconds: u64,
+        /// For all that is drawn
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Short runs with faults by seed, checked at every event; exits with 1 where one breaks
     Swarm {
         /// Which routers' part
@@ -79,6 +111,39 @@
     parts.filter(|range: &Range<u64>| !range.is_empty()).ok_or_else(|| "takes A..B, as in 0..1000".to_owned())
 }
 
+/// A row a line as JSON.
+fn print_json(rows: &[impl Serialize]) -> ExitCode {
+    for row in rows {
+        match serde_json::to_string(row) {
+            Ok(line) => println!("{line}"),
+            Err(problem) => {
+                eprintln!("a row can't be written: {problem}");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn data_path(members: Vec<u64>, purges: Vec<u64>, json: bool) -> ExitCode {
+    let rows = data_path::measure(&data_path::Sizes { members, purges });
+    if json {
+        return print_json(&rows);
+    }
+    rows.iter().for_each(|row| println!("{row}"));
+    ExitCode::SUCCESS
+}
+
+fn filter(options: &filter::Options) -> ExitCode {
+    match filter::measure(options) {
+        Ok(shares) => print_json(&shares),
+        Err(problem) => {
+            eprintln!("filter: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let (what, seeds, routers, without) = match Line::parse().command {
         Command::Swarm { what, seeds, routers, without } => (what, seeds, routers, without),
@@ -86,6 +151,10 @@
             print!("{}", cost::all(routers, boxes, entries));
             return ExitCode::SUCCESS;
         }
+        Command::DataPath { members, purges, json } => return data_path(members, purges, json),
+        Command::Filter { generations, exponents, rooms, seconds, seed } => {
+            return filter(&filter::Options { generations, exponents, rooms, seconds, seed });
+        }
         Command::Calm { routers, electors, seconds, seeds, rules } => {
             for seed in seeds {
                 let (routers, electors) = (usize::from(routers), usize::from(electors.min(routers)));
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,209 @@
+//! Decisions stay what they were, to the digit, where only their cost is meant to change: a digest of all actions over
+//! long traces with many members, which was recorded before the change.
+
+mod common;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::fmt::Write as _;
+
+use bitternhold::*;
+use common::*;
+
+const SEEDS: u64 = 12;
+const REQUESTS: u128 = 3_000;
+const CACHES: u64 = 40;
+const PARENTS: u64 = 24;
+const FIRST_PARENT: u64 = 1_000;
+const ORIGIN_ID: u64 = 2_000;
+const OBJECTS: u64 = 900;
+const SPACING: Micros = 4 * MS;
+
+/// What was recorded with the ranking that sorted all members, and purges that were looked through one by one.
+const RECORDED: u64 = 0x4459_9da9_fe29_3f2d;
+
+struct Draw(u64);
+
+impl Draw {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+
+    fn one_in(&mut self, n: u64) -> bool {
+        self.below(n) == 0
+    }
+}
+
+/// Settings that differ by seed in what ranking, budgets and purges go by.
+fn settings_of(seed: u64) -> Settings {
+    let dedup = |group| Class { effect: Effect::Deduplicated, group, write: true, ..class() };
+    let classes = vec![
+        class(),
+        Class { fresh: 3 * S, stale: 5 * S, stale_worth: 0.6, late_worth: 0.3, ..class() },
+        Class { segmented: true, ..class() },
+        dedup(DedupGroup::Zone),
+        dedup(DedupGroup::Cell),
+        Class { effect: Effect::AtMostOnce, write: true, ..class() },
+    ];
+    let directors = [1, 4, 20][seed as usize % 3];
+    Settings {
+        directors,
+        zone_directors: vec![0, directors],
+        classes,
+        tells: [Tells::All, Tells::Hit, Tells::Nothing][(seed as usize / 3) % 3],
+        weights: [Weights::Nominal, Weights::Rough, Weights::Unknown, Weights::Live][seed as usize % 4],
+        second_copies: !seed.is_multiple_of(5),
+        cancel: true,
+        ..settings()
+    }
+}
+
+fn listed(draw: &mut Draw, id: u64, kind: usize, started: Micros) -> Member {
+    let weight = 1.0 + draw.below(400) as f64 / 16.0;
+    Member { weight, started, ..member(id, kind) }
+}
+
+fn all_listed(draw: &mut Draw) -> Vec<Member> {
+    let mut all: Vec<Member> = (1..=CACHES).map(|id| listed(draw, id, CACHE, 0)).collect();
+    all.extend((0..PARENTS).map(|n| listed(draw, FIRST_PARENT + n, PARENT, 0)));
+    all.push(member(ORIGIN_ID, ORIGIN));
+    all
+}
+
+/// A change of one member: it drains, is gone, comes back, or starts anew.
+fn change(draw: &mut Draw, now: Micros) -> Event {
+    let cache = draw.below(3) > 0;
+    let (id, kind) =
+        if cache { (1 + draw.below(CACHES), CACHE) } else { (FIRST_PARENT + draw.below(PARENTS), PARENT) };
+    let started = if draw.one_in(2) { now - draw.below(3 * S) } else { 0 };
+    let lifecycle = [Lifecycle::Ready, Lifecycle::Ready, Lifecycle::Draining, Lifecycle::Gone];
+    let lifecycle = lifecycle[draw.below(4) as usize];
+    let members = vec![Member { lifecycle, ..listed(draw, id, kind, started) }];
+    Event::Members { kind: ListKind::Delta, members }
+}
+
+fn purge(draw: &mut Draw) -> Event {
+    let object = draw.below(4) > 0;
+    let name = format!("o{}", draw.below(OBJECTS));
+    Event::Purged { object: object.then_some(name), group: draw.below(16), age: draw.below(8 * S) }
+}
+
+fn drawn_request(draw: &mut Draw, id: u128, now: Micros) -> Request {
+    let object = draw.below(OBJECTS).min(draw.below(OBJECTS));
+    let own = draw.one_in(6).then(|| Own {
+        age: draw.below(9 * S),
+        unseen: draw.below(9 * S),
+        wait: draw.below(600 * MS),
+    });
+    Request {
+        class: draw.below(6) as usize,
+        part: draw.below(3),
+        group: object % 16,
+        size_kb: (draw.below(4) > 0).then_some(20.0 + draw.below(4_000) as f64),
+        own,
+        ..request(id, &format!("o{object}"), now)
+    }
+}
+
+/// How an attempt ends, and after what time.
+fn drawn_outcome(draw: &mut Draw, now: Micros, id: u128, attempt: u32, member: MemberId) -> Outcome {
+    // Some members fail much, and for a while all are slow.
+    let faulty = member.0.is_multiple_of(9);
+    let status = match draw.below(if faulty { 12 } else { 60 }) {
+        0 => Status::Timeout,
+        1 => Status::Reset,
+        2 => Status::ConnectFailed,
+        3 => Status::Error,
+        4 => Status::Full,
+        5 => Status::Miss,
+        _ => Status::Ok,
+    };
+    let notes = [Note::Hit, Note::Hit, Note::Filled, Note::FilledByOrigin, Note::Joined, Note::Stale];
+    let faults = [Note::SourceRefused, Note::SourceUnreachable, Note::OriginFailed, Note::FillsFull];
+    let note = match status {
+        Status::Ok => Some(notes[draw.below(6) as usize]),
+        Status::Error => draw.one_in(2).then(|| faults[draw.below(4) as usize]),
+        _ => None,
+    };
+    let jammed = (now / (3 * S)).is_multiple_of(3);
+    let elapsed = 20 * MS + draw.below(if jammed { 1_800 * MS } else { 200 * MS });
+    Outcome { elapsed, note, closed: status == Status::Ok, ..outcome(id, attempt, member, status) }
+}
+
+/// What comes back at a time, in the order in which it was made.
+type Due = BinaryHeap<Reverse<(Micros, u64)>>;
+
+/// Plays a trace and writes all actions.
+fn actions_of(seed: u64) -> String {
+    let mut draw = Draw(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+    let members = all_listed(&mut draw);
+    let mut world = World::with(settings_of(seed), members);
+    let (mut due, mut events): (Due, HashMap<u64, Event>) = Default::default();
+    let mut attempts: HashMap<u128, u32> = HashMap::new();
+    let (mut written, mut made) = (String::new(), 0u64);
+    for id in 1..=REQUESTS {
+        world.now += 1 + draw.below(2 * SPACING);
+        let mut now_due = Vec::new();
+        while due.peek().is_some_and(|Reverse((at, _))| *at <= world.now) {
+            now_due.extend(due.pop().and_then(|Reverse((_, number))| events.remove(&number)));
+        }
+        if draw.one_in(25) {
+            now_due.push(change(&mut draw, world.now));
+        }
+        if draw.one_in(4) {
+            now_due.push(purge(&mut draw));
+        }
+        if draw.one_in(40) {
+            now_due.push(Event::ClientGone { id: RequestId(id.saturating_sub(1)) });
+        }
+        now_due.push(Event::Request(drawn_request(&mut draw, id, world.now)));
+        for event in now_due {
+            for action in world.tell(event) {
+                let _ = writeln!(written, "{} {action:?}", world.now);
+                let (at, event) = match action {
+                    Action::Fetch { id, member, .. } => {
+                        let attempt = attempts.entry(id.0).or_default();
+                        let outcome = drawn_outcome(&mut draw, world.now, id.0, *attempt, member);
+                        *attempt += 1;
+                        (world.now + outcome.elapsed, Event::Outcome(outcome))
+                    }
+                    Action::Timer { delay, token } => (world.now + delay, Event::Timer { token }),
+                    _ => continue,
+                };
+                made += 1;
+                due.push(Reverse((at, made)));
+                events.insert(made, event);
+            }
+        }
+    }
+    written
+}
+
+fn digest(text: &str, from: u64) -> u64 {
+    text.bytes().fold(from, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
+}
+
+#[test]
+fn decisions_over_long_traces_are_those_that_were_recorded() {
+    let mut sum = 0xcbf2_9ce4_8422_2325;
+    let (mut fetched, mut refused, mut again, mut own) = (0, 0, 0, 0);
+    for seed in 0..SEEDS {
+        let written = actions_of(seed);
+        let lines = |word: &str| written.lines().filter(|line| line.contains(word)).count();
+        fetched += lines(" Fetch");
+        refused += lines(" Refuse") + lines(" Fail");
+        again += lines(" set aside") + lines(" trusted again");
+        own += lines(" Own");
+        sum = digest(&written, sum);
+    }
+    println!("{fetched} sent, {refused} refused or failed, {own} own copies, {again} words on members");
+    // The traces go where decisions are hard: members at fault, refusals, own copies.
+    assert!(fetched > 30_000 && refused > 300 && again > 50 && own > 100);
+    assert_eq!(sum, RECORDED, "{sum:#018x}");
+}
+
+#[test]
+fn a_trace_is_the_same_each_time() {
+    assert!(actions_of(3) == actions_of(3));
+}
