Decisions: members are placed without sorting all, purges are forgotten in order

A request's cost grew with the listed members of its sort, as all were hashed, sorted and looked up thrice for each decision; a purge's grew with the purges remembered, as all were looked through at each. Now the first in place is found in one pass and taken if it is of the best standing; only else are the others judged. Purges are dropped from the front of the queue in which they were told.

Shares are now added in the order of the list and not of rank, so their sum may differ in its last bits; it is compared with whole numbers of open requests.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,9 +11,10 @@
 /// Ids that a generation of the filter holds, and the quiet time for an extra swap (design page's defaults).
 const GENERATION: usize = 4096;
 const QUIET: Micros = 10_000_000;
-/// A member over this multiple of its share of the open requests, not so few, is passed over (design page).
+/// Over this multiple of its share of the open requests, not so few, a member is not of the best standing.
 const OVERFULL: f64 = 2.0;
 const FEW_OPEN: f64 = 4.0;
+const BEST: u8 = 3;
 /// Part of a cold member's budget that is used; the rest is for chance and for clocks that differ.
 const COLD_MARGIN: f64 = 0.7;
 /// Where that is less than one attempt: turns last so many windows, and have a part of the budget. All that
@@ -169,6 +170,13 @@
     turn: f64,
 }
 
+/// A member, its place for an object (the bits of a number never negative have its order), its share of work.
+struct Placed<'a> {
+    place: (u64, MemberId),
+    share: f64,
+    peer: &'a Peer,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Attempt {
     member: MemberId,
@@ -215,8 +223,9 @@
     /// Those listed as ready, by sort.
     ready: [Vec<MemberId>; 3],
     open: BTreeMap<RequestId, Open>,
-    /// When an object or, where true, a group was purged.
+    /// When an object or, where true, a group was purged; when each was told of, in order.
     purges: BTreeMap<(u64, bool), Micros>,
+    purges_told: VecDeque<(Micros, (u64, bool))>,
     retry_tokens: f64,
     /// Mean time to an answer and its mean deviation, in aims; running share of second copies that were
     /// answered first; attempts that a timer watches.
@@ -347,42 +356,38 @@
         if told && m.weight > 0.0 { m.weight } else { 1.0 }
     }
 
-    /// Members of a sort in the order of weighted rendezvous hashing, the object's own first.
-    fn ranked(&self, now: Micros, key: u64, sort: usize) -> Vec<MemberId> {
-        let mut ranked: Vec<(f64, MemberId)> = self.ready[sort]
-            .iter()
-            .filter_map(|id| self.peers.get(id))
-            .map(|p| {
-                let drawn = unit(key ^ mix(p.entry.id.0 + 1));
-                (-(drawn.max(1e-12).ln()) / (self.weight(&p.entry) * self.ramp(now, &p.entry)), p.entry.id)
-            })
-            .collect();
-        ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        ranked.into_iter().map(|(_, id)| id).collect()
+    /// Members of a sort, with their places by weighted rendezvous hashing: the least is the object's own.
+    fn placed(&self, now: Micros, key: u64, sort: usize) -> Vec<Placed<'_>> {
+        let peers = self.ready[sort].iter().filter_map(|id| self.peers.get(id));
+        let placed = peers.map(|peer| {
+            let drawn = unit(key ^ mix(peer.entry.id.0 + 1));
+            let share = self.weight(&peer.entry) * self.ramp(now, &peer.entry);
+            let place = (-(drawn.max(1e-12).ln()) / share).to_bits();
+            Placed { place: (place, peer.entry.id), share, peer }
+        });
+        placed.collect()
     }
 
     /// The first in rank of the best standing: within its share, trusted, not at fault for this request, any.
     fn pick(
         &self,
         now: Micros,
-        ranked: &[MemberId],
+        members: &[Placed],
         bad: &[MemberId],
         load: impl Fn(&Peer) -> u32,
         able: impl Fn(&Peer) -> bool,
     ) -> Option<(MemberId, u8)> {
-        let share = |p: &Peer| self.weight(&p.entry) * self.ramp(now, &p.entry);
-        let all = || ranked.iter().filter_map(|id| self.peers.get(id));
-        let (total, weights) = all().fold((1.0, 1e-9), |(t, w), p| (t + f64::from(load(p)), w + share(p)));
-        let standing = |p: &Peer| {
-            let full = f64::from(load(p)) + 1.0 > (OVERFULL * total * share(p) / weights).max(FEW_OPEN);
-            let trusted = now >= p.until && p.trust.is_none_or(|t| load(p) < t);
-            match (bad.contains(&p.entry.id), trusted) {
-                (true, _) => 0,
-                (false, trusted) => 1 + u8::from(trusted) + u8::from(trusted && !full),
-            }
+        let sum = |(total, shares), m: &Placed| (total + f64::from(load(m.peer)), shares + m.share);
+        let (total, shares) = members.iter().fold((1.0, 1e-9), sum);
+        let standing = |m: &Placed| {
+            let full = f64::from(load(m.peer)) + 1.0 > (OVERFULL * total * m.share / shares).max(FEW_OPEN);
+            let trusted = now >= m.peer.until && m.peer.trust.is_none_or(|t| load(m.peer) < t);
+            if bad.contains(&m.place.1) { 0 } else { 1 + u8::from(trusted) + u8::from(trusted && !full) }
         };
-        let able = all().filter(|p| able(p)).map(|p| (p.entry.id, standing(p)));
-        able.reduce(|best, next| if next.1 > best.1 { next } else { best })
+        // Mostly the first in rank is of the best standing; else all are looked at.
+        let first = members.iter().min_by_key(|m| m.place).filter(|m| standing(m) == BEST && able(m.peer));
+        let all = || members.iter().filter(|m| able(m.peer)).min_by_key(|m| (BEST - standing(m), m.place));
+        first.or_else(all).map(|m| (m.place.1, standing(m)))
     }
 
     // ---- 3. Health ----
@@ -415,9 +420,7 @@
         p.ill += weight * (1.0 - p.ill);
         let stands_out = n > 0.0 && p.ill > ILL && p.ill > STANDS_OUT * sum / n;
         if now >= p.until && (stands_out || p.trust.is_some()) {
-            if p.trust.is_none() {
-                out.push(Action::Log(format!("member {} set aside", id.0)));
-            }
+            out.extend(p.trust.is_none().then(|| Action::Log(format!("member {} set aside", id.0))));
             p.aside = (p.aside * 2).clamp(ASIDE_FIRST, ASIDE_MOST);
             (p.until, p.trust) = (now + p.aside, Some(1));
         }
@@ -663,7 +666,7 @@
         let chance = self.draw(1024) as f64 / 1024.0;
         // Parts of segmented objects spread over the caches; filter and parent go by the object.
         let spread = if class.segmented { mix(open.key ^ mix(open.request.part + 1)) } else { open.key };
-        let caches = self.ranked(now, spread, CACHES);
+        let caches = self.placed(now, spread, CACHES);
         let able = |p: &Peer| self.may_send(now, open, p, &class) && p.pace.room(p.open, chance);
         let Some((member, _)) = self.pick(now, &caches, &open.bad, |p| p.open, able) else { return false };
         let mut source = self.source(now, open, write, chance).unwrap_or(member);
@@ -713,15 +716,13 @@
 
     /// Where a miss is filled from: the object's parent, the next ones, the origin rather than one set aside.
     fn source(&self, now: Micros, open: &Open, write: bool, chance: f64) -> Option<MemberId> {
-        let parents = self.ranked(now, open.key, PARENTS);
+        let parents = self.placed(now, open.key, PARENTS);
         let origin = self.ready[ORIGIN].first().copied();
         let able = |p: &Peer| self.within_cold_budget(now, p, self.work_of(&open.request));
-        let has_room = |p: &Peer| able(p) && p.pace.room(p.fills, chance);
+        let free = |p: &Peer| able(p) && p.pace.room(p.fills, chance);
         let trusted = |found: &(MemberId, u8)| found.1 > u8::from(origin.is_some());
-        let parent = self.pick(now, &parents, &open.bad, |p| p.fills, has_room).filter(trusted);
-        let parent =
-            parent.or_else(|| self.pick(now, &parents, &open.bad, |p| p.fills, able).filter(trusted));
-        let parent = parent.map(|(id, _)| id);
+        let pick = |able: &dyn Fn(&Peer) -> bool| self.pick(now, &parents, &open.bad, |p| p.fills, able);
+        let parent = pick(&free).filter(trusted).or_else(|| pick(&able).filter(trusted)).map(|(id, _)| id);
         if write { origin.or(parent) } else { parent.or(origin) }
     }
 
@@ -904,9 +905,15 @@
     fn purged(&mut self, now: Micros, object: Option<String>, group: u64, age: Micros) {
         let at = now.saturating_sub(age);
         let done = self.settings.purge_done + self.settings.purge_grace;
-        self.purges.retain(|_, at| now.saturating_sub(*at) <= done);
-        let slot = self.purges.entry(object.map_or((group, true), |o| (hash(&o), false))).or_insert(at);
-        *slot = at.max(*slot);
+        let over = |at: Micros| now.saturating_sub(at) > done;
+        while let Some((_, key)) = self.purges_told.pop_front_if(|(told, _)| over(*told)) {
+            if self.purges.get(&key).is_some_and(|at| over(*at)) {
+                self.purges.remove(&key);
+            }
+        }
+        let key = object.map_or((group, true), |o| (hash(&o), false));
+        self.purges_told.push_back((now, key));
+        self.purges.entry(key).and_modify(|slot| *slot = at.max(*slot)).or_insert(at);
     }
 
     /// The age that no copy from before a purge has, while such may be about. Never 0, which means no limit.
@@ -920,8 +927,7 @@
     /// Every attempt passes here: listed as ready, within tries and time, no double effect, cold budget.
     fn may_send(&self, now: Micros, open: &Open, peer: &Peer, class: &Class) -> bool {
         let tries = (open.attempts.len() as u32) < self.settings.max_attempts.max(1);
-        let ran: Vec<&Attempt> = open.attempts.iter().filter(|a| !a.ended || a.may_have_run).collect();
-        let effect = match (class.effect, ran.first()) {
+        let effect = match (class.effect, open.attempts.iter().find(|a| !a.ended || a.may_have_run)) {
             (Effect::Idempotent, _) | (_, None) => true,
             (Effect::AtMostOnce, _) => false,
             (Effect::Deduplicated, Some(first)) => {
@@ -935,12 +941,9 @@
             }
         };
         let alone = self.settings.second_copies || open.attempts.iter().all(|a| a.ended);
-        peer.entry.lifecycle == Lifecycle::Ready
-            && tries
-            && effect
-            && alone
-            && now < open.request.valid_until
-            && self.within_cold_budget(now, peer, self.mean_work(open.request.class))
+        let (ready, work) = (peer.entry.lifecycle == Lifecycle::Ready, self.mean_work(open.request.class));
+        let in_time = now < open.request.valid_until;
+        ready && tries && effect && alone && in_time && self.within_cold_budget(now, peer, work)
     }
 
     /// A refusal promises that a further try does no harm.
@@ -972,10 +975,9 @@
         // Guards against directors that save turns up and all send at once. Harm: a turn unused is lost.
         let mean = (self.work.iter().sum::<f64>() / self.work.len().max(1) as f64).max(1e-9);
         let share = TURN_MARGIN * multiple * warm / mean;
+        let step = || TURN_STEP.powf(share.log(TURN_STEP).floor());
         let (pace, first, part) = match share > 0.0 {
-            true => {
-                (TURN_STEP.powf(share.log(TURN_STEP).floor()), self.ramp(p.entry.started, &p.entry), part)
-            }
+            true => (step(), self.ramp(p.entry.started, &p.entry), part),
             false => (1.0 / (window * sharers), 1.0, 1.0),
         };
         let turn = p.turn + pace * now.saturating_sub(p.entry.started) as f64 / 1e6 * (first + part) / 2.0;
