Capacity: page, data file, named formulas and the test that recomputes the tables

Need: operators ask what a fleet of 5,600 routers asks of each part and what breaks first, with every figure's origin.

Change: docs/capacity.json holds targets, assumptions, bounds and measured figures; lab/src/capacity works rows out by named formulas whose text is shown beside them; `silverspindle-lab capacity [--check|--write]` renders the tables of docs/CAPACITY.md between markers. Measured figures have no value of their own: they name a line of docs/measured.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Many routers' real cores in one process, on a made-up clock and network, with faults by seed. The same seed gives
 //! the same run, event by event.
 
+pub mod capacity;
 pub mod cost;
 pub mod swarm;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,8 +5,8 @@
 use std::time::Instant;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use silverspindle_lab::cost;
 use silverspindle_lab::swarm::{self, Options, Without};
+use silverspindle_lab::{capacity, cost};
 
 /// Many routers' real cores on a made-up clock and network
 #[derive(Parser)]
@@ -18,6 +18,8 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// The capacity page's tables, worked out from its data file and the measured lines that it names
+    Capacity(capacity::command::Line),
     /// A while without faults, a decision a second: how long one takes to reach all, and what is sent
     Calm {
         /// Routers
@@ -82,6 +84,7 @@
 fn main() -> ExitCode {
     let (what, seeds, routers, without) = match Line::parse().command {
         Command::Swarm { what, seeds, routers, without } => (what, seeds, routers, without),
+        Command::Capacity(line) => return line.run(),
         Command::Cost { routers, boxes, entries } => {
             print!("{}", cost::all(routers, boxes, entries));
             return ExitCode::SUCCESS;
