Capacity: bounds of a split and of a lost relay as the relays' core has them

Need: the core's safe reading goes by relay-direct, watermarks are added up at batch ticks, and a relay's descriptors share limits.sockets with its clients' third. Change: the rows' formulas say so.

--- a/lab/src/capacity/failures.rs
+++ b/lab/src/capacity/failures.rs
@@ -122,13 +122,13 @@
     .held(Role::Failure, Way::Relays, "purge_within", FENCE),
     Quantity::step(
         "purge_known",
-        "until staff are told 'everywhere' although a router or relay is dead",
+        "until staff are told 'everywhere' although a router or relay has died or is cut off",
         Unit::Seconds,
-        "{relay_report} + {relay_within} x (1 + 2 x {clock_drift}) + 2 x ({relay_report} + {link_delay})",
+        "{purge_calm} + {relay_within} x (1 + 2 x {clock_drift}) + 2 x ({relay_batch} + {link_delay})",
         |of| {
-            of.get("relay_report")
+            of.get("purge_calm")
                 + of.get("relay_within") * (1.0 + 2.0 * of.get("clock_drift"))
-                + 2.0 * (of.get("relay_report") + of.get("link_delay"))
+                + 2.0 * (of.get("relay_batch") + of.get("link_delay"))
         },
     )
     .held(Role::Failure, Way::Relays, "purge_within", "watermark over live leases"),
@@ -136,10 +136,10 @@
         "purge_source_restart",
         "until a source that has just started says 'everywhere' at all",
         Unit::Seconds,
-        "{relay_within} x (1 + 2 x {clock_drift}) + 2 x ({relay_report} + {link_delay})",
+        "{relay_within} x (1 + 2 x {clock_drift}) + 2 x ({relay_batch} + {link_delay})",
         |of| {
             of.get("relay_within") * (1.0 + 2.0 * of.get("clock_drift"))
-                + 2.0 * (of.get("relay_report") + of.get("link_delay"))
+                + 2.0 * (of.get("relay_batch") + of.get("link_delay"))
         },
     )
     .held(Role::Failure, Way::Relays, "purge_within", "leases of its earlier process run out first"),
@@ -209,9 +209,9 @@
     .shown(Role::Failure, Way::Any, "`alone serve` serves on, without shares of limits"),
     Quantity::step(
         "split_refetch",
-        "share of requests on the safe reading that fill anew, at most one fill an object and lease",
+        "share of requests on the safe reading that fill anew, at most one fill an object each `relay-direct`",
         Unit::Part,
-        "sum over objects of (p / (1 + {requests_per_site} x p x {relay_within})), p by Zipf {zipf} over {objects}",
+        "sum over objects of (p / (1 + {requests_per_site} x p x {relay_direct})), p by Zipf {zipf} over {objects}",
         split_refetch,
     )
     .held(Role::Failure, Way::Relays, "fill_share", "safe reading beyond the lease"),
@@ -252,11 +252,11 @@
     .held(Role::Failure, Way::Relays, "machine_core", "exchange's TLS"),
 ];
 
-/// The share of a site's requests that need a fill where no copy older than the lease will do. An object asked for at
-/// rate r needs r / (1 + r x lease) fills a second: the next request after the lease has passed. Objects' rates are a
-/// Zipf law's, summed over ranks in bands that widen by a thousandth.
+/// The share of a site's requests that need a fill where no copy older than `relay-direct` will do. An object asked for
+/// at rate r needs r / (1 + r x age) fills a second: the next request after its copy has grown so old. Objects' rates are
+/// a Zipf law's, summed over ranks in bands that widen by a thousandth.
 fn split_refetch(of: &Inputs) -> f64 {
-    let (rate, lease) = (of.get("requests_per_site"), of.get("relay_within"));
+    let (rate, age) = (of.get("requests_per_site"), of.get("relay_direct"));
     let (power, objects) = (of.get("zipf"), of.get("objects"));
     let (mut weight, mut filled, mut rank) = (0.0, 0.0, 1.0);
     let whole = zipf_weight(power, objects);
@@ -264,7 +264,7 @@
         let width = (rank * 1e-3_f64).floor().max(1.0).min(objects - rank + 1.0);
         let each = (rank + (width - 1.0) / 2.0).powf(-power) / whole;
         weight += width * each;
-        filled += width * each / (1.0 + rate * each * lease);
+        filled += width * each / (1.0 + rate * each * age);
         rank += width;
     }
     filled / weight
--- a/lab/src/capacity/relays.rs
+++ b/lab/src/capacity/relays.rs
@@ -88,10 +88,10 @@
     .held(Role::Relay, Way::Relays, "relay_children_most", "`relay-children`, a setting"),
     Quantity::step(
         "relay_descriptors",
-        "descriptors: routers of a relay while another one is dead, and the process's own",
+        "descriptors: routers of a relay while another one is dead, clients and the process's own",
         Unit::Count,
-        "{routers_per_relay_left} + {own_sockets}",
-        |of| of.get("routers_per_relay_left") + of.get("own_sockets"),
+        "{routers_per_relay_left} + {client_sockets} + {own_sockets}",
+        |of| of.get("routers_per_relay_left") + of.get("client_sockets") + of.get("own_sockets"),
     )
     .held(Role::Relay, Way::Relays, "sockets", "`limits.sockets`, a setting"),
     Quantity::step(
--- a/lab/src/capacity/today.rs
+++ b/lab/src/capacity/today.rs
@@ -178,10 +178,10 @@
     .held(Role::Voter, Way::Any, "agree_callers", "`agree-callers`, a setting"),
     Quantity::step(
         "voter_descriptors",
-        "descriptors: followers of a voter and the process's own",
+        "descriptors: followers of a voter, clients and the process's own",
         Unit::Count,
-        "{followers_per_voter} + {own_sockets}",
-        |of| of.get("followers_per_voter") + of.get("own_sockets"),
+        "{followers_per_voter} + {client_sockets} + {own_sockets}",
+        |of| of.get("followers_per_voter") + of.get("client_sockets") + of.get("own_sockets"),
     )
     .held(Role::Voter, Way::Any, "sockets", "`limits.sockets`, a setting"),
     Quantity::step("voter_roll", "state: routers on the roll", Unit::Count, "{routers}", |of| {
