--- a/lab/src/capacity/relays.rs
+++ b/lab/src/capacity/relays.rs
@@ -77,6 +77,22 @@
         of.get("router_purges_state")
     })
     .held(Role::Router, Way::Relays, "control_memory", LOG),
+    Quantity::step(
+        "relay_router_messages",
+        "messages: batches and reports a second",
+        Unit::PerSecond,
+        "1 / {relay_batch} + 1 / {relay_report}",
+        |of| 1.0 / of.get("relay_batch") + 1.0 / of.get("relay_report"),
+    )
+    .shown(Role::Router, Way::Relays, LOG),
+    Quantity::step(
+        "memory_relays",
+        "memory: a process that serves and follows, with the agreement's and the relays' state",
+        Unit::Bytes,
+        "{memory_today} + {relay_router_state}",
+        |of| of.get("memory_today") + of.get("relay_router_state"),
+    )
+    .held(Role::Router, Way::Relays, "control_memory", "process"),
     // The relay.
     Quantity::step(
         "relay_children",
@@ -118,6 +134,14 @@
         |of| of.get("relay_hollow_core"),
     )
     .held(Role::Relay, Way::Relays, "machine_core", "process, TLS and all"),
+    Quantity::step(
+        "machine_cores",
+        "processor: the relay's and a voter's cores on one control machine",
+        Unit::Cores,
+        "{relay_core} + {voter_versions_core}",
+        |of| of.get("relay_core") + of.get("voter_versions_core"),
+    )
+    .held(Role::Relay, Way::Relays, "machine_core", "both on one machine"),
     Quantity::step("relay_state", "state: log, leases and queues", Unit::Bytes, "{relay_purges_state}", |of| {
         of.get("relay_purges_state")
     })
--- a/lab/src/capacity/today.rs
+++ b/lab/src/capacity/today.rs
@@ -331,6 +331,14 @@
     )
     .held(Role::Coordinator, Way::Direct, "purge_within", FEED),
     // A cache, as all routers load it.
+    Quantity::step(
+        "cache_requests",
+        "messages: requests a second",
+        Unit::PerSecond,
+        "{requests_per_cache}",
+        |of| of.get("requests_per_cache"),
+    )
+    .shown(Role::Cache, Way::Any, "rendezvous hashing over the site's caches"),
     Quantity::step("cache_bytes", "bytes: answers", Unit::BytesPerSecond, "{traffic} / {caches}", |of| {
         of.get("traffic") / of.get("caches")
     })
--- a/lab/tests/capacity.rs
+++ b/lab/tests/capacity.rs
@@ -9,6 +9,7 @@
 use silverspindle_lab::capacity::data::{Data, Fault, How, Unit};
 use silverspindle_lab::capacity::quantity::{Book, Inputs, Quantity, Role, Way, at_size};
 use silverspindle_lab::capacity::{DATA, page, quantities, render, rendered, work_out};
+use silverspindle_relay::{Batch, Confirm, Entry, Frame, Purged, Record, Report, Summary, Update};
 
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("..")
@@ -253,3 +254,31 @@
     let entry = postcard::to_stdvec(&(1u64 << 20, postcard::to_stdvec(&join).unwrap())).unwrap();
     assert_eq!(value("join_entry"), Some(entry.len() as f64));
 }
+
+/// A number of the coordinator's after some hundred days at 110 a second.
+const NUMBER: u64 = 1 << 30;
+
+/// Half a second of purges at the target's rate, some milliseconds apart.
+fn half_a_second_of_purges() -> Vec<Record> {
+    let purge = |n: u64| {
+        let what = Purged::Object(u64::MAX - n);
+        Record { number: NUMBER + n, entry: Entry::Purge { what, at_ms: 1_796_000_000_000 + 9 * n } }
+    };
+    (1..=55).map(purge).collect()
+}
+
+#[test]
+fn modelled_sizes_of_the_purge_log_are_those_of_its_frames() {
+    let (data, _) = worked_out();
+    let value = |key: &str| data.figures().find(|figure| figure.key == key).and_then(|figure| figure.value);
+    let records = half_a_second_of_purges();
+    let batch = Batch { after: NUMBER, records: records.clone() }.encode();
+    let confirm = Confirm { question: 100_000, number: NUMBER, age: 500_000 };
+    let update = Frame::Update(Update { batch: batch.into(), confirm: Some(confirm) }).encode();
+    let purge = value("purge_record").unwrap();
+    let head = update.len() as f64 - purge * records.len() as f64;
+    assert_eq!(value("update_head"), Some(head));
+    let summary = Summary { routers: 1, ..Summary::default() };
+    let report = Frame::Report(Report { question: 100_000, watermark: NUMBER, summary }).encode();
+    assert_eq!(value("report_body"), Some(report.len() as f64));
+}
