--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,4 +2,5 @@
 //! the same run, event by event.
 
 pub mod cost;
+pub mod scale;
 pub mod swarm;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use silverspindle_lab::cost;
+use silverspindle_lab::scale;
 use silverspindle_lab::swarm::{self, Options, Without};
 
 /// Many routers' real cores on a made-up clock and network
@@ -48,6 +49,8 @@
         #[arg(long, default_value_t = 1000)]
         entries: u32,
     },
+    /// What control costs as a fleet grows: a row for each size and role
+    Scale(scale::command::Line),
     /// Short runs with faults by seed, checked at every event; exits with 1 where one breaks
     Swarm {
         /// Which routers' part
@@ -82,6 +85,7 @@
 fn main() -> ExitCode {
     let (what, seeds, routers, without) = match Line::parse().command {
         Command::Swarm { what, seeds, routers, without } => (what, seeds, routers, without),
+        Command::Scale(line) => return line.run(),
         Command::Cost { routers, boxes, entries } => {
             print!("{}", cost::all(routers, boxes, entries));
             return ExitCode::SUCCESS;
