Agreement: node.rs split by concern, and the import circle with wire.rs opened

Behaviour is as before but for one thing: an elector that holds more reports than fit into a question began with the same names each time, so that at 5,600 routers the last in the alphabet would never have been told; now the next question begins with those left out.

--- a/agreement/src/lib.rs
+++ b/agreement/src/lib.rs
@@ -11,14 +11,18 @@
 mod fence;
 mod fleet;
 mod forming;
+mod interface;
 mod node;
+mod status;
 mod wire;
 
 pub use decision::{Change, LEAST_LEASE, Proposal, ProposalId, Refusal, Seat, Verdict, bounds};
 pub use disk::{Disk, Entry, HardState, Snapshot, Write};
 pub use fence::{Confirmation, Fence};
 pub use fleet::{Elector, Fleet, Member, Note};
-pub use node::{Action, Applied, Event, Guards, Node, Reply, Role, Status, Terms};
+pub use interface::{Action, Applied, Event, Guards, Reply, Terms};
+pub use node::Node;
+pub use status::{Role, Status};
 pub use wire::{Assembler, Frame, MOST_FRAME, Malformed, PIECE, pieces};
 
 /// Microseconds.
--- a/agreement/src/wire.rs
+++ b/agreement/src/wire.rs
@@ -9,7 +9,7 @@
 use crate::decision::{Proposal, ProposalId, Verdict, bounds};
 use crate::disk::{self, Entry, Snapshot};
 use crate::fleet::Fleet;
-use crate::node::Status;
+use crate::status::Status;
 
 /// The longest frame, whole.
 pub const MOST_FRAME: usize = bounds::FRAME;
--- a/agreement/tests/core.rs
+++ b/agreement/tests/core.rs
@@ -427,3 +427,24 @@
     net.run(LEASE);
     assert!(!net.node(&leader).electors_heard()[other]);
 }
+
+/// Guards against reports that never reach the leader where an elector holds more than it hands on at a time: those that
+/// did not fit go first in the next question.
+#[test]
+fn more_reports_than_fit_into_a_question_all_reach_the_leader_within_a_lease() {
+    const ROUTERS: usize = 2 * bounds::REPORTS / bounds::REPORT;
+    let mut net = Net::new(&["a", "b", "c"], &[]);
+    net.run(LEASE);
+    let name = |n: usize| format!("router-{n:03}");
+    for n in 0..ROUTERS {
+        let join = Change::Join { name: name(n), life: 1 };
+        assert!(matches!(net.propose(n as u64, 1_000_000, join), Some(Verdict::Made(_))));
+    }
+    let leader = net.leader();
+    let others: Vec<&str> = ["a", "b", "c"].into_iter().filter(|name| *name != leader).collect();
+    let reports = (0..ROUTERS).map(|n| (name(n), 0, vec![7; bounds::REPORT])).collect();
+    let frame = Frame::Ask { seq: 1, fleet: 0, have: 0, digest: 0, seat: None, age: None, life: 1, reports };
+    net.event(others[0], Event::Heard { from: others[1].to_owned(), frame });
+    net.run(LEASE);
+    assert_eq!(net.node(&leader).reports().count(), ROUTERS);
+}
