Shares by size under overload: the test's world was at fault, not the policy

(2) 'now.saturating_sub(start + 20 s) < 5 ms' holds at every step before 20 s, so that the cold cache started anew 200 times a second instead of once.

Change: both mended; no bound eased.

--- a/tests/sizes.rs
+++ b/tests/sizes.rs
@@ -21,6 +21,16 @@
     }
 }
 
+/// Turns the end of an attempt that is out into one by cancelling, now.
+fn cancel(due: &mut BTreeMap<(Micros, u64), Event>, now: Micros, id: RequestId, attempt: u32) {
+    let is_its = |event: &Event| matches!(event, Event::Outcome(o) if o.id == id && o.attempt == attempt);
+    let Some((at, order)) = due.iter().find(|(_, event)| is_its(event)).map(|(key, _)| *key) else { return };
+    let Some(Event::Outcome(end)) = due.remove(&(at, order)) else { return };
+    let (elapsed, status) = (end.elapsed - (at - now), Status::Cancelled);
+    let end = Outcome { elapsed, status, note: None, closed: false, ..end };
+    due.insert((now, order), Event::Outcome(end));
+}
+
 /// For each class, size and whether it was answered, of every request of so many seconds at this load (1: all that the
 /// four caches' links bear), with or without a slow origin and a cold cache in the middle.
 fn play(load: f64, trouble: bool, seed: u64) -> [Vec<(f64, bool)>; 2] {
@@ -44,6 +54,7 @@
     let end = world.now + 40 * S;
     let start = world.now;
     let mut arrival = world.now;
+    let mut restarted = false;
     while world.now < end + 6 * S {
         world.now += 5 * MS;
         let now = world.now;
@@ -52,7 +63,7 @@
             events.push(entry.remove());
         }
         let slow = trouble && (start + 10 * S..start + 20 * S).contains(&now);
-        if trouble && now.saturating_sub(start + 20 * S) < 5 * MS {
+        if trouble && now >= start + 20 * S && !std::mem::replace(&mut restarted, true) {
             events.push(Event::Members {
                 kind: ListKind::Delta,
                 members: vec![Member { started: now, ..member(2, CACHE) }],
@@ -117,6 +128,8 @@
                         *number += 1;
                         due.insert((at, order), Event::Outcome(o));
                     }
+                    // Its end is told, as the program does; the link is busy with it all the same.
+                    Action::Cancel { id, attempt } => cancel(&mut due, now, id, attempt),
                     Action::Timer { delay, token } => {
                         drop(due.insert((now + delay, order), Event::Timer { token }))
                     }
@@ -136,9 +149,13 @@
     requests.iter().filter(|(_, answered)| *answered).count() as f64 / requests.len() as f64
 }
 
+/// At 1.2 times what the links bear, a policy that knows sizes and links and takes what finds a free place answers 0.73
+/// to 0.78 of all, and as much of the largest; this part of all is the least here.
+const LEAST_OF_ALL: f64 = 0.5;
+
 /// Holds the largest tenth (quarter) and the next fifth of each class to this part of the class's answered share.
 fn hold(load: f64, trouble: bool, least: f64) {
-    for seed in 1..=3 {
+    for seed in 1..=12 {
         for (class, mut requests) in play(load, trouble, seed).into_iter().enumerate() {
             requests.sort_by(|a, b| b.0.total_cmp(&a.0));
             let tenth = requests.len() / if requests.len() < 400 { 4 } else { 10 };
@@ -149,7 +166,7 @@
                 requests.len()
             );
             println!("{told}");
-            assert!(all > 0.2, "{told}");
+            assert!(all > LEAST_OF_ALL, "{told}");
             assert!(largest >= least * all && next >= least * all, "{told}");
         }
     }
@@ -162,7 +179,7 @@
     hold(0.95, true, 0.5);
 }
 
-/// More is asked than the links bear. Known red: see KNOWN-RED.txt.
+/// More is asked than the links bear.
 #[test]
 fn the_largest_requests_get_their_share_under_overload() {
     hold(1.2, true, 0.5);
