The exit and a reply of the reader's own: the test forces its order

Change: small buffers on both sides, set before the handshake, and replies of 60 kB (a method that is not there repeats its name), together more than both sockets take; that the reader has read them all is told by a request behind them, which is then dropped. A bounded count of looks in place of the endless wait; also checked now: every byte, the end without a reset, and that the front settles.

--- a/silverspindle/tests/common/world.rs
+++ b/silverspindle/tests/common/world.rs
@@ -104,10 +104,20 @@
     /// A front before the test as director, under this drain.
     pub async fn front(&self, tasks: &Tasks, drain: &Rc<RefCell<Drain>>) -> (Rc<Front>, SocketAddr) {
         let (listener, address) = listen();
+        (self.front_at(tasks, drain, listener), address)
+    }
+
+    /// The same, behind a listener of the test's own.
+    pub fn front_at(
+        &self,
+        tasks: &Tasks,
+        drain: &Rc<RefCell<Drain>>,
+        listener: Async<TcpListener>,
+    ) -> Rc<Front> {
         let (catalogue, director) = (self.shared.catalogue.clone(), self.shared.director.clone());
         let front = Front::new(catalogue, director, 192_000_000, 64, drain.clone());
         tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
-        (front, address)
+        front
     }
 
     /// The next request that the front hands on.
--- a/silverspindle/tests/crossing_clients.rs
+++ b/silverspindle/tests/crossing_clients.rs
@@ -5,7 +5,7 @@
 
 use std::cell::RefCell;
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,12 +17,16 @@
 use silverspindle::clock;
 use silverspindle::drain::{Drain, GRACE};
 use silverspindle::framing::Messages;
+use silverspindle::front::MOST_OPEN;
 use silverspindle::thrift;
 use silverspindle::traffic::{Message, Verdict};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
 const RID: &str = "9b1f03aa5c7e2d41";
 const OTHER: &str = "00000000000000a2";
 const THIRD: &str = "00000000000000a3";
+/// Bytes that a narrow socket is asked to take; the kernel takes twice as many.
+const SMALL_BUFFER: usize = 16 * 1024;
 
 fn drain() -> Rc<RefCell<Drain>> {
     let drain: Rc<RefCell<Drain>> = Rc::default();
@@ -204,34 +208,59 @@
     });
 }
 
-/// A reply of the reader's own (`isWell`, a refusal) counts until its last byte is written.
+/// A client whose socket takes little that it has not read.
+async fn narrow_client(address: SocketAddr) -> Async<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP)).unwrap();
+    // Before the handshake: it is then that the window is agreed on.
+    socket.set_recv_buffer_size(SMALL_BUFFER).unwrap();
+    socket.connect(&address.into()).unwrap();
+    Async::new(socket.into()).unwrap()
+}
+
+/// A reply of the reader's own (`isWell`, a method that is not there) counts until it is written. Forced: the replies
+/// are more bytes than both sockets take while the client reads nothing, and the reader has read all that was sent.
 #[test]
 fn the_exit_waits_for_a_reply_that_needed_no_decision() {
+    // A reply about a method that is not there repeats its name. All fit into the reader's queue, which it never
+    // waits for, so that a close would reach it.
+    const LONG_REPLIES: i32 = 12;
+    const _: () = assert!((LONG_REPLIES as usize) < MOST_OPEN);
+    const LONGEST_SEGMENT: usize = 65_536;
+    let unknown = "x".repeat(60_000);
     run(async |tasks| {
         let (world, drain) = (World::new(tasks, 9), drain());
-        let (front, address) = world.front(tasks, &drain).await;
-        let client = Async::<TcpStream>::connect(address).await.unwrap();
-        let well = |seq| call(1, "isWell", seq, &[2, 0, 1, 0, 0]);
-        // So much is asked, and nothing read, that replies fill both sockets and wait.
-        let mut asked = 0;
-        while let Ok(n) = client.get_ref().write(&well(asked + 1)) {
-            if n < well(0).len() {
-                break;
-            }
-            asked += 1;
-            future::yield_now().await;
+        let (listener, address) = listen();
+        SockRef::from(&listener).set_send_buffer_size(SMALL_BUFFER).unwrap();
+        let buffer = SockRef::from(&listener).send_buffer_size().unwrap();
+        let front = world.front_at(tasks, &drain, listener);
+        let client = narrow_client(address).await;
+        let buffers = buffer + SockRef::from(&client).recv_buffer_size().unwrap();
+        let mut replies = Vec::new();
+        for seq in 1..=LONG_REPLIES {
+            (&client).write_all(&call(1, &unknown, seq, &[0])).await.unwrap();
+            replies.extend(thrift::unknown_method(&unknown, seq));
         }
-        until(|| front.held().1 > 0).await;
+        assert!(replies.len() > buffers + 2 * LONGEST_SEGMENT, "{} bytes, {buffers}", replies.len());
+        let well = LONG_REPLIES + 1;
+        (&client).write_all(&call(1, "isWell", well, &[2, 0, 1, 0, 0])).await.unwrap();
+        replies.extend(thrift::answer("isWell", well, 0, &[], true).concat());
+        // Read last, so all before it was read; dropped, nothing is owed for it.
+        (&client).write_all(&serve(well + 1, &page(RID), b"")).await.unwrap();
+        let (port, ..) = world.request().await;
+        port.drop_request();
         drain_long_ago(&drain);
         front.stop_accepting();
-        front.let_go();
         for _ in 0..100 {
+            front.let_go();
             future::yield_now().await;
+            assert_eq!(front.held().0, 1, "closed over replies that wait");
         }
         assert!(!front.settled());
-        let reply = thrift::answer("isWell", 1, 0, &[], true).concat().len();
-        let mut all = vec![0; reply * asked as usize];
-        (&client).read_exact(&mut all).await.expect("every reply, and no reset before");
+        let mut all = Vec::new();
+        (&client).read_to_end(&mut all).await.expect("every reply, then the end and no reset");
+        assert!(all == replies, "{} bytes of {}", all.len(), replies.len());
+        drop(client);
+        until(|| front.settled()).await;
     });
 }
 
@@ -249,8 +278,8 @@
                 s.shutdown(Shutdown::Write).unwrap();
             },
             |s| {
-                socket2::SockRef::from(s).set_linger(Some(Duration::ZERO)).unwrap();
-                socket2::SockRef::from(s).shutdown(Shutdown::Both).unwrap();
+                SockRef::from(s).set_linger(Some(Duration::ZERO)).unwrap();
+                SockRef::from(s).shutdown(Shutdown::Both).unwrap();
             },
         ];
         for (leave, rid) in leave.into_iter().zip([RID, OTHER, THIRD]) {
