--- a/silverspindle/tests/known_red.rs
+++ b/silverspindle/tests/known_red.rs
@@ -20,6 +20,15 @@
     assert!(read("").status.success());
 }
 
+/// With nothing known red there is no list: nothing is passed over.
+#[test]
+fn an_absent_list_passes_nothing_over() {
+    let script = Path::new(env!("CARGO_MANIFEST_DIR")).join("../.ci/known-red");
+    let directory = tempfile::tempdir().unwrap();
+    let out = Command::new(script).arg(directory.path().join("KNOWN-RED.txt")).output().unwrap();
+    assert!(out.status.success() && out.stdout.is_empty() && out.stderr.is_empty());
+}
+
 #[test]
 fn more_than_three_lines_or_half_a_line_fail() {
     let line = |n: u32| format!("case_{n}, a cause, #{n}\n");
