Bounds of what is agreed worked out at 5,600 routers: roll 8,192, callers up to 8,192

Need: 5,600 routers; the roll ended at 4,096 and an elector's callers at 1,024.

Change: the roll holds 8,192. It stays a constant, as a join is refused by it and all routers must come to the same outcome; routers of the old and the new bound may run side by side only while the roll is under 4,096. agree-callers goes up to 8,192 (default 128 as before).

--- a/agreement/src/decision.rs
+++ b/agreement/src/decision.rs
@@ -12,15 +12,18 @@
     pub const NAME: usize = 63;
     /// Bytes of a proposal's body.
     pub const BODY: usize = 48 * 1024;
-    /// Routers on the roll.
-    pub const ROLL: usize = 4096;
-    /// Earlier lives of a router that are kept by number.
+    /// Routers on the roll: 5,600 and as many again by half. Not a setting: a join is refused by it, so all routers
+    /// must hold it against the same figure. See [`FRAME`] for what a full one takes.
+    pub const ROLL: usize = 8192;
+    /// Earlier lives of a router that are kept by number. Only a life that was killed stays there: at 30 a day among
+    /// 5,600 routers that is one in half a year for each.
     pub const EARLIER: usize = 16;
     /// Topics with a note, and bytes of all notes together.
     pub const TOPICS: usize = 64;
     /// See `TOPICS`.
     pub const NOTES: usize = 512 * 1024;
-    /// Proposals whose outcome is remembered, the oldest forgotten first.
+    /// Proposals whose outcome is remembered, the oldest forgotten first: 170 a second for the six seconds that one is
+    /// tried for.
     pub const REMEMBERED: usize = 1024;
     /// Electors.
     pub const ELECTORS: usize = 5;
@@ -30,10 +33,14 @@
     pub const PENDING: usize = 256;
     /// Bytes of what a router tells of itself.
     pub const REPORT: usize = 4096;
-    /// Bytes of what an elector hands on of others' telling, at a time.
+    /// Bytes of what an elector hands on of others' telling, at a time: 2,600 routers at 100 bytes each. 5,600 that all
+    /// told one elector take three questions, three quarters of a lease.
     pub const REPORTS: usize = 256 * 1024;
-    /// Frames of all kinds are no longer, whatever they claim.
-    pub const FRAME: usize = 1 << 20;
+    /// Frames of all kinds are no longer, whatever they claim: the largest is a snapshot of a full roll with all notes.
+    pub const FRAME: usize = 4 << 20;
+    /// Frames of who is no elector: a proposal, or a question with its own report. Of each caller one may lie here
+    /// unfinished, so this counts as often as there are callers.
+    pub const CALLER_FRAME: usize = 64 * 1024;
 }
 
 /// The least stated time: four questions to an elector, their way and its quorum's have room in it.
--- a/agreement/src/wire.rs
+++ b/agreement/src/wire.rs
@@ -237,7 +237,7 @@
 impl fmt::Display for Malformed {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            Malformed::TooLong => write!(f, "a frame longer than {MOST_FRAME} bytes"),
+            Malformed::TooLong => f.write_str("a frame longer than its sender may send"),
             Malformed::Body => f.write_str("a frame that can't be read"),
         }
     }
@@ -253,16 +253,28 @@
 }
 
 /// Puts pieces together again.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Assembler {
     bytes: Vec<u8>,
+    longest: usize,
+}
+
+impl Default for Assembler {
+    fn default() -> Self {
+        Self::of_frames_up_to(MOST_FRAME)
+    }
 }
 
 impl Assembler {
+    /// Of frames that are no longer.
+    pub fn of_frames_up_to(longest: usize) -> Self {
+        Self { bytes: Vec::new(), longest: longest.min(MOST_FRAME) }
+    }
+
     /// Takes a piece; a frame where it was the last.
     pub fn piece(&mut self, piece: &[u8]) -> Result<Option<Frame>, Malformed> {
         let (last, bytes) = piece.split_first().ok_or(Malformed::Body)?;
-        if self.bytes.len() + bytes.len() > MOST_FRAME {
+        if self.bytes.len() + bytes.len() > self.longest {
             return Err(Malformed::TooLong);
         }
         self.bytes.extend_from_slice(bytes);
--- a/conf/src/keys.rs
+++ b/conf/src/keys.rs
@@ -160,7 +160,7 @@
             },
             Key {
                 restart: true,
-                ..key("agree-callers", Kind::Count(1, 1024), "Connections of followers and operators that an elector holds.")
+                ..key("agree-callers", Kind::Count(1, 8192), "Connections of followers and operators that an elector holds.")
                     .or("128")
             },
             Key {
--- a/conf/tests/conf.rs
+++ b/conf/tests/conf.rs
@@ -45,6 +45,16 @@
     assert_eq!(faults("agree-within 100ms\n"), ["1: agree-within: must lie between 500ms and 1m"]);
 }
 
+/// With one elector up each router of a full roll may be its caller.
+#[test]
+fn an_elector_can_hold_a_caller_for_each_router_of_a_full_roll() {
+    let files =
+        "exchange-authority a\nexchange-certificate c\nexchange-key k\nagree-elector n1 127.0.0.1:1\n";
+    let conf = read(&format!("{files}agree-callers 8192\n")).unwrap();
+    assert_eq!(conf.agreement.unwrap().callers, 8192);
+    assert_eq!(faults("agree-callers 8193\n"), ["1: agree-callers: must lie between 1 and 8192"]);
+}
+
 #[test]
 fn an_empty_file_turns_nothing_on() {
     for text in ["", "\n\n# a remark\n   \t# another\n"] {
--- a/silverspindle/src/agreement/links.rs
+++ b/silverspindle/src/agreement/links.rs
@@ -12,11 +12,11 @@
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, future, io as streams};
 use futures_rustls::{TlsConnector, client::TlsStream};
 use rustls::pki_types::ServerName;
-use silverspindle_agreement::{Assembler, Frame, pieces};
+use silverspindle_agreement::{Assembler, Frame, MOST_FRAME, pieces};
 use silverspindle_knowledge::Source;
 use silverspindle_knowledge::protocol::{self, Message, VERSION};
 
-use super::Handle;
+use super::{Caller, Handle};
 use crate::framing::Messages;
 use crate::knowledge::exchange::{CONNECT, HANDSHAKE, STALL, measure, within};
 use crate::knowledge::keys::Tls;
@@ -67,10 +67,19 @@
     within(WRITE, "room for a frame", stream.flush()).await
 }
 
-/// Reads frames until the connection ends.
-pub async fn read(stream: impl AsyncRead + Unpin, mut each: impl FnMut(Frame)) -> io::Result<()> {
+/// Reads an elector's frames until the connection ends.
+pub async fn read(stream: impl AsyncRead + Unpin, each: impl FnMut(Frame)) -> io::Result<()> {
+    read_up_to(MOST_FRAME, stream, each).await
+}
+
+/// Reads frames that are no longer than this until the connection ends.
+async fn read_up_to(
+    longest_frame: usize,
+    stream: impl AsyncRead + Unpin,
+    mut each: impl FnMut(Frame),
+) -> io::Result<()> {
     let mut messages = Messages::new(stream, measure, 16 * 1024).or_stall(STALL);
-    let mut whole = Assembler::default();
+    let mut whole = Assembler::of_frames_up_to(longest_frame);
     let malformed = |why: &dyn std::fmt::Display| io::Error::new(io::ErrorKind::InvalidData, why.to_string());
     while let Some(bytes) = messages.next().await? {
         match protocol::decode(&bytes).map_err(|e| malformed(&e))? {
@@ -85,11 +94,21 @@
     Ok(())
 }
 
+/// A caller's connection, until one side ends it.
+pub async fn serve<S: AsyncRead + AsyncWrite + Unpin>(
+    stream: S,
+    caller: &Caller,
+    each: impl FnMut(Frame),
+) -> io::Result<()> {
+    both(stream, &caller.frames, None, caller.longest_frame, each).await
+}
+
 /// Both ways at once, until one of them ends.
-pub async fn both<S: AsyncRead + AsyncWrite + Unpin>(
+async fn both<S: AsyncRead + AsyncWrite + Unpin>(
     stream: S,
     frames: &Receiver<Frame>,
     idle: Option<Duration>,
+    longest_frame: usize,
     each: impl FnMut(Frame),
 ) -> io::Result<()> {
     let (reader, mut writer) = streams::split(stream);
@@ -108,7 +127,7 @@
             }
         }
     };
-    future::or(writes, read(reader, each)).await
+    future::or(writes, read_up_to(longest_frame, reader, each)).await
 }
 
 /// The connection to an elector, made when there is something to send; for ever.
@@ -130,7 +149,7 @@
                 tracing::info!(peer = name, "agreement: heard again at {at}");
             }
             failing = false;
-            both(stream, &frames, Some(idle), |frame| handle.heard(&name, frame)).await
+            both(stream, &frames, Some(idle), MOST_FRAME, |frame| handle.heard(&name, frame)).await
         };
         if let Err(e) = talk.await {
             if !failing {
--- a/silverspindle/src/agreement/mod.rs
+++ b/silverspindle/src/agreement/mod.rs
@@ -13,8 +13,8 @@
 use bitternhold::{MemberId, Micros, Note};
 use futures_lite::future;
 use silverspindle_agreement::{
-    Action, Change, Disk, Event, Fence, Frame, Guards, Node, Proposal, ProposalId, Refusal, Reply, Terms,
-    Verdict,
+    Action, Change, Disk, Event, Fence, Frame, Guards, MOST_FRAME, Node, Proposal, ProposalId, Refusal,
+    Reply, Terms, Verdict, bounds,
 };
 use silverspindle_conf::Agreement as Conf;
 use silverspindle_conf::HalfLives;
@@ -214,6 +214,8 @@
     callers: Rc<RefCell<Callers>>,
     calls: Rc<Cell<u64>>,
     most: usize,
+    /// Names of the electors, whose frames may be long.
+    electors: Rc<BTreeSet<String>>,
     /// The life under which it is on the roll.
     life: Rc<Cell<Option<u64>>>,
     /// The guard that whoever acts asks.
@@ -233,6 +235,8 @@
     number: u64,
     /// What goes to it.
     pub frames: Receiver<Frame>,
+    /// What comes from it is no longer.
+    pub longest_frame: usize,
 }
 
 impl Drop for Caller {
@@ -263,7 +267,12 @@
         }
         all.push((self.calls.get(), send));
         drop(callers);
-        Some(Caller { handle: self.clone(), name: name.to_owned(), number: self.calls.get(), frames })
+        let number = self.calls.get();
+        let longest_frame = match self.electors.contains(name) {
+            true => MOST_FRAME,
+            false => bounds::CALLER_FRAME,
+        };
+        Some(Caller { handle: self.clone(), name: name.to_owned(), number, frames, longest_frame })
     }
 
     /// A frame of a peer. Lost where too many wait.
@@ -435,6 +444,7 @@
             callers: Rc::default(),
             calls: Rc::default(),
             most: conf.callers,
+            electors: Rc::new(conf.electors.iter().map(|(name, _)| name.clone()).collect()),
             life,
             fence: node.fence().clone(),
             records: records.map(Rc::new),
--- a/silverspindle/src/knowledge/exchange.rs
+++ b/silverspindle/src/knowledge/exchange.rs
@@ -178,7 +178,7 @@
                     // It lives as long as its peer likes, bounded in number by the handle.
                     Ok(Some((stream, name, caller))) => {
                         let heard = |frame| hub.heard(&name, frame);
-                        if let Err(e) = agreement::links::both(stream, &caller.frames, None, heard).await {
+                        if let Err(e) = agreement::links::serve(stream, &caller, heard).await {
                             tracing::debug!(peer = name, "agreement: {e}");
                         }
                     }
