--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -55,7 +55,7 @@
         /// Seeds, the last not among them
         #[arg(long, value_parser = seeds, default_value = "0..1000")]
         seeds: Range<u64>,
-        /// Routers; the first 1, 3 or 5 are electors, by the seed
+        /// Routers; the first 1, 3 or 5 are electors, by the seed; of purges, besides sources and relays
         #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u16).range(1..=2000))]
         routers: u16,
         /// Take a guard out of the routers: the checks must then find a breach
@@ -72,6 +72,8 @@
     Work,
     /// Versions of settings and lists, on top of it
     Rules,
+    /// Purges over relays: log, watermark, lease
+    Purges,
 }
 
 fn seeds(text: &str) -> Result<Range<u64>, String> {
@@ -97,15 +99,17 @@
         }
     };
     let (work, rules) = (matches!(what, What::Work), matches!(what, What::Rules));
-    let options = Options { routers: usize::from(routers), without, calm: None, work, rules };
+    let purges = matches!(what, What::Purges);
+    let options = Options { routers: usize::from(routers), without, calm: None, work, rules, purges };
     let began = Instant::now();
     let all = swarm::many(seeds.clone(), &options);
     let took = began.elapsed().as_secs_f64();
-    println!("{}", all.summary());
+    println!("{}", if purges { swarm::purges::summary(&all) } else { all.summary() });
     println!("{:.0} seeds a second, {took:.1} s", all.runs as f64 / took);
     let Some((seed, broken)) = &all.first else { return ExitCode::SUCCESS };
     let (electors, faults) = swarm::scenario(*seed, &options);
-    println!("seed {seed}, {electors} electors: {broken}");
+    let heads = if purges { "sources" } else { "electors" };
+    println!("seed {seed}, {electors} {heads}: {broken}");
     let fewest = swarm::shrink(*seed, &options, electors, faults);
     println!("shortest scenario, {} faults:", fewest.len());
     fewest.iter().for_each(|fault| println!("  {fault}"));
--- a/lab/src/swarm.rs
+++ b/lab/src/swarm.rs
@@ -2,6 +2,7 @@
 //! only what was synced, stalls and drift. A checker reads what the routers did, event by event; it knows what they
 //! promise and nothing of how.
 
+pub mod purges;
 mod rules;
 mod work;
 
@@ -61,6 +62,12 @@
     Shares,
     /// What both versions allow while one is on its way.
     Narrower,
+    /// The wait until a silent router's lease has run out.
+    Lease,
+    /// The wait until who is below has applied what it was sent.
+    Watermark,
+    /// The look at where a batch joins on.
+    Order,
 }
 
 /// What goes wrong, at a time and for so long.
@@ -93,7 +100,7 @@
     Loss(u8),
     /// Frames take up to so many milliseconds.
     Slow(u16),
-    /// All electors die at once.
+    /// All electors die at once; of purges, all relays.
     All,
     /// A box is dead; only where work orders are simulated.
     Box(u32),
@@ -119,11 +126,13 @@
     pub work: bool,
     /// Versions of rules do.
     pub rules: bool,
+    /// Purges over relays, in place of the agreement.
+    pub purges: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { routers: 8, without: None, calm: None, work: false, rules: false }
+        Self { routers: 8, without: None, calm: None, work: false, rules: false, purges: false }
     }
 }
 
@@ -238,8 +247,11 @@
     out: Outcome,
 }
 
-/// The scenario of a seed.
+/// The scenario of a seed, with the number of electors; of purges, of sources.
 pub fn scenario(seed: u64, options: &Options) -> (usize, Vec<Fault>) {
+    if options.purges {
+        return purges::scenario(seed, options);
+    }
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x5ca1_ab1e);
     let electors = [1, 3, 3, 5][rng.random_range(0..4)].min(options.routers);
     let mut faults = Vec::new();
@@ -278,6 +290,9 @@
 
 /// Plays a seed with these faults.
 pub fn play(seed: u64, options: &Options, electors: usize, faults: &[Fault]) -> Outcome {
+    if options.purges {
+        return purges::play(seed, options, faults);
+    }
     let mut swarm = Swarm::new(seed, *options, electors, faults);
     let end = options.calm.unwrap_or(if options.work || options.rules { END + WORK_ENDS } else { END });
     while swarm.out.broken.is_none() {
@@ -297,7 +312,7 @@
 
 /// A calm while with so many electors, in words for a person.
 pub fn calm(routers: usize, electors: usize, time: Micros, seed: u64, rules: bool) -> String {
-    let options = Options { routers, without: None, calm: Some(time), work: false, rules };
+    let options = Options { routers, without: None, calm: Some(time), work: false, rules, purges: false };
     let mut out = play(seed, &options, electors, &[]);
     out.to_all.sort_unstable();
     // The first seconds are the forming's and the joins'.
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod node;
 mod parent;
 mod questions;
+pub mod settings;
 pub mod watermark;
 
 pub use batch::Batch;
--- a/relay/tests/node.rs
+++ b/relay/tests/node.rs
@@ -61,7 +61,7 @@
 #[test]
 fn a_child_too_far_behind_is_told_what_the_records_come_to() {
     let mut net = Net::new();
-    net.add(common_settings_with(20), 0, &[]);
+    net.add(source_that_keeps(20), 0, &[]);
     net.append(SOURCE, vec![Record { number: 1, entry: Entry::List(list(1, &[(5, 0)])) }]);
     net.append(SOURCE, purges(2..=100));
     net.add(settings("relay", Role::Relay, 1), 0, &[0]);
@@ -72,7 +72,24 @@
     assert_eq!(net.hosts[RELAY].node.applied(), 100);
 }
 
-fn common_settings_with(records: usize) -> silverspindle_relay::Settings {
+/// Else what is kept would move on from under it, tick by tick.
+#[test]
+fn a_child_that_is_told_a_reset_catches_up_while_the_log_goes_on() {
+    let mut net = Net::new();
+    net.add(source_that_keeps(20), 0, &[]);
+    net.append(SOURCE, purges(1..=100));
+    net.add(settings("relay", Role::Relay, 1), 0, &[0]);
+    for number in 0..40 {
+        net.append(SOURCE, purges(number * 5 + 101..=number * 5 + 105));
+        net.run(BATCH / 2);
+    }
+    net.run(BATCH);
+    assert_eq!(net.hosts[RELAY].resets.len(), 1);
+    assert_eq!(net.hosts[RELAY].node.applied(), 300);
+    assert_eq!(mode(&net, RELAY), Mode::Relay);
+}
+
+fn source_that_keeps(records: usize) -> silverspindle_relay::Settings {
     silverspindle_relay::Settings { records, ..settings("source", Role::Source, 0) }
 }
 
