--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -2,6 +2,8 @@
 //! requests, the attempts and the timers, and does what the simulator does by itself: it times attempts out,
 //! hands the first good answer on, and keeps events in order. It knows no wire format.
 
+mod freshness;
+
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
@@ -9,8 +11,8 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use bitternhold::{
-    Action, EVERY_GROUP, Effect, Event, FillMode, Keep, Lifecycle, ListKind, Member, MemberId, Micros,
-    Outcome, Own, Request, RequestId, Settings, Status,
+    Action, Effect, Event, FillMode, Keep, Lifecycle, ListKind, Member, MemberId, Micros, Outcome, Own,
+    Request, RequestId, Settings, Status,
 };
 use futures_lite::future;
 use silverspindle_knowledge::Item;
@@ -18,7 +20,6 @@
 use crate::copies::{Copies, Copy};
 use crate::feed::{Listed, News, Purged};
 use crate::knowledge::Knowledge;
-use crate::steady::steady;
 use crate::traffic::{Attempt, Call, End, Message, Notice, Port, Shared, Terms, Verdict};
 use crate::upstream::{Order, Peer};
 use crate::withheld::Withheld;
@@ -30,9 +31,6 @@
 const BATCH: usize = 64;
 /// The module's last word comes with the time-outs at the deadline; so much later one is given without it.
 const LAST_WORD: Micros = 5_000;
-/// While the feed's lease has run out the module is told so this often, as the age that it was told grows from then on.
-const TELL_STALE: Micros = 1_000_000;
-
 struct Open {
     call: Rc<Call>,
     came: Micros,
@@ -195,19 +193,6 @@
         }
     }
 
-    fn notice(&mut self, notice: Notice) {
-        match notice {
-            Notice::News(news) => self.news(news, ListKind::Full),
-            Notice::PurgedBefore(at) => {
-                let what = Purged::Group(EVERY_GROUP);
-                self.knowledge.iter_mut().for_each(|k| k.purged(what, at));
-                self.purged(what, at);
-            }
-            Notice::Batch { after, number } => self.shared.board.applied(Some(after), number),
-            Notice::Reset { number } => self.shared.board.applied(None, number),
-        }
-    }
-
     /// Takes news in. A whole list is of this kind: read back at the start, or told.
     pub fn news(&mut self, news: News, whole: ListKind) {
         match news {
@@ -472,11 +457,6 @@
         self.answer(id, if holds { Verdict::Holds } else { Verdict::Served(copy.body) });
     }
 
-    /// Whether a copy that the origin gave out then is younger than the feed's lease, where that has run out.
-    fn is_young(&self, now: Micros, stamp: Micros) -> bool {
-        self.shared.board.oldest().is_none_or(|oldest| now.saturating_sub(stamp) < oldest)
-    }
-
     /// An attempt is out no more; whether its request is finished.
     fn let_go(&mut self, id: RequestId, ticket: u64) -> bool {
         let Some(open) = self.requests.get_mut(&id) else { return true };
@@ -518,21 +498,6 @@
         }
     }
 
-    /// Tells the module that copies as old as the feed's lease may be purged, while that has run out. Told again before
-    /// the age has grown past the lease: an attempt with a later limit is never written.
-    fn tell_stale(&mut self) {
-        let Some(oldest) = self.shared.board.oldest_asked() else {
-            self.told_stale = None;
-            return;
-        };
-        let now = steady();
-        if self.told_stale.is_none_or(|told| now >= told + TELL_STALE) {
-            self.told_stale = Some(now);
-            let age = oldest.saturating_sub(TELL_STALE);
-            self.backlog.push_back(Event::Purged { object: None, group: EVERY_GROUP, age });
-        }
-    }
-
     /// Tells the module an event and does what it says; what comes of that is told in turn.
     fn event(&mut self, event: Event) {
         self.tell_stale();
