--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,9 +6,9 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use serde::Serialize;
-use silverspindle_lab::cost;
 use silverspindle_lab::data_path::{self, filter};
 use silverspindle_lab::swarm::{self, Options, Without};
+use silverspindle_lab::{capacity, cost};
 
 /// Many routers' real cores on a made-up clock and network
 #[derive(Parser)]
@@ -20,6 +20,8 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// The capacity page's tables, worked out from its data file and the measured lines that it names
+    Capacity(capacity::command::Line),
     /// A while without faults, a decision a second: how long one takes to reach all, and what is sent
     Calm {
         /// Routers
@@ -147,6 +149,7 @@
 fn main() -> ExitCode {
     let (what, seeds, routers, without) = match Line::parse().command {
         Command::Swarm { what, seeds, routers, without } => (what, seeds, routers, without),
+        Command::Capacity(line) => return line.run(),
         Command::Cost { routers, boxes, entries } => {
             print!("{}", cost::all(routers, boxes, entries));
             return ExitCode::SUCCESS;
