Rig: sources, relays and routers below a silent or broken tree, judged by a checker of the purge log

Need: the purge log's promises (order, stated time, staff's 'everywhere') shown by processes of the program. Change: rig/purges with proxies on every link (the coordinator's as well), faults by script or seed; checker/purges reads records, what the coordinator told and what staff were told, and clients' answers are held against purges by their copies' stamps. The stand-in relays are proxies now, as relay is a role; signals, the kernel's account and waits moved out of rig.rs to process.rs.

--- a/standins/src/checker.rs
+++ b/standins/src/checker.rs
@@ -1,6 +1,8 @@
 //! Proves or refutes, from records alone, what routers that agree promise. It reads the lines that each process wrote
 //! and what staff were told, and knows nothing else of the program.
 
+pub mod purges;
+
 use std::collections::BTreeMap;
 
 use serde_json::Value;
--- a/standins/src/clients.rs
+++ b/standins/src/clients.rs
@@ -52,6 +52,19 @@
     pub classes: [(u64, u64); 2],
     /// When each served answer came and how long it had taken, to look at windows of time.
     pub trace: Vec<(Micros, Micros)>,
+    /// Which copies pages were served from.
+    pub copies: Vec<ServedCopy>,
+}
+
+/// A copy that a client was served from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServedCopy {
+    /// When the item was due, in Unix microseconds.
+    pub due: Micros,
+    /// What was asked for.
+    pub object: u64,
+    /// When the head office gave the copy out, in Unix microseconds.
+    pub stamp: Micros,
 }
 
 impl Default for Tally {
@@ -59,8 +72,22 @@
         let times = Histogram::new_with_bounds(1, 60_000_000, 3);
         let times = times.unwrap_or_else(|_| unreachable!("bounds that hdrhistogram takes"));
         let [sent, served, in_time, refused, advised, failed, cut, lost, wrong] = [0; 9];
-        let (classes, trace) = Default::default();
-        Self { sent, served, in_time, refused, advised, failed, cut, lost, wrong, times, classes, trace }
+        let (classes, trace, copies) = Default::default();
+        Self {
+            sent,
+            served,
+            in_time,
+            refused,
+            advised,
+            failed,
+            cut,
+            lost,
+            wrong,
+            times,
+            classes,
+            trace,
+            copies,
+        }
     }
 }
 
@@ -180,7 +207,7 @@
             (self.rids.get() << 24 | due >> 10 & 0xff_ffff) & ((1 << 56) - 1)
         );
         let (name, part) = (format!("{object:016x}"), 0);
-        let group = (object % 256).to_string();
+        let group = group(object).to_string();
         let token = format!("{rid}{name}");
         let mut fields = vec![
             ("method", if write { "scan" } else { "page" }),
@@ -227,6 +254,9 @@
                 tally.in_time += u64::from(took <= AIM);
                 tally.classes[usize::from(item.write)].1 += u64::from(took <= AIM);
                 tally.trace.push((now, took));
+                let stamp = stamp(&bytes).filter(|_| !item.write);
+                let copy = stamp.map(|stamp| ServedCopy { due: item.due, object: item.object, stamp });
+                tally.copies.extend(copy);
                 let _ = tally.times.record(took.max(1));
             }
             Answer::Served(..) => tally.wrong += 1,
@@ -255,11 +285,20 @@
     }
 }
 
+/// The group of an object: the low byte of its number.
+pub fn group(object: u64) -> u64 {
+    object % 256
+}
+
 fn whole(item: &Item, bytes: &[u8]) -> bool {
     if item.write {
         return bytes == b"done";
     }
+    stamp(bytes).is_some_and(|stamp| office::body(item.object, item.part, stamp) == bytes)
+}
+
+/// When the copy with these bytes was given out.
+fn stamp(bytes: &[u8]) -> Option<Micros> {
     let text = String::from_utf8_lossy(bytes);
-    let stamp = text.split_once('@').and_then(|(_, rest)| rest.split_once(';')?.0.parse().ok());
-    stamp.is_some_and(|stamp| office::body(item.object, item.part, stamp) == bytes)
+    text.split_once('@').and_then(|(_, rest)| rest.split_once(';')?.0.parse().ok())
 }
--- a/standins/src/codec.rs
+++ b/standins/src/codec.rs
@@ -211,6 +211,8 @@
     Nothing,
     /// Changed entries.
     Changes(Vec<Member>),
+    /// A purge of an object, with its Unix millisecond.
+    PurgeObject(u64, u64),
     /// A purge of a group, with its Unix millisecond.
     Purge(u16, u64),
 }
@@ -220,6 +222,7 @@
     let (kind, payload) = match news {
         News::Nothing => (0, Vec::new()),
         News::Changes(members) => (2, members.iter().flat_map(Member::record).collect()),
+        News::PurgeObject(object, ms) => (3, [object.to_be_bytes(), ms.to_be_bytes()].concat()),
         News::Purge(group, ms) => (4, [group.to_be_bytes().as_slice(), &ms.to_be_bytes()].concat()),
     };
     let mut out = (9 + payload.len() as u32).to_be_bytes().to_vec();
--- a/standins/src/coordinator.rs
+++ b/standins/src/coordinator.rs
@@ -44,9 +44,11 @@
         Ok(own)
     }
 
-    /// Tells all routers.
-    pub fn tell(&self, news: News) {
-        self.events.borrow_mut().push(news);
+    /// Tells all routers; the event's number.
+    pub fn tell(&self, news: News) -> u64 {
+        let mut events = self.events.borrow_mut();
+        events.push(news);
+        events.len() as u64 + 1
     }
 
     async fn serve(&self, mut stream: Async<TcpStream>) -> io::Result<()> {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,7 +6,8 @@
 pub mod coordinator;
 pub mod office;
 pub mod ports;
-pub mod relay;
+pub mod process;
+pub mod proxy;
 pub mod rig;
 pub mod trial;
 
--- a/standins/src/office.rs
+++ b/standins/src/office.rs
@@ -14,6 +14,7 @@
 use silverspindle_wire::framing::Messages;
 use silverspindle_wire::{clock, resp};
 
+use crate::clients;
 use crate::codec;
 use crate::{Micros, SECOND};
 
@@ -373,9 +374,8 @@
             0 => Micros::MAX,
             ms => ms * 1000,
         };
-        // The group of an object is the low byte of its number: see `clients`.
         let (key, group) =
-            ((object, part, codec::field(fields, "lane").unwrap_or("").to_owned()), object % 256);
+            ((object, part, codec::field(fields, "lane").unwrap_or("").to_owned()), clients::group(object));
         let held = own.store.borrow_mut().get(&key, group, rank, max_age);
         if let Some(stamp) = held {
             self.count(router, |c| c.hits += 1);
--- a/standins/src/relay.rs
+++ b/standins/src/proxy.rs
@@ -1,7 +1,7 @@
-//! Relays between routers: one for each directed pair, that holds, delays, throttles, cuts and breaks in mid-frame
+//! Proxies between processes: one for each directed pair, that holds, delays, throttles, cuts and breaks in mid-frame
 //! by script. What is held comes later: on TCP a lost packet is a wait, never a gap.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -31,9 +31,9 @@
     Cut,
 }
 
-/// A relay to one address.
+/// A proxy to one address.
 #[derive(Debug)]
-pub struct Relay {
+pub struct Proxy {
     /// Where it listens.
     pub address: SocketAddr,
     to: SocketAddr,
@@ -43,6 +43,8 @@
     pub tear: Cell<bool>,
     /// Bytes that went either way.
     pub bytes: Cell<u64>,
+    /// Faults that are not over, by number, with what they make of both ways; the last one counts.
+    faults: RefCell<Vec<(usize, [Way; 2])>>,
 }
 
 fn reset(stream: &Async<TcpStream>) {
@@ -50,19 +52,20 @@
     let _ = stream.get_ref().shutdown(Shutdown::Both);
 }
 
-impl Relay {
-    /// Listens and relays.
+impl Proxy {
+    /// Listens and passes on.
     pub fn start(tasks: &Rc<LocalExecutor<'static>>, to: SocketAddr) -> io::Result<Rc<Self>> {
         let listener = Async::<TcpListener>::bind(([127, 0, 2, 1], 0))?;
         let address = listener.get_ref().local_addr()?;
-        let relay = Rc::new(Self {
+        let proxy = Rc::new(Self {
             address,
             to,
             ways: Default::default(),
             tear: Cell::new(false),
             bytes: Cell::new(0),
+            faults: RefCell::default(),
         });
-        let (own, all) = (relay.clone(), tasks.clone());
+        let (own, all) = (proxy.clone(), tasks.clone());
         let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let own = own.clone();
@@ -70,7 +73,17 @@
             }
         };
         tasks.spawn(accept).detach();
-        Ok(relay)
+        Ok(proxy)
+    }
+
+    /// A fault begins, with what it makes of the way there and of the way back, or ends. The latest one that is not over
+    /// counts.
+    pub fn fault(&self, number: usize, ways: Option<[Way; 2]>) {
+        let mut faults = self.faults.borrow_mut();
+        faults.retain(|(other, _)| *other != number);
+        faults.extend(ways.map(|ways| (number, ways)));
+        let now = faults.last().map_or([Way::Open; 2], |(_, ways)| *ways);
+        self.ways.iter().zip(now).for_each(|(way, now)| way.set(now));
     }
 
     fn is_cut(&self) -> bool {
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -1,13 +1,15 @@
-//! The rig: several processes of the program that agree, between relays and under traffic, while some of them are
+//! The rig: several processes of the program that agree, between proxies and under traffic, while some of them are
 //! killed, frozen or cut off. What it came to is judged by [`checker`] from what the processes wrote down.
 
+pub mod hollow;
+pub mod purges;
 mod steps;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::fs;
-use std::io::{self, Read, Seek, SeekFrom};
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::rc::Rc;
@@ -16,7 +18,7 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::Distribution;
 use rand_pcg::Pcg64Mcg;
-use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
+use rustix::process::{Pid, Resource, Rlimit, Signal, prlimit};
 use serde_json::Value;
 use silverspindle_wire::clock;
 
@@ -25,19 +27,14 @@
 use crate::codec::Member;
 use crate::coordinator::Coordinator;
 use crate::office::{Office, Plan, rest};
-use crate::relay::{Relay, Way};
+use crate::process::{GENEROUS, LOOK_AGAIN, peak, signal, steady, tail, until, used};
+use crate::proxy::{Proxy, Way};
 use steps::Play;
 
 use crate::trial::{self, Router, Start, WRITES, free, run, well};
 use crate::{Micros, SECOND};
 
 const MS: Micros = 1000;
-/// A quorum is there so soon after the start, and a decision is at all routers so soon after all has healed; ends
-/// far beyond what is promised, for waits that are for an event.
-const GENEROUS: Micros = 30 * SECOND;
-const LOOK_AGAIN: Micros = 20 * MS;
-/// The latest records are looked for in so many bytes at a file's end.
-const TAIL: u64 = 16 * 1024;
 /// Staff's script takes so long from one router to the next.
 const HAND: Micros = 200 * MS;
 /// Work on a machine takes so long.
@@ -304,7 +301,7 @@
 
 /// A router and an elector that it sends to.
 type Pair = (usize, usize);
-type Relays = BTreeMap<Pair, Rc<Relay>>;
+type Proxies = BTreeMap<Pair, Rc<Proxy>>;
 
 /// The rig while it runs.
 struct Rig {
@@ -315,9 +312,7 @@
     routers: RefCell<Vec<Option<Router>>>,
     began: RefCell<Vec<Micros>>,
     /// By router and elector.
-    relays: Relays,
-    /// Faults on each relay that are not over, by fault; the last one counts.
-    ways: RefCell<BTreeMap<Pair, Vec<(usize, Way)>>>,
+    proxies: Proxies,
     told: RefCell<Vec<Told>>,
     out: RefCell<Outcome>,
     touched: RefCell<BTreeSet<usize>>,
@@ -334,24 +329,6 @@
     ending: Cell<bool>,
 }
 
-fn signal(router: &Router, signal: Signal) {
-    let _ = kill_process(Pid::from_child(&router.child), signal);
-}
-
-/// Processor time that a process has used, from the kernel's account; ticks of a hundredth of a second.
-fn used(pid: u32) -> Option<Micros> {
-    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-    let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
-    Some(ticks * 10 * MS)
-}
-
-/// The most memory that a process has held, in kB, from the kernel's account.
-fn peak(pid: u32) -> Option<u64> {
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?.split_whitespace().next()?.parse().ok()
-}
-
 impl Rig {
     /// Runs staff's command; what it printed in JSON, and whether it was well.
     async fn command(&self, elector: usize, args: &[&str]) -> (Value, bool) {
@@ -479,17 +456,11 @@
         }
     }
 
-    /// A relay's way by the latest of the faults on it that are not over.
-    fn way(&self, fault: usize, pair: (usize, usize), way: Option<Way>) {
-        let Some(relay) = self.relays.get(&pair) else { return };
-        let mut ways = self.ways.borrow_mut();
-        let all = ways.entry(pair).or_default();
-        all.retain(|(other, _)| *other != fault);
-        all.extend(way.map(|way| (fault, way)));
-        let now = all.last().map_or(Way::Open, |(_, way)| *way);
-        relay.ways[0].set(now);
+    /// A fault on a proxy begins or ends.
+    fn way(&self, fault: usize, pair: Pair, way: Option<Way>) {
+        let Some(proxy) = self.proxies.get(&pair) else { return };
         // A hold is one way; all else is both.
-        relay.ways[1].set(if now == Way::Held { Way::Open } else { now });
+        proxy.fault(fault, way.map(|way| [way, if way == Way::Held { Way::Open } else { way }]));
     }
 
     fn whom(&self, who: Who, leader: Option<usize>) -> Vec<usize> {
@@ -513,7 +484,7 @@
             Kind::Late(a, b, by) => both(*a, *b).map(|pair| (pair, Way::Late(*by))).to_vec(),
             Kind::Slow(a, b, by) => both(*a, *b).map(|pair| (pair, Way::Slow(*by))).to_vec(),
             Kind::Split(side) => {
-                let apart = self.relays.keys().filter(|(a, b)| side.contains(a) != side.contains(b));
+                let apart = self.proxies.keys().filter(|(a, b)| side.contains(a) != side.contains(b));
                 apart.map(|pair| (*pair, Way::Cut)).collect()
             }
             _ => vec![],
@@ -569,8 +540,8 @@
                 }
             }
             Kind::Tear(a, b) => {
-                if let Some(relay) = self.relays.get(&(*a, *b)) {
-                    relay.tear.set(true);
+                if let Some(proxy) = self.proxies.get(&(*a, *b)) {
+                    proxy.tear.set(true);
                 }
             }
             _ => {}
@@ -635,32 +606,20 @@
     /// The latest number that each router has recorded.
     fn numbers(&self) -> Vec<u64> {
         let last = |n: usize| {
-            let mut file = fs::File::open(self.folder.join(format!("n{n}.acts"))).ok()?;
-            let length = file.metadata().ok()?.len();
-            file.seek(SeekFrom::Start(length.saturating_sub(TAIL))).ok()?;
-            let mut text = String::new();
-            file.read_to_string(&mut text).ok()?;
+            let text = tail(&self.folder.join(format!("n{n}.acts")));
             checker::lines(&text).iter().filter_map(|r| r["number"].as_u64()).max()
         };
         (0..self.starts.len()).map(|n| last(n).unwrap_or(0)).collect()
     }
 }
 
-/// The clock that records have.
-fn steady() -> Micros {
-    // Uptime, in hundredths of a second, counts suspended time as well.
-    let text = fs::read_to_string("/proc/uptime").unwrap_or_default();
-    let seconds = text.split_whitespace().next().and_then(|t| t.parse::<f64>().ok());
-    (seconds.unwrap_or(0.0) * 1e6) as Micros
-}
-
 fn prepare(
     options: &Options,
     folder: &Path,
     tasks: &Rc<LocalExecutor<'static>>,
     office: &Office,
     coordinator: &Coordinator,
-) -> io::Result<(Vec<(Start, std::net::SocketAddr)>, Relays)> {
+) -> io::Result<(Vec<(Start, std::net::SocketAddr)>, Proxies)> {
     let names: Vec<String> = (0..options.routers).map(|n| format!("n{n}")).collect();
     let keys = folder.join("keys").display().to_string();
     run(&options.program, &["keys", "init", &keys])?;
@@ -677,7 +636,7 @@
             options.lease / MS
         )
     };
-    let (mut starts, mut relays) = (Vec::new(), BTreeMap::new());
+    let (mut starts, mut proxies) = (Vec::new(), BTreeMap::new());
     for (n, name) in (0..options.routers).zip(&names) {
         let (port, exchange) = (free(n)?, ports[usize::from(n)].clone());
         let listen = port.address;
@@ -712,9 +671,9 @@
             let at = match *elector == usize::from(n) {
                 true => exchange.address,
                 false => {
-                    let relay = Relay::start(tasks, ports[*elector].address)?;
-                    relays.insert((usize::from(n), *elector), relay.clone());
-                    relay.address
+                    let proxy = Proxy::start(tasks, ports[*elector].address)?;
+                    proxies.insert((usize::from(n), *elector), proxy.clone());
+                    proxy.address
                 }
             };
             let _ = writeln!(conf, "agree-elector n{elector} {at}");
@@ -745,20 +704,7 @@
         let one = format!("{}agree-elector n{first} {}\n", files("staff"), ports[*first].address);
         fs::write(folder.join(format!("alone{first}.conf")), one)?;
     }
-    Ok((starts, relays))
-}
-
-async fn until<T>(what: &str, mut good: impl AsyncFnMut() -> Option<T>) -> io::Result<T> {
-    let last = clock::now() + GENEROUS;
-    loop {
-        if let Some(found) = good().await {
-            return Ok(found);
-        }
-        if clock::now() > last {
-            return Err(io::Error::other(format!("{what}: not within {} s", GENEROUS / SECOND)));
-        }
-        rest(LOOK_AGAIN).await;
-    }
+    Ok((starts, proxies))
 }
 
 /// Runs it to its end. Ends the processes that it started, also where it fails.
@@ -769,7 +715,7 @@
         Plan { boxes: options.boxes, box_room: 3200 / options.boxes as usize, parents: 2, parent_room: 4000 },
     )?;
     let coordinator = Coordinator::start(tasks)?;
-    let (starts, relays) = prepare(options, folder.path(), tasks, &office, &coordinator)?;
+    let (starts, proxies) = prepare(options, folder.path(), tasks, &office, &coordinator)?;
     let clients: Vec<Rc<Clients>> =
         (0..).zip(&starts).map(|(n, (_, listen))| Clients::new(n, *listen)).collect();
     let count = starts.len();
@@ -780,8 +726,7 @@
         starts: starts.into_iter().map(|(start, _)| start).collect(),
         routers: RefCell::new((0..count).map(|_| None).collect()),
         began: RefCell::new(vec![0; count]),
-        relays,
-        ways: RefCell::default(),
+        proxies,
         told: RefCell::default(),
         out: RefCell::default(),
         touched: RefCell::default(),
