--- a/silverspindle/src/main.rs
+++ b/silverspindle/src/main.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+mod trials;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -12,7 +14,6 @@
 use silverspindle::{logging, serve};
 use silverspindle_agreement::{Change, ProposalId, Reply, Verdict};
 use silverspindle_rules::{Rules, Trial, Way};
-use silverspindle_standins::{rig, trial};
 use silverspindle_work::{Machine, Stage};
 
 const ENVIRONMENT: &str = "\
@@ -53,66 +54,7 @@
         file: Option<PathBuf>,
     },
     /// Run this program between stand-ins on loopback and count every item's one final answer
-    Try {
-        /// How long traffic lasts
-        #[arg(long, default_value_t = 10)]
-        seconds: u64,
-        /// Routers
-        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=100))]
-        routers: u8,
-        /// Items a second to all of them
-        #[arg(long, default_value_t = 300.0)]
-        rate: f64,
-        /// Seed of all that is drawn
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-        /// Kill the first router after so many seconds and start it again
-        #[arg(long)]
-        kill: Option<u64>,
-        /// What is wrong around the kill
-        #[arg(long, value_enum, default_value_t = Trouble::None)]
-        trouble: Trouble,
-        /// How it learns then
-        #[arg(long, value_enum, default_value_t = Inherit::No)]
-        inherit: Inherit,
-        /// Drain a box, slow the head office, restart a box and purge on the way
-        #[arg(long)]
-        rough: bool,
-        /// The routers agree on decisions, with relays between them; judged from their records
-        #[arg(long)]
-        agree: bool,
-        /// With --agree: electors, 1, 3 or 5 (3, or 1 where there are fewer routers)
-        #[arg(long)]
-        electors: Option<u8>,
-        /// With --agree: what goes wrong, a file of lines AT LASTS KIND or 'random' by the seed
-        #[arg(long, value_name = "SCRIPT|random")]
-        faults: Option<String>,
-        /// With --agree: boxes are ordered out, worked on and brought back on the way
-        #[arg(long)]
-        work: bool,
-        /// With --agree: boxes; parents are two
-        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=40))]
-        boxes: u32,
-        /// With --work: every box and parent is worked on once, by one order or by hand through the coordinator; without
-        /// --work, by hand: staff change the routers' files one after the other
-        #[arg(long, value_enum)]
-        round: Option<Round>,
-        /// With --agree: versions of rules are proposed on the way
-        #[arg(long)]
-        rules: bool,
-        /// With --work: routers, too
-        #[arg(long)]
-        routers_too: bool,
-        /// With --work: a router that is cut off serves on, and holds all work up
-        #[arg(long)]
-        hold: bool,
-        /// With --agree: staff make no calls meanwhile, to measure what idle routers cost
-        #[arg(long)]
-        quiet: bool,
-        /// With --agree: the stated time, in milliseconds
-        #[arg(long, default_value_t = 2000, value_parser = clap::value_parser!(u64).range(500..=60_000))]
-        within_ms: u64,
-    },
+    Try(trials::Line),
     /// Keys for the exchange between routers
     #[command(subcommand)]
     Keys(Keys),
@@ -141,34 +83,6 @@
     Version,
 }
 
-#[derive(Clone, Copy, clap::ValueEnum)]
-enum Inherit {
-    /// Not at all
-    No,
-    /// From the other routers
-    Exchange,
-    /// From its own last snapshot
-    Snapshot,
-}
-
-#[derive(Clone, Copy, clap::ValueEnum)]
-enum Round {
-    /// One order over all
-    Order,
-    /// One machine after the other
-    Hand,
-}
-
-#[derive(Clone, Copy, clap::ValueEnum)]
-enum Trouble {
-    /// Nothing
-    None,
-    /// A box stalls from five seconds before on
-    Stall,
-    /// The head office takes four times as long from five seconds before on
-    Office,
-}
-
 #[derive(Subcommand)]
 enum Fleet {
     /// Who leads, each router's number, digest, life and how old its confirmation is; fails without a quorum
@@ -426,93 +340,7 @@
             let again = || (Config::read(&environment), read_conf(file.as_deref()));
             serve::serve(config, conf, again).map_err(io)?;
         }
-        Command::Try {
-            seconds,
-            routers,
-            rate,
-            seed,
-            agree: true,
-            electors,
-            faults,
-            within_ms,
-            work,
-            boxes,
-            round,
-            rules,
-            routers_too,
-            hold,
-            quiet,
-            ..
-        } => {
-            let electors = electors.unwrap_or(if routers < 3 { 1 } else { 3 }).min(routers);
-            let faults = match faults.as_deref() {
-                None => vec![],
-                Some("random") => rig::random(seed, routers, electors, seconds),
-                Some(file) => {
-                    let text = std::fs::read_to_string(file).map_err(|e| one(format!("{file}: {e}")))?;
-                    rig::script(&text).map_err(|e| one(format!("{file}: {e}")))?
-                }
-            };
-            let program = std::env::current_exe().map_err(io)?;
-            let lease = within_ms * 1000;
-            let options = rig::Options {
-                program,
-                routers,
-                electors,
-                seconds,
-                seed,
-                rate,
-                lease,
-                faults,
-                work,
-                boxes,
-                round: round.map(|round| match round {
-                    Round::Order => rig::Round::Order,
-                    Round::Hand => rig::Round::Hand,
-                }),
-                rules,
-                steps: "",
-                least: None,
-                work_routers: routers_too,
-                hold,
-                quiet,
-                without: None,
-            };
-            let tasks = std::rc::Rc::new(async_executor::LocalExecutor::new());
-            let outcome = async_io::block_on(tasks.run(rig::play(&tasks, &options))).map_err(io)?;
-            print!("{}", rig::report(&options, &outcome));
-            if !outcome.is_good() {
-                return Err(one("a promise was broken".to_owned()));
-            }
-        }
-        Command::Try { seconds, routers, rate, seed, kill, trouble, inherit, rough, .. } => {
-            let inherit = match inherit {
-                Inherit::No => trial::Inherit::No,
-                Inherit::Exchange => trial::Inherit::Exchange,
-                Inherit::Snapshot => trial::Inherit::Snapshot,
-            };
-            let mut script = if rough { trial::rough(seconds) } else { Vec::new() };
-            if let Some(at) = kill {
-                let trouble = match trouble {
-                    Trouble::None => None,
-                    Trouble::Stall => Some((3, trial::Fault::Stall)),
-                    Trouble::Office => Some((trial::HEAD, trial::Fault::Slow(4.0))),
-                };
-                let before = at.saturating_sub(5) * 1_000_000;
-                script.extend(trouble.map(|(whom, what)| (before, trial::Act::Fault(whom, Some(what)))));
-                script.push((at * 1_000_000, trial::Act::Kill));
-            }
-            script.sort_by_key(|(at, _)| *at);
-            let program = std::env::current_exe().map_err(io)?;
-            let options = trial::Options { program, seconds, seed, routers, rate, inherit, script };
-            let tasks = std::rc::Rc::new(async_executor::LocalExecutor::new());
-            let run = async_io::block_on(tasks.run(trial::trial(&tasks, &options)));
-            let outcome = run.map_err(io)?;
-            print!("{}", trial::report(&outcome));
-            if !outcome.is_good() {
-                return Err(one("an item without its one final answer, or a rule broken".to_owned()));
-            }
-        }
+        Command::Try(line) => trials::run(line)?,
         Command::Keys(Keys::Init { folder, days }) => keys::init(&folder, days).map_err(one)?,
         Command::Keys(Keys::Issue { folder, name, days }) => {
             keys::issue(&folder, &name, days).map_err(one)?
