--- a/silverspindle/src/main.rs
+++ b/silverspindle/src/main.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+mod purge;
 mod trials;
 
 use std::path::PathBuf;
@@ -72,6 +73,22 @@
         #[command(subcommand)]
         what: Fleet,
     },
+    /// Cores of the purge log without routers, for 'try --hollow'
+    #[command(hide = true)]
+    Hollow {
+        /// The operators' file that all of them go by
+        #[arg(long, value_name = "FILE")]
+        conf: PathBuf,
+        /// The authority's folder, which also takes their certificates
+        #[arg(long, value_name = "FOLDER")]
+        keys: PathBuf,
+        /// The number of the first
+        #[arg(long)]
+        first: usize,
+        /// How many
+        #[arg(long)]
+        count: usize,
+    },
     /// Print the completion of the command line for a shell
     Completion {
         /// Which one
@@ -121,6 +138,9 @@
     /// Settings and lists with versions
     #[command(subcommand)]
     Rules(RulesLine),
+    /// Purges and list events over relays
+    #[command(subcommand)]
+    Purge(purge::Line),
 }
 
 #[derive(Subcommand)]
@@ -346,11 +366,20 @@
             keys::issue(&folder, &name, days).map_err(one)?
         }
         Command::Keys(Keys::Show { file }) => print!("{}", keys::show(&file).map_err(one)?),
+        Command::Fleet { conf, json, what: Fleet::Purge(line), .. } => {
+            let conf = read_conf(named(conf).as_deref())?;
+            async_io::block_on(line.run(&conf, json)).map_err(one)?;
+        }
         Command::Fleet { conf, json, id, what } => {
             let conf = read_conf(named(conf).as_deref())?;
             let staff = Staff::new(&conf).map_err(one)?;
             async_io::block_on(fleet(&staff, what, json, id)).map_err(one)?;
         }
+        Command::Hollow { conf, keys, first, count } => {
+            let conf = read_conf(Some(&conf))?;
+            let relay = conf.relay.ok_or_else(|| one("relay-role: missing".to_owned()))?;
+            silverspindle::hollow::run(&relay, &keys, first, count).map_err(one)?;
+        }
         Command::Completion { shell } => {
             clap_complete::generate(shell, &mut Line::command(), "silverspindle", &mut out);
         }
@@ -430,6 +459,7 @@
             return tell(id, &reply, json);
         }
         Fleet::Rules(line) => return rules(staff, line, json).await,
+        Fleet::Purge(_) => return Err("is asked of the sources".to_owned()),
         Fleet::Join { name } => Change::Join { name, life: 0 },
         Fleet::Forget { name, life: None } => Change::Forget { name },
         Fleet::Forget { name, life: Some(life) } => Change::Leave { name, life },
