--- a/silverspindle/src/hollow.rs
+++ b/silverspindle/src/hollow.rs
@@ -156,7 +156,8 @@
             Ok(stream) => {
                 let _fed = Fed::begin(&self.totals);
                 let _ = events.send(Event::ParentUp(parent)).await;
-                let heard = |frame| events.try_send(Event::FromParent(frame)).map_err(io::Error::other);
+                let gone = |_| io::Error::other("the router is gone");
+                let heard = |frame| events.try_send(Event::FromParent(frame)).map_err(gone);
                 if let Err(e) = links::both(stream, &frames, None, heard).await {
                     tracing::debug!("parent {}: {e}", parent.0);
                 }
@@ -231,7 +232,9 @@
             }
             Action::ToParent(frame) => {
                 let sent = self.connection.as_ref().map(|(queue, _)| queue.try_send(frame));
-                sent.and_then(Result::err).map(|_| tracing::debug!("a frame is lost"));
+                if sent.is_some_and(|sent| sent.is_err()) {
+                    tracing::debug!("a frame is lost");
+                }
                 None
             }
             Action::Apply(records) => {
