Rig of the purge log: caches drop purged copies as late as they may; room for children of relays

Cause: clients were served a copy from before a purge 6.5 s after it, as the stand-in boxes were never told of purges, and a router counts on their having dropped what is purged after 6 s. A source or relay did not start with the platform's 1,024 sockets and relay-children 700. Change: the stand-in boxes drop copies 5.9 s after a purge, of objects as well; the rig sets relay-children and limits.sockets.

--- a/silverspindle/src/hollow.rs
+++ b/silverspindle/src/hollow.rs
@@ -22,7 +22,7 @@
 use silverspindle_conf::{Files, Relay};
 use silverspindle_knowledge::protocol::{self, Message, VERSION};
 use silverspindle_knowledge::{InstanceId, Source};
-use silverspindle_relay::{Action, Event, Frame, Guards, Node, NodeId, ParentId, Role, Settings};
+use silverspindle_relay::{Action, Event, Frame, Guards, Node, NodeId, ParentId, Role, Settings, bounds};
 
 use crate::clock;
 use crate::knowledge::keys::{self, Tls};
@@ -158,7 +158,7 @@
                 let _ = events.send(Event::ParentUp(parent)).await;
                 let gone = |_| io::Error::other("the router is gone");
                 let heard = |frame| events.try_send(Event::FromParent(frame)).map_err(gone);
-                if let Err(e) = links::both(stream, &frames, None, heard).await {
+                if let Err(e) = links::both(stream, &frames, None, bounds::FRAME, heard).await {
                     tracing::debug!("parent {}: {e}", parent.0);
                 }
             }
--- a/silverspindle/src/trials.rs
+++ b/silverspindle/src/trials.rs
@@ -233,7 +233,7 @@
         direct: lease * 2 / 3,
         batch: BATCH_MS * MS,
         report: lease / 6,
-        children: None,
+        children: Some(4 * usize::from(line.routers)),
         faults: faults(line.faults.as_deref(), random, |text| purges::script(text, &tree))?,
         without: None,
     };
--- a/silverspindle/tests/purges.rs
+++ b/silverspindle/tests/purges.rs
@@ -28,7 +28,7 @@
         direct: 2000 * MS,
         batch: 200 * MS,
         report: 500 * MS,
-        children: None,
+        children: Some(32),
         faults: purges::script(script, &tree).unwrap(),
         without: None,
     }
--- a/standins/src/office.rs
+++ b/standins/src/office.rs
@@ -11,6 +11,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt;
+use silverspindle_wire::feed::Purged;
 use silverspindle_wire::framing::Messages;
 use silverspindle_wire::{clock, resp};
 
@@ -101,7 +102,7 @@
     copies: HashMap<Key, (u8, u64, Micros, u64)>,
     order: BTreeMap<(u8, u64), Key>,
     uses: u64,
-    purges: HashMap<u64, Micros>,
+    purges: HashMap<Purged, Micros>,
 }
 
 impl Store {
@@ -112,7 +113,8 @@
     /// When the copy was given out, if there is one that no purge concerns and that is young enough.
     fn get(&mut self, key: &Key, group: u64, rank: u8, max_age: Micros) -> Option<Micros> {
         let (old, used, stamp, _) = *self.copies.get(key)?;
-        let purged = self.purges.get(&group).is_some_and(|at| stamp <= *at);
+        let names = [Purged::Object(key.0), Purged::Group(group)];
+        let purged = names.iter().filter_map(|name| self.purges.get(name)).any(|at| stamp <= *at);
         if purged || clock::now().saturating_sub(stamp) > max_age {
             return None;
         }
@@ -279,10 +281,10 @@
         self.counts.borrow().clone()
     }
 
-    /// Copies of a group that are no younger are of no use any more.
-    pub fn purge(&self, group: u64, at: Micros) {
+    /// Copies of an object or a group that are no younger are of no use any more.
+    pub fn purge(&self, what: Purged, at: Micros) {
         for tier in self.boxes.iter().map(|(b, _)| b).chain(&self.parents) {
-            tier.store.borrow_mut().purges.insert(group, at);
+            tier.store.borrow_mut().purges.insert(what, at);
         }
     }
 
--- a/standins/src/rig/purges.rs
+++ b/standins/src/rig/purges.rs
@@ -45,6 +45,8 @@
 const GROUPS: u32 = 8;
 /// One event of so many concerns the list.
 const LISTS: u32 = 20;
+/// Caches drop copies from before a purge so long after it, shortly before the latest that the platform's page allows.
+const CACHES_CLEAR: Micros = 5900 * MS;
 /// Staff ask after so long.
 const ASK_EVERY: Micros = 300 * MS;
 /// Lines of each log that a failure shows.
@@ -301,6 +303,15 @@
         everywhere
     }
 
+    /// Asks until the answer is yes, at staff's pace.
+    async fn is_everywhere(&self, number: u64) -> bool {
+        let everywhere = self.ask(number).await == Some(true);
+        if !everywhere {
+            rest(ASK_EVERY).await;
+        }
+        everywhere
+    }
+
     /// When an event was told.
     fn told_at(&self, number: u64) -> Option<Micros> {
         let events = self.events.borrow();
@@ -355,6 +366,21 @@
     Ok(())
 }
 
+/// Caches drop what a purge forbids, as late as they may.
+async fn clear_caches(rig: Rc<Rig>, office: Rc<Office>) {
+    let mut cleared = 0;
+    loop {
+        let due: Vec<Purge> = {
+            let purges = rig.purges.borrow();
+            let due = |purge: &&Purge| purge.at + CACHES_CLEAR <= clock::now();
+            purges[cleared..].iter().take_while(due).copied().collect()
+        };
+        cleared += due.len();
+        due.iter().for_each(|purge| office.purge(purge.what, purge.at));
+        rest(LOOK_AGAIN).await;
+    }
+}
+
 /// Staff ask of the latest purge until it is everywhere or another while has passed, then of the latest one then.
 async fn ask(rig: Rc<Rig>, end: Micros) {
     let mut asked: Option<(u64, Micros)> = None;
@@ -429,10 +455,8 @@
 async fn heal(rig: &Rc<Rig>, clients: &[Rc<Clients>]) -> io::Result<()> {
     let began = clock::now();
     let number = rig.tell_purge(Purged::Object(0));
-    until("a purge everywhere after the healing", async || {
-        (rig.ask(number).await == Some(true)).then_some(())
-    })
-    .await?;
+    until("a purge everywhere after the healing", async || rig.is_everywhere(number).await.then_some(()))
+        .await?;
     rig.out.borrow_mut().recovered = clock::now() - began;
     until("that purge's being applied by each router", async || {
         let all = (0..rig.options.tree.routers).map(Node::Router);
@@ -517,7 +541,8 @@
         well(clients, &rig.starts[&Node::Router(n)].log).await?;
     }
     let first = rig.tell_purge(Purged::Object(0));
-    until("a first purge everywhere", async || (rig.ask(first).await == Some(true)).then_some(())).await?;
+    until("a first purge everywhere", async || rig.is_everywhere(first).await.then_some(())).await?;
+    let _clearing = tasks.spawn(clear_caches(rig.clone(), office.clone()));
     traffic(rig, office, tasks, clients).await?;
     heal(rig, clients).await
 }
--- a/standins/src/rig/purges/layout.rs
+++ b/standins/src/rig/purges/layout.rs
@@ -10,7 +10,7 @@
 use std::str::FromStr;
 
 use async_executor::LocalExecutor;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::Options;
 use crate::Micros;
@@ -20,6 +20,10 @@
 use crate::proxy::Proxy;
 use crate::trial::{self, Start, free, run};
 
+/// Descriptors that a process may take: a third is clients' share, the rest must hold the children.
+const SOCKETS: usize = 1024;
+const SOCKETS_A_CHILD: usize = 3;
+
 /// One party of the tree.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Node {
@@ -178,7 +182,10 @@
         let news = proxies.get(&(node, Node::Coordinator)).map_or(coordinator.address, |proxy| proxy.address);
         let name = node.to_string();
         let config = folder.join(format!("{name}.json"));
-        let platform = trial::configuration(&name, listen, &old, index, news, &members);
+        let mut platform = trial::configuration(&name, listen, &old, index, news, &members);
+        if let Some(children) = options.children {
+            platform["limits"] = json!({"sockets": SOCKETS + SOCKETS_A_CHILD * children});
+        }
         fs::write(&config, platform.to_string())?;
         let conf = folder.join(format!("{name}.conf"));
         fs::write(&conf, operators_file(options, folder, &keys, node, ports.exchange.address, &proxies))?;
--- a/standins/src/trial.rs
+++ b/standins/src/trial.rs
@@ -15,6 +15,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 use silverspindle_wire::clock;
+use silverspindle_wire::feed::Purged;
 
 use crate::clients::{AIM, BUDGET, Clients, Tally};
 use crate::codec::{Member, News};
@@ -448,7 +449,7 @@
             tell(id, 0, now / 1000);
         }
         Act::Purge(group) => {
-            office.purge(u64::from(group), now);
+            office.purge(Purged::Group(u64::from(group)), now);
             coordinator.tell(News::Purge(group, now / 1000));
         }
         Act::Fault(HEAD, fault) => office.head.fault.set(fault),
