--- a/silverspindle/src/lib.rs
+++ b/silverspindle/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod drain;
 pub mod front;
 mod guards;
+pub mod hollow;
 pub mod invariant;
 pub mod knowledge;
 pub mod links;
