--- a/lab/src/capacity/failures.rs
+++ b/lab/src/capacity/failures.rs
@@ -175,6 +175,14 @@
         |of| of.get("versions_everywhere"),
     )
     .held(Role::Failure, Way::Any, "version_within", AGREEMENT),
+    Quantity::step(
+        "version_burst",
+        "change of configuration in force everywhere, slowest of 20 at once",
+        Unit::Seconds,
+        "{versions_burst_everywhere}",
+        |of| of.get("versions_burst_everywhere"),
+    )
+    .held(Role::Failure, Way::Any, "version_within", AGREEMENT),
     Quantity::step(
         "version_unheard",
         "change of configuration in force, a router, rack, zone or region dead or cut off: known to all who act, then holds",
--- a/lab/src/capacity/relays.rs
+++ b/lab/src/capacity/relays.rs
@@ -45,28 +45,18 @@
     .held(Role::Router, Way::Relays, "control_bytes", LOG),
     Quantity::step(
         "control_relays",
-        "bytes: all control, relays and agreement, largest versions",
+        "bytes: all control, relays and agreement, changes of 56 KB",
         Unit::BytesPerSecond,
-        "{relay_bytes} + {follow_bytes} + {version_bytes_most} + {roster_bytes}",
-        |of| {
-            of.get("relay_bytes")
-                + of.get("follow_bytes")
-                + of.get("version_bytes_most")
-                + of.get("roster_bytes")
-        },
+        "{relay_bytes} + {version_bytes_measured} + {roster_bytes}",
+        |of| of.get("relay_bytes") + of.get("version_bytes_measured") + of.get("roster_bytes"),
     )
     .held(Role::Router, Way::Relays, "control_bytes", "purge log and agreement"),
     Quantity::step(
-        "control_relays_typical",
-        "bytes: all control, relays and agreement, versions with lists of 1,000 entries",
+        "control_relays_small",
+        "bytes: all control, relays and agreement, changes of 1 KB",
         Unit::BytesPerSecond,
-        "{relay_bytes} + {follow_bytes} + {version_bytes_typical} + {roster_bytes}",
-        |of| {
-            of.get("relay_bytes")
-                + of.get("follow_bytes")
-                + of.get("version_bytes_typical")
-                + of.get("roster_bytes")
-        },
+        "{relay_bytes} + {follower_versions_small} + {roster_bytes}",
+        |of| of.get("relay_bytes") + of.get("follower_versions_small") + of.get("roster_bytes"),
     )
     .held(Role::Router, Way::Relays, "control_bytes", "purge log and agreement"),
     Quantity::step("relay_router_core", "processor: the relays' core", Unit::Cores, "{router_purges_core}", |of| {
--- a/lab/src/capacity/today.rs
+++ b/lab/src/capacity/today.rs
@@ -145,16 +145,23 @@
         |of| 2.0 * of.get("starts_per_second") * (of.get("join_entry") + of.get("message_overhead")),
     )
     .held(Role::Router, Way::Any, "control_bytes", LOG),
+    Quantity::step(
+        "version_bytes_measured",
+        "bytes: the agreement with changes of 56 KB at the target's rate, both ways",
+        Unit::BytesPerSecond,
+        "{follower_versions_whole}",
+        |of| of.get("follower_versions_whole"),
+    )
+    .held(Role::Router, Way::Any, "control_bytes", LOG),
     Quantity::step(
         "control_today",
-        "bytes: all control, feed and agreement, largest versions",
+        "bytes: all control, feed and agreement, changes of 56 KB",
         Unit::BytesPerSecond,
-        "{feed_bytes} + {feed_acknowledged} + {follow_bytes} + {version_bytes_most} + {roster_bytes}",
+        "{feed_bytes} + {feed_acknowledged} + {version_bytes_measured} + {roster_bytes}",
         |of| {
             of.get("feed_bytes")
                 + of.get("feed_acknowledged")
-                + of.get("follow_bytes")
-                + of.get("version_bytes_most")
+                + of.get("version_bytes_measured")
                 + of.get("roster_bytes")
         },
     )
