--- a/lab/src/capacity/quantity.rs
+++ b/lab/src/capacity/quantity.rs
@@ -5,6 +5,8 @@
 use std::path::Path;
 
 use super::data::{Data, Fault, Figure, How, Unit};
+use crate::data_path::Point;
+use crate::data_path::fit::Power;
 
 /// The command that recomputes what is arithmetic over stated and assumed figures.
 pub const ARITHMETIC: &str = "silverspindle-lab capacity --check";
@@ -276,28 +278,14 @@
 /// The value at a size: as measured there, else by a power of the size fitted to three points or more, with that power.
 /// Not a number where there are fewer. A single point without a size holds for all.
 pub fn at_size(points: &[(f64, f64)], size: f64) -> (f64, Option<f64>) {
-    let fit = power_fit(points);
-    if let [(_, value)] = points {
+    if let [(0.0, value)] = points {
         return (*value, None);
     }
-    match (points.iter().find(|(at, _)| *at == size), fit) {
-        (Some((_, value)), fit) => (*value, fit.map(|(_, power)| power)),
-        (None, Some((factor, power))) => (factor * size.powf(power), Some(power)),
-        (None, None) => (f64::NAN, None),
+    let whole: Vec<Point> = points.iter().map(|(at, value)| (*at as u64, *value)).collect();
+    let fit = Power::through(&whole);
+    let power = fit.map(|fit| fit.power);
+    match points.iter().find(|(at, _)| *at == size) {
+        Some((_, value)) => (*value, power),
+        None => (fit.map_or(f64::NAN, |fit| fit.at(size)), power),
     }
 }
-
-/// `factor * size ^ power`, by least squares of the logarithms.
-fn power_fit(points: &[(f64, f64)]) -> Option<(f64, f64)> {
-    if points.len() < 3 || points.iter().any(|(size, value)| *size <= 0.0 || *value <= 0.0) {
-        return None;
-    }
-    let logs: Vec<(f64, f64)> = points.iter().map(|(size, value)| (size.ln(), value.ln())).collect();
-    let count = logs.len() as f64;
-    let mean_x = logs.iter().map(|(x, _)| x).sum::<f64>() / count;
-    let mean_y = logs.iter().map(|(_, y)| y).sum::<f64>() / count;
-    let spread: f64 = logs.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
-    let both: f64 = logs.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
-    let power = both / spread;
-    Some(((mean_y - power * mean_x).exp(), power))
-}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod capacity;
 pub mod cost;
+pub mod data_path;
 pub mod swarm;
