--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod capacity;
 pub mod cost;
 pub mod data_path;
+pub mod scale;
 pub mod swarm;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use silverspindle_lab::data_path::{self, filter};
 use silverspindle_lab::swarm::{self, Options, Without};
-use silverspindle_lab::{capacity, cost};
+use silverspindle_lab::{capacity, cost, scale};
 
 /// Many routers' real cores on a made-up clock and network
 #[derive(Parser)]
@@ -82,6 +82,8 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// What control costs as a fleet grows: a row for each size and role
+    Scale(scale::command::Line),
     /// Short runs with faults by seed, checked at every event; exits with 1 where one breaks
     Swarm {
         /// Which routers' part
@@ -150,6 +152,7 @@
     let (what, seeds, routers, without) = match Line::parse().command {
         Command::Swarm { what, seeds, routers, without } => (what, seeds, routers, without),
         Command::Capacity(line) => return line.run(),
+        Command::Scale(line) => return line.run(),
         Command::Cost { routers, boxes, entries } => {
             print!("{}", cost::all(routers, boxes, entries));
             return ExitCode::SUCCESS;
