--- a/lab/src/scale/command.rs
+++ b/lab/src/scale/command.rs
@@ -49,7 +49,9 @@
 
     /// Plays them and prints the rows. 1: a source called a number everywhere before it was so.
     pub fn run(&self) -> ExitCode {
-        let rows = play_all(&self.runs(), self.core, usize::from(self.threads));
+        let mut rows = play_all(&self.runs(), self.core, usize::from(self.threads));
+        let command: Vec<String> = std::env::args().skip(1).collect();
+        rows.iter_mut().for_each(|row| row.command = format!("silverspindle-lab {}", command.join(" ")));
         match self.json {
             true => rows.iter().for_each(|row| println!("{}", row.json())),
             false => print!("{}", report::table(&rows)),
--- a/lab/src/scale/relay_model.rs
+++ b/lab/src/scale/relay_model.rs
@@ -372,9 +372,9 @@
         match action {
             Action::Connect(parent) => self.connect(process, parent),
             Action::Disconnect { parent, .. } => self.disconnect(process, parent),
-            Action::ToParent(frame) => self.to_parent(process, &frame),
-            Action::ToChild { child, frame } => self.to_child(process, child, &frame),
-            Action::EndChild { child, .. } => self.end_child(process, child),
+            Action::ToParent(frame) => self.send_to_parent(process, &frame),
+            Action::ToChild { child, frame } => self.send_to_child(child, &frame),
+            Action::EndChild { child, .. } => self.end_child(child),
             Action::Apply(records) => return self.apply(process, &records),
             Action::ApplyReset(reset) => {
                 self.mix(2, process, reset.number);
@@ -445,7 +445,7 @@
         self.queue.push(again, What::Feed { process, life, following, turn: turn + 1 });
         if self.path_is_open(self.places[process].region, self.shape.coordinator_region()) {
             let at = self.now + 2 * self.to_coordinator(process);
-            let current = turn % FEEDS_A_CURRENT == 0;
+            let current = turn.is_multiple_of(FEEDS_A_CURRENT);
             self.queue.push(at, What::Fed { process, life, following, asked: self.now, current });
         }
     }
--- a/lab/src/scale/relay_model/network.rs
+++ b/lab/src/scale/relay_model/network.rs
@@ -219,7 +219,7 @@
         self.tell_of_end(index, Side::Parent);
     }
 
-    pub(super) fn end_child(&mut self, _parent: usize, child: ChildId) {
+    pub(super) fn end_child(&mut self, child: ChildId) {
         let index = child.0 as usize;
         self.connections[index].parent.open = false;
         self.tell_of_end(index, Side::Child);
@@ -237,13 +237,13 @@
         self.network_at(at, Happening::Down(index, to));
     }
 
-    pub(super) fn to_parent(&mut self, child: usize, frame: &Frame) {
+    pub(super) fn send_to_parent(&mut self, child: usize, frame: &Frame) {
         if let Some(index) = self.processes[child].current {
             self.send(index, Side::Parent, frame);
         }
     }
 
-    pub(super) fn to_child(&mut self, _parent: usize, child: ChildId, frame: &Frame) {
+    pub(super) fn send_to_child(&mut self, child: ChildId, frame: &Frame) {
         let index = child.0 as usize;
         if self.connections[index].parent.open {
             self.send(index, Side::Child, frame);
--- a/lab/src/scale/report.rs
+++ b/lab/src/scale/report.rs
@@ -106,7 +106,7 @@
     pub state_bytes: f64,
     /// By field: the power of the number of routers that it grows with, over all sizes of this call.
     pub fit: BTreeMap<String, f64>,
-    /// The command that gives this row.
+    /// The command that gave this row; as many sizes in one call as the fit is made of.
     pub command: String,
 }
 
@@ -233,6 +233,31 @@
     row.fit.get(field).map_or(value.clone(), |power| format!("{value} n^{power:.2}"))
 }
 
+/// What is the same for all roles, in words.
+fn happened(facts: &Facts) -> String {
+    let joined = facts.joined_ms.map_or_else(|| "-".to_owned(), |ms| ms.to_string());
+    let mut line = format!(
+        "{} events everywhere after {} ms (median/99 %/longest), {} unfinished; all joined after {joined} ms",
+        facts.events_measured,
+        times(facts.everywhere_ms),
+        facts.events_unfinished,
+    );
+    if facts.core == Core::Relay {
+        let _ = write!(
+            line,
+            "; in force after {} ms, {} said too early; on the safe reading at most {}, counted at least {}; cut off {}, \
+             of them on the safe reading {}",
+            times(facts.in_force_ms),
+            facts.said_too_early,
+            facts.safe_reading_most,
+            facts.counted_least,
+            facts.cut_off,
+            facts.cut_off_on_safe_reading,
+        );
+    }
+    line
+}
+
 /// The table for people.
 pub fn table(rows: &[Row]) -> String {
     let mut out = String::new();
@@ -245,21 +270,7 @@
         );
         if this != run {
             let _ = writeln!(out, "{this}");
-            let _ = writeln!(
-                out,
-                "  everywhere median/99 %/longest {} ms, in force {} ms; {} events, {} unfinished, {} said too early; \
-                 safe reading at most {}, counted at least {}, cut off {} of them safe {}; joined {} ms",
-                times(facts.everywhere_ms),
-                times(facts.in_force_ms),
-                facts.events_measured,
-                facts.events_unfinished,
-                facts.said_too_early,
-                facts.safe_reading_most,
-                facts.counted_least,
-                facts.cut_off,
-                facts.cut_off_on_safe_reading,
-                facts.joined_ms.map_or_else(|| "-".to_owned(), |ms| ms.to_string()),
-            );
+            let _ = writeln!(out, "  {}", happened(facts));
             if !facts.note.is_empty() {
                 let _ = writeln!(out, "  {}", facts.note);
             }
--- a/lab/src/scale/scenario.rs
+++ b/lab/src/scale/scenario.rs
@@ -92,5 +92,5 @@
 /// Whether the `n`th that goes away has failed, or is restarted.
 pub fn is_failure(n: u64) -> bool {
     let all = FAILURES_A_DAY + RESTARTS_A_DAY;
-    n % (all / FAILURES_A_DAY) == 0
+    n.is_multiple_of(all / FAILURES_A_DAY)
 }
