--- a/silverspindle/tests/crossing_lists.rs
+++ b/silverspindle/tests/crossing_lists.rs
@@ -7,8 +7,9 @@
 use async_io::Async;
 use common::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use silverspindle::coordinator::Coordinator;
+use silverspindle::coordinator::{Coordinator, Sink, Told};
 use silverspindle::feed::News;
+use silverspindle::steady::steady;
 
 struct Feed {
     listener: Async<std::net::TcpListener>,
@@ -144,3 +145,40 @@
         }
     });
 }
+
+/// Takes events with the time after which they came.
+struct Timed(async_channel::Sender<Told>);
+
+impl Sink for Timed {
+    const TIMED: bool = true;
+
+    fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+
+    async fn tell(&self, told: Told) -> bool {
+        self.0.send(told).await.is_ok()
+    }
+}
+
+/// The process stands still while the coordinator says that all was told: read later, that is no fresher than when it
+/// came. Guards against a lease that a frozen source or router takes up again by what lay in its socket.
+#[test]
+fn a_word_that_lay_unread_counts_from_before_it_came() {
+    run(async |tasks| {
+        let (listener, address) = listen();
+        let (tell, told) = async_channel::bounded(64);
+        let (_, moves) = async_channel::bounded(1);
+        let actor = Coordinator { address, last: 1, news: Timed(tell), moves, gap: None };
+        tasks.spawn(actor.run()).detach();
+        let (stream, _) = asked(&listener).await;
+        (&stream).write_all(&event(1, 0, b"")).await.unwrap();
+        let began = steady();
+        assert!(told.recv().await.unwrap().after <= began);
+        // Nothing else runs on this thread meanwhile.
+        let came = steady();
+        std::io::Write::write_all(&mut stream.get_ref(), &event(1, 0, b"")).unwrap();
+        std::thread::sleep(std::time::Duration::from_millis(300));
+        assert!(told.recv().await.unwrap().after <= came);
+    });
+}
