--- a/silverspindle/src/agreement/links.rs
+++ b/silverspindle/src/agreement/links.rs
@@ -81,7 +81,7 @@
                 }
                 Ok(())
             };
-            if let Err(e) = both(stream, &caller.frames, None, MOST_FRAME, heard).await {
+            if let Err(e) = both(stream, &caller.frames, None, caller.longest_frame, heard).await {
                 tracing::debug!(peer = name, "agreement: {e}");
             }
         }))
