--- a/lab/src/capacity/failures.rs
+++ b/lab/src/capacity/failures.rs
@@ -80,9 +80,25 @@
         |of| of.get("zone_told"),
     )
     .held(Role::Failure, Way::Relays, "purge_within", "lease, catch-up from any number"),
+    Quantity::step(
+        "purge_region_relay_in_force",
+        "purge in force at every router, a region and its relay cut off: slowest",
+        Unit::Seconds,
+        "{region_relay_in_force}",
+        |of| of.get("region_relay_in_force"),
+    )
+    .held(Role::Failure, Way::Relays, "purge_within", FENCE),
+    Quantity::step(
+        "purge_region_relay_told",
+        "purge called everywhere, a region and its relay cut off: slowest",
+        Unit::Seconds,
+        "{region_relay_told}",
+        |of| of.get("region_relay_told"),
+    )
+    .held(Role::Failure, Way::Relays, "purge_within", FENCE),
     Quantity::step(
         "purge_region_in_force",
-        "purge in force at every router, a region cut off: slowest",
+        "purge in force at every router, a region without a relay cut off: slowest",
         Unit::Seconds,
         "{region_in_force}",
         |of| of.get("region_in_force"),
@@ -90,7 +106,7 @@
     .held(Role::Failure, Way::Relays, "purge_within", FENCE),
     Quantity::step(
         "purge_region_told",
-        "purge called everywhere, a region cut off: slowest",
+        "purge called everywhere, a region without a relay cut off: slowest",
         Unit::Seconds,
         "{region_told}",
         |of| of.get("region_told"),
@@ -112,6 +128,46 @@
         |of| of.get("start_told"),
     )
     .held(Role::Failure, Way::Relays, "purge_within", "lease, catch-up from any number"),
+    Quantity::step(
+        "router_churn_bytes",
+        "a router's bytes for purges, both ways, an ordinary day 600 times as fast",
+        Unit::BytesPerSecond,
+        "{churn_bytes}",
+        |of| of.get("churn_bytes"),
+    )
+    .held(Role::Failure, Way::Relays, "control_bytes", "purge log"),
+    Quantity::step(
+        "router_relay_bytes",
+        "a router's bytes for purges, both ways, a control machine dead",
+        Unit::BytesPerSecond,
+        "{relay_bytes}",
+        |of| of.get("relay_bytes"),
+    )
+    .held(Role::Failure, Way::Relays, "control_bytes", "purge log"),
+    Quantity::step(
+        "router_zone_bytes",
+        "a router's bytes for purges, both ways, a zone's routers lost and back at once",
+        Unit::BytesPerSecond,
+        "{zone_bytes}",
+        |of| of.get("zone_bytes"),
+    )
+    .held(Role::Failure, Way::Relays, "control_bytes", "purge log"),
+    Quantity::step(
+        "router_region_relay_bytes",
+        "a router's bytes for purges, both ways, a region and its relay cut off and back",
+        Unit::BytesPerSecond,
+        "{region_relay_bytes}",
+        |of| of.get("region_relay_bytes"),
+    )
+    .held(Role::Failure, Way::Relays, "control_bytes", "purge log"),
+    Quantity::step(
+        "router_start_bytes",
+        "a router's bytes for purges, both ways, all routers started at once",
+        Unit::BytesPerSecond,
+        "{start_bytes}",
+        |of| of.get("start_bytes"),
+    )
+    .held(Role::Failure, Way::Relays, "control_bytes", "purge log"),
     Quantity::step(
         "purge_unheard",
         "longest that a router without any word acts against a purge: relay, source, zone or region lost, frozen or cut",
--- a/lab/src/capacity/today.rs
+++ b/lab/src/capacity/today.rs
@@ -264,6 +264,14 @@
         |of| of.get("voter_start_sent"),
     )
     .held(Role::Voter, Way::Any, "machine_link", LOG),
+    Quantity::step(
+        "voter_churn",
+        "bytes: sent on an ordinary day 600 times as fast",
+        Unit::BytesPerSecond,
+        "{voter_churn_sent}",
+        |of| of.get("voter_churn_sent"),
+    )
+    .held(Role::Voter, Way::Any, "machine_link", LOG),
     Quantity::step(
         "voter_versions",
         "bytes: sent with changes of configuration at the target's rate",
@@ -296,6 +304,14 @@
         |of| of.get("voter_start_core_measured"),
     )
     .held(Role::Voter, Way::Any, "machine_core", LOG),
+    Quantity::step(
+        "voter_churn_core",
+        "processor: on an ordinary day 600 times as fast",
+        Unit::Cores,
+        "{voter_churn_core_measured}",
+        |of| of.get("voter_churn_core_measured"),
+    )
+    .held(Role::Voter, Way::Any, "machine_core", LOG),
     Quantity::step(
         "voter_versions_core",
         "processor: with changes of configuration at the target's rate",
