--- a/agreement/src/wire.rs
+++ b/agreement/src/wire.rs
@@ -7,8 +7,8 @@
 use crate::decision::{Proposal, ProposalId, Verdict};
 use crate::disk::{self, Entry, Snapshot};
 use crate::fleet::Fleet;
-use crate::node::Status;
 use crate::pieces::Pieces;
+use crate::status::Status;
 
 /// No term and no number comes to this in any router's life; Raft counts on from what it is told.
 const FAR: u64 = 1 << 48;
