--- a/silverspindle/src/distribution/mod.rs
+++ b/silverspindle/src/distribution/mod.rs
@@ -119,8 +119,10 @@
         RelayRole::Source => translate::known(&around.known),
         _ => Vec::new(),
     };
-    let begins = known.first().map_or(around.applied, |record| record.number - 1);
-    let node = Node::new(settings, begins, now);
+    let node = match known.first() {
+        Some(first) => Node::new(settings, first.number - 1, now),
+        None => Node::starting_at(settings, &translate::condensed(&around.known, around.applied), now),
+    };
     let (ping, pinged) = async_channel::bounded(1);
     let feed = Rc::new(Feed::new(node.feed_guard(), around.applied, ping, records));
     around.board.lease(feed.clone(), around.cleared);
--- a/silverspindle/src/distribution/translate.rs
+++ b/silverspindle/src/distribution/translate.rs
@@ -3,7 +3,7 @@
 use std::net::IpAddr;
 
 use bitternhold::Lifecycle;
-use silverspindle_relay::{Entry, Record, Reset};
+use silverspindle_relay::{ANY_COPY, Entry, Log, Record, Reset};
 
 use crate::clock;
 use crate::feed::{self, Event, Listed, News};
@@ -78,6 +78,16 @@
     events.iter().filter_map(record).collect()
 }
 
+/// What the events that were known at the start come to, for a child that has applied less: the list of members, and
+/// that any copy may be purged, as the purges among them need not be all.
+pub fn condensed(events: &[Event], number: u64) -> Reset {
+    let mut log = Log::new(0, 0);
+    known(events).into_iter().for_each(|record| log.push(record));
+    let list = log.since(0).err().map_or_else(Vec::new, |reset| reset.list);
+    let purged_before_ms = if number == 0 { 0 } else { ANY_COPY };
+    Reset { number, purged_before_ms, list }
+}
+
 /// A list as the coordinator spells it.
 fn spell(complete: bool, members: &[Listed]) -> Option<Vec<u8>> {
     let mut out = vec![if complete { WHOLE } else { SOME }];
--- a/silverspindle/tests/common/relays.rs
+++ b/silverspindle/tests/common/relays.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 use tracing_subscriber::fmt::MakeWriter;
 
-use super::office::Office;
+use super::office::{Office, free, named};
 use super::*;
 
 /// A lease that ends soon.
@@ -234,3 +234,19 @@
         self.clone()
     }
 }
+
+/// A source of this office before its coordinator.
+pub fn source(tasks: &Tasks, office: &Office, lease: &str, events: &Rc<Events>) -> SocketAddr {
+    let at = free();
+    let conf =
+        terms(office, "n0", lease, &format!("relay-role source\nexchange-listen {at}\nrelay-children 20\n"));
+    let (_router, listener) = named(tasks, "n0", &[], conf);
+    events.serve(tasks, listener);
+    at
+}
+
+/// The file of a router with these parents.
+pub fn router(office: &Office, name: &str, lease: &str, parents: &[(&str, SocketAddr)]) -> Conf {
+    let parents = parents.iter().map(|(name, at)| format!("relay-parent {name} {at}\n"));
+    terms(office, name, lease, &format!("relay-role router\n{}", parents.collect::<String>()))
+}
--- a/silverspindle/tests/distribution.rs
+++ b/silverspindle/tests/distribution.rs
@@ -10,39 +10,19 @@
 use async_io::Async;
 use bitternhold::Status;
 use common::office::*;
-use common::relays::*;
+use common::relays::{router, *};
 use common::world::World;
 use common::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use futures_rustls::TlsAcceptor;
-use silverspindle::distribution::staff::{Progress, Staff};
 use silverspindle::knowledge::keys::Tls;
 use silverspindle::links::{self, Connected, Connector};
 use silverspindle::traffic::{Attempt, Freshness, Lease};
 use silverspindle::upstream::Order;
 use silverspindle_agreement::PIECE;
-use silverspindle_conf::Conf;
 use silverspindle_knowledge::protocol::{self, Message, VERSION};
 use silverspindle_knowledge::{InstanceId, Source};
-use silverspindle_relay::{
-    Batch, Entry, Frame, Lagging, NodeId, Purged, Record, Report, Status as Word, Subscribe, Summary, Update,
-};
-
-/// A source of this office before its coordinator.
-fn source(tasks: &Tasks, office: &Office, lease: &str, events: &Rc<Events>) -> SocketAddr {
-    let at = free();
-    let conf =
-        terms(office, "n0", lease, &format!("relay-role source\nexchange-listen {at}\nrelay-children 20\n"));
-    let (_router, listener) = named(tasks, "n0", &[], conf);
-    events.serve(tasks, listener);
-    at
-}
-
-/// The file of a router with these parents.
-fn router(office: &Office, name: &str, lease: &str, parents: &[(&str, SocketAddr)]) -> Conf {
-    let parents = parents.iter().map(|(name, at)| format!("relay-parent {name} {at}\n"));
-    terms(office, name, lease, &format!("relay-role router\n{}", parents.collect::<String>()))
-}
+use silverspindle_relay::{Batch, Entry, Frame, NodeId, Purged, Record, Report, Subscribe, Summary, Update};
 
 /// What reaches a cache for a request, which is answered with a copy of this age.
 async fn want(client: &Client, cache: &Cache, seq: i32, object: &str, age_ms: u64) -> Command {
@@ -310,6 +290,34 @@
     assert!(translate::news(&Entry::List(vec![0])).is_err(), "no list");
 }
 
+/// A relay that starts with a list has no records of it: a child that knows less is told the list all the same, and that
+/// any copy of its own may be purged.
+#[test]
+fn what_a_relay_knew_at_its_start_is_told_to_a_child_that_knows_less() {
+    use bitternhold::{Lifecycle, Member, MemberId};
+    use silverspindle::distribution::translate;
+    use silverspindle::feed::{Event, Listed, News};
+    use silverspindle_relay::{ANY_COPY, Log};
+    let (_, address) = listen();
+    let listed = |id, lifecycle| {
+        let member =
+            Member { id: MemberId(id), lifecycle, zone: 0, kind: 0, cell: 0, weight: 1.0, started: 0 };
+        Listed { member, address }
+    };
+    let whole = vec![listed(1, Lifecycle::Ready), listed(2, Lifecycle::Ready)];
+    let change = vec![listed(2, Lifecycle::Draining)];
+    let events = [
+        Event { index: 4, news: News::Members { complete: true, members: whole } },
+        Event { index: 9, news: News::Members { complete: false, members: change } },
+    ];
+    let start = translate::condensed(&events, 12);
+    let reset = Log::starting_at(&start, 64).since(3).err().expect("no record is kept");
+    assert_eq!((reset.number, reset.purged_before_ms), (12, ANY_COPY));
+    let members = vec![listed(1, Lifecycle::Ready), listed(2, Lifecycle::Draining)];
+    assert_eq!(translate::list(&reset.list).unwrap(), News::Members { complete: true, members });
+    assert_eq!(translate::condensed(&[], 0).purged_before_ms, 0, "nothing was before the first number");
+}
+
 /// Where caches drop purged copies sooner than the lease is long they need no limit; the router's own copies still do.
 #[test]
 fn with_a_stale_feed_no_old_copy_of_its_own_is_served_where_caches_need_no_limit() {
@@ -523,81 +531,3 @@
         assert!(!said.is_empty() && said.len() < 4, "{said:?}");
     });
 }
-
-// ---- Staff.
-
-/// `fleet purge status 2` with this file of staff's: exit code and what it says.
-async fn program(office: &Office, sources: &str) -> (i32, serde_json::Value) {
-    let files = office.files("n3");
-    let text = format!(
-        "exchange-authority '{}'\nexchange-certificate '{}'\nexchange-key '{}'\n{sources}\n",
-        files.authority.display(),
-        files.certificate.display(),
-        files.key.display()
-    );
-    let file = office.0.join("staff.conf");
-    std::fs::write(&file, text).unwrap();
-    // The routers that it asks run on this thread.
-    let (tell, told) = async_channel::bounded(1);
-    std::thread::spawn(move || {
-        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_silverspindle"));
-        command.args(["fleet", "--json", "purge", "status", "2", "--conf"]).arg(file);
-        let _ = tell.send_blocking(command.output());
-    });
-    let output = told.recv().await.unwrap().unwrap();
-    (output.status.code().unwrap(), serde_json::from_slice(&output.stdout).unwrap())
-}
-
-/// A number is done everywhere once the source's leases from before its start have run out and all below have it; a
-/// source that can't be asked makes it not known.
-#[test]
-fn staff_hear_when_a_number_is_done_everywhere_and_who_is_not_heard() {
-    run(async |tasks| {
-        let (office, events) = (Office::new(), Rc::new(Events::default()));
-        let above = source(tasks, &office, SHORT, &events);
-        let (_below, _silent) = named(tasks, "n1", &[], router(&office, "n1", SHORT, &[("n0", above)]));
-        events.purge(1);
-        until_applied(&records_path(&office, "n1"), 2).await;
-        let staff = Staff::new(&office.conf("n3", &format!("relay-source n0 {above}"))).unwrap();
-        let said = Cell::new(0);
-        staff.wait(0, |progress| said.set(said.get() + u32::from(progress.everywhere != Some(true)))).await;
-        assert!(said.get() > 0, "not known at first");
-        let progress = staff.progress(2).await;
-        assert_eq!((progress.number, progress.everywhere, progress.watermark), (2, Some(true), 2));
-        assert!(progress.age.is_some() && progress.routers > 0, "{progress:?}");
-        assert_eq!(staff.progress(3).await.everywhere, Some(false), "not told yet");
-        let (code, said) = program(&office, &format!("relay-source n0 {above}")).await;
-        assert_eq!((code, &said["everywhere"], &said["number"]), (0, &true.into(), &2.into()), "{said}");
-        let two = format!("relay-source n0 {above}\nrelay-source n2 {}", free());
-        let progress = Staff::new(&office.conf("n3", &two)).unwrap().progress(2).await;
-        assert_eq!((progress.everywhere, progress.silent[0].0.as_str()), (None, "n2"));
-        let (code, said) = program(&office, &two).await;
-        assert_eq!((code, &said["silent"][0]["name"]), (1, &"n2".into()), "{said}");
-    });
-}
-
-/// Of several sources the least counts, and who is slowest below any.
-#[test]
-fn what_several_sources_say_adds_up_to_the_least() {
-    let lagging = |name: &str, applied| Lagging { name: name.to_owned(), applied };
-    let word = |watermark, everywhere, slow: Vec<Lagging>| Word {
-        number: 9,
-        latest: 9,
-        watermark,
-        everywhere,
-        age: Some(watermark),
-        summary: Summary { routers: 10, expired: 1, lagging: slow },
-    };
-    let one = ("s1".to_owned(), Ok(word(9, Some(true), vec![lagging("a", 9)])));
-    let two = ("s2".to_owned(), Ok(word(7, Some(false), vec![lagging("b", 7)])));
-    let fresh = ("s2".to_owned(), Ok(word(9, None, vec![])));
-    let silent = ("s2".to_owned(), Err("closed".to_owned()));
-    let all = Progress::of(9, &vec![one.clone(), two]);
-    assert_eq!((all.everywhere, all.watermark, all.routers, all.expired), (Some(false), 7, 20, 2));
-    assert_eq!((all.lagging[0].name.as_str(), all.age), ("b", Some(9)));
-    assert_eq!(Progress::of(9, &vec![one.clone(), fresh]).everywhere, None);
-    assert_eq!(Progress::of(9, &vec![one.clone(), silent.clone()]).everywhere, None);
-    assert_eq!(Progress::of(9, &vec![one]).everywhere, Some(true));
-    assert!(Progress::of(9, &vec![silent]).text().contains("source s2 can't be asked: closed"));
-    assert_eq!(Progress::of(9, &vec![]).everywhere, None);
-}
