--- a/silverspindle/src/trials.rs
+++ b/silverspindle/src/trials.rs
@@ -267,7 +267,8 @@
             false => print!("{}", row.text()),
         }
         if !row.is_whole() {
-            return Err(one(format!("{routers} hollow routers: a purge was not everywhere")));
+            let why = "a purge was not everywhere, or a router was without a parent at the end";
+            return Err(one(format!("{routers} hollow routers: {why}")));
         }
     }
     Ok(())
