--- a/lab/src/capacity/failures.rs
+++ b/lab/src/capacity/failures.rs
@@ -132,40 +132,40 @@
         "router_churn_bytes",
         "a router's bytes for purges, both ways, an ordinary day 600 times as fast",
         Unit::BytesPerSecond,
-        "{churn_bytes}",
-        |of| of.get("churn_bytes"),
+        "{churn_router_bytes}",
+        |of| of.get("churn_router_bytes"),
     )
     .held(Role::Failure, Way::Relays, "control_bytes", "purge log"),
     Quantity::step(
         "router_relay_bytes",
         "a router's bytes for purges, both ways, a control machine dead",
         Unit::BytesPerSecond,
-        "{relay_bytes}",
-        |of| of.get("relay_bytes"),
+        "{relay_router_bytes}",
+        |of| of.get("relay_router_bytes"),
     )
     .held(Role::Failure, Way::Relays, "control_bytes", "purge log"),
     Quantity::step(
         "router_zone_bytes",
         "a router's bytes for purges, both ways, a zone's routers lost and back at once",
         Unit::BytesPerSecond,
-        "{zone_bytes}",
-        |of| of.get("zone_bytes"),
+        "{zone_router_bytes}",
+        |of| of.get("zone_router_bytes"),
     )
     .held(Role::Failure, Way::Relays, "control_bytes", "purge log"),
     Quantity::step(
         "router_region_relay_bytes",
         "a router's bytes for purges, both ways, a region and its relay cut off and back",
         Unit::BytesPerSecond,
-        "{region_relay_bytes}",
-        |of| of.get("region_relay_bytes"),
+        "{region_relay_router_bytes}",
+        |of| of.get("region_relay_router_bytes"),
     )
     .held(Role::Failure, Way::Relays, "control_bytes", "purge log"),
     Quantity::step(
         "router_start_bytes",
         "a router's bytes for purges, both ways, all routers started at once",
         Unit::BytesPerSecond,
-        "{start_bytes}",
-        |of| of.get("start_bytes"),
+        "{start_router_bytes}",
+        |of| of.get("start_router_bytes"),
     )
     .held(Role::Failure, Way::Relays, "control_bytes", "purge log"),
     Quantity::step(
--- a/lab/src/capacity/relays.rs
+++ b/lab/src/capacity/relays.rs
@@ -2,6 +2,7 @@
 
 use super::data::Unit;
 use super::quantity::{Quantity, Role, Way};
+use super::today::with_versions;
 
 const LOG: &str = "purge log, a batch each `relay-batch`";
 const REPORTS: &str = "watermark, a report each `relay-report`";
@@ -55,8 +56,13 @@
         "control_relays_small",
         "bytes: all control, relays and agreement, changes of 1 KB",
         Unit::BytesPerSecond,
-        "{relay_bytes} + {follower_versions_small} + {roster_bytes}",
-        |of| of.get("relay_bytes") + of.get("follower_versions_small") + of.get("roster_bytes"),
+        "{relay_bytes} + {follower_quiet_bytes} + ({follower_versions_small} - {follower_quiet_bytes}) x {version_run} x \
+         {versions_per_second} + {roster_bytes}",
+        |of| {
+            of.get("relay_bytes")
+                + with_versions(of, "follower_quiet_bytes", "follower_versions_small")
+                + of.get("roster_bytes")
+        },
     )
     .held(Role::Router, Way::Relays, "control_bytes", "purge log and agreement"),
     Quantity::step("relay_router_core", "processor: the relays' core", Unit::Cores, "{router_purges_core}", |of| {
--- a/lab/src/capacity/today.rs
+++ b/lab/src/capacity/today.rs
@@ -2,7 +2,7 @@
 //! agreement, the coordinator's feed to every router, the caches.
 
 use super::data::Unit;
-use super::quantity::{Quantity, Role, Way};
+use super::quantity::{Inputs, Quantity, Role, Way};
 
 const FEED: &str = "coordinator's feed";
 const MODULE: &str = "decision module, the router's one thread";
@@ -149,8 +149,8 @@
         "version_bytes_measured",
         "bytes: the agreement with changes of 56 KB at the target's rate, both ways",
         Unit::BytesPerSecond,
-        "{follower_versions_whole}",
-        |of| of.get("follower_versions_whole"),
+        "{follower_quiet_bytes} + ({follower_versions_whole} - {follower_quiet_bytes}) x {version_run} x {versions_per_second}",
+        |of| with_versions(of, "follower_quiet_bytes", "follower_versions_whole"),
     )
     .held(Role::Router, Way::Any, "control_bytes", LOG),
     Quantity::step(
@@ -276,8 +276,16 @@
         "voter_versions",
         "bytes: sent with changes of configuration at the target's rate",
         Unit::BytesPerSecond,
-        "{voter_versions_sent}",
-        |of| of.get("voter_versions_sent"),
+        "{voter_quiet_sent} + ({voter_versions_sent} - {voter_quiet_sent}) x {version_run} x {versions_per_second}",
+        |of| with_versions(of, "voter_quiet_sent", "voter_versions_sent"),
+    )
+    .held(Role::Voter, Way::Any, "machine_link", LOG),
+    Quantity::step(
+        "voter_burst",
+        "bytes: sent over 15 s with 20 changes of 56 KB at once",
+        Unit::BytesPerSecond,
+        "{voter_burst_sent}",
+        |of| of.get("voter_burst_sent"),
     )
     .held(Role::Voter, Way::Any, "machine_link", LOG),
     Quantity::step(
@@ -316,8 +324,8 @@
         "voter_versions_core",
         "processor: with changes of configuration at the target's rate",
         Unit::Cores,
-        "{voter_versions_core_measured}",
-        |of| of.get("voter_versions_core_measured"),
+        "{voter_quiet_core_measured} + ({voter_versions_core_measured} - {voter_quiet_core_measured}) x {version_run} x {versions_per_second}",
+        |of| with_versions(of, "voter_quiet_core_measured", "voter_versions_core_measured"),
     )
     .held(Role::Voter, Way::Any, "machine_core", LOG),
     Quantity::step("voter_memory", "memory: the agreement's state", Unit::Bytes, "{voter_state}", |of| {
@@ -415,3 +423,10 @@
     )
     .shown(Role::Cache, Way::Any, "a router opens one when it first needs it"),
 ];
+
+/// A figure at the target's rate of changes, from one measured while nothing changes and one with a single change in a
+/// shorter run.
+pub fn with_versions(of: &Inputs, quiet: &str, changing: &str) -> f64 {
+    let extra = of.get(changing) - of.get(quiet);
+    of.get(quiet) + extra * of.get("version_run") * of.get("versions_per_second")
+}
