--- a/lab/src/scale/fit.rs
+++ b/lab/src/scale/fit.rs
@@ -35,7 +35,8 @@
         for (field, _) in row.figures() {
             let points = &series[&(name.clone(), field)];
             if let Some(exponent) = exponent(points) {
-                row.fit.insert(field.to_owned(), (exponent * 1000.0).round() / 1000.0);
+                // Zero is added so that none is "-0".
+                row.fit.insert(field.to_owned(), (exponent * 1000.0).round() / 1000.0 + 0.0);
             }
         }
     }
