--- a/lab/src/capacity/data.rs
+++ b/lab/src/capacity/data.rs
@@ -14,6 +14,8 @@
     Stated,
     /// A run gave it.
     Measured,
+    /// A power of the size fitted to runs at smaller sizes; worked out, never written in the data file.
+    Fitted,
     /// Worked out from the layout of messages or by a model.
     Modelled,
     /// Taken to be so.
@@ -28,6 +30,7 @@
         match self {
             How::Stated => "stated",
             How::Measured => "measured",
+            How::Fitted => "fitted to smaller sizes",
             How::Modelled => "modelled",
             How::Assumed => "assumed",
             How::NotMeasuredYet => "not measured yet",
@@ -217,6 +220,7 @@
         let valued = match how {
             How::Measured => self.value.is_none() && !self.lines.is_empty(),
             How::NotMeasuredYet => self.value.is_none() && self.lines.is_empty(),
+            How::Fitted => false,
             How::Stated | How::Modelled | How::Assumed => self.value.is_some() && self.lines.is_empty(),
         };
         if valued { Ok(()) } else { Err(Fault::NoValue(key())) }
--- a/lab/src/capacity/failures.rs
+++ b/lab/src/capacity/failures.rs
@@ -32,6 +32,22 @@
         |of| of.get("purges_told"),
     )
     .held(Role::Failure, Way::Relays, "purge_within", "purge log"),
+    Quantity::step(
+        "purge_hollow_in_force",
+        "purge applied by 5,600 hollow routers on sockets, no failure: slowest",
+        Unit::Seconds,
+        "{hollow_in_force}",
+        |of| of.get("hollow_in_force"),
+    )
+    .held(Role::Failure, Way::Relays, "purge_within", "purge log"),
+    Quantity::step(
+        "purge_hollow_told",
+        "purge known everywhere, 5,600 hollow routers on sockets, no failure",
+        Unit::Seconds,
+        "{hollow_told}",
+        |of| of.get("hollow_told"),
+    )
+    .held(Role::Failure, Way::Relays, "purge_within", "watermark; the lease of what started before"),
     Quantity::step(
         "purge_churn_in_force",
         "purge in force at every router, an ordinary day's failures and restarts, compressed: slowest",
--- a/lab/src/capacity/quantity.rs
+++ b/lab/src/capacity/quantity.rs
@@ -224,11 +224,14 @@
 
     fn figure(&self, figure: &Figure, routers: f64, docs: &Path) -> Result<Known, Fault> {
         figure.check()?;
+        let points = figure.points(docs)?;
         let (value, power) = match figure.value {
             Some(value) => (value, None),
-            None => at_size(&figure.points(docs)?, routers),
+            None => at_size(&points, routers),
         };
         let how = figure.how.ok_or_else(|| Fault::NoHow(figure.key.clone()))?;
+        let is_fitted = power.is_some() && points.iter().all(|(size, _)| *size != routers);
+        let how = if is_fitted { How::Fitted } else { how };
         Ok(Known {
             what: figure.what.clone(),
             unit: figure.unit,
--- a/lab/src/capacity/relays.rs
+++ b/lab/src/capacity/relays.rs
@@ -44,6 +44,14 @@
         |of| of.get("router_purges_bytes"),
     )
     .held(Role::Router, Way::Relays, "control_bytes", LOG),
+    Quantity::step(
+        "relay_bytes_on_sockets",
+        "bytes: purges, reports and confirmations, both ways, on sockets without packets' headers",
+        Unit::BytesPerSecond,
+        "{router_hollow_bytes}",
+        |of| of.get("router_hollow_bytes"),
+    )
+    .held(Role::Router, Way::Relays, "control_bytes", LOG),
     Quantity::step(
         "control_relays",
         "bytes: all control, relays and agreement, changes of 56 KB",
@@ -138,6 +146,14 @@
         |of| of.get("relay_core") + of.get("voter_versions_core"),
     )
     .held(Role::Relay, Way::Relays, "machine_core", "both on one machine"),
+    Quantity::step(
+        "relay_process_memory",
+        "memory: the whole process with its connections",
+        Unit::Bytes,
+        "{relay_hollow_memory}",
+        |of| of.get("relay_hollow_memory"),
+    )
+    .held(Role::Relay, Way::Relays, "machine_memory", "process, TLS and all"),
     Quantity::step("relay_state", "state: log, leases and queues", Unit::Bytes, "{relay_purges_state}", |of| {
         of.get("relay_purges_state")
     })
