--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod codec;
 pub mod coordinator;
 pub mod office;
+pub mod passing;
 pub mod ports;
 pub mod process;
 pub mod proxy;
