--- a/silverspindle/tests/distribution.rs
+++ b/silverspindle/tests/distribution.rs
@@ -311,7 +311,7 @@
         Event { index: 9, news: News::Members { complete: false, members: change } },
     ];
     let start = translate::condensed(&events, 12);
-    let reset = Log::starting_at(&start, 64).since(3).err().expect("no record is kept");
+    let reset = Log::starting_at(&start, 64).since(3).expect_err("no record is kept");
     assert_eq!((reset.number, reset.purged_before_ms), (12, ANY_COPY));
     let members = vec![listed(1, Lifecycle::Ready), listed(2, Lifecycle::Draining)];
     assert_eq!(translate::list(&reset.list).unwrap(), News::Members { complete: true, members });
