Log why a drain still holds connections, and count closes, refusals and retries by reason

Closes, refusals and holds have typed reasons. No decision changes. Measured: actors, crossing_clients, management, router and unit tests pass (62).

--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -18,6 +18,7 @@
 use silverspindle_knowledge::Item;
 
 use crate::copies::{Copies, Copy};
+use crate::counters::Counters;
 use crate::feed::{Listed, News, Purged};
 use crate::knowledge::Knowledge;
 use crate::traffic::{Attempt, Call, End, Message, Notice, Port, Shared, Terms, Verdict};
@@ -42,6 +43,8 @@
     /// Of them, those that may have run, and when they were decided.
     ran: Vec<(u64, Micros)>,
     closed: bool,
+    /// How its last attempt ended.
+    last_end: Option<Status>,
 }
 
 struct Out {
@@ -93,6 +96,7 @@
     withheld: Withheld,
     /// When the module was last told that the feed's lease has run out, by the steady clock.
     told_stale: Option<Micros>,
+    counters: Rc<Counters>,
     next: u64,
 }
 
@@ -116,6 +120,7 @@
             knowledge: None,
             withheld: Withheld::default(),
             told_stale: None,
+            counters: Rc::default(),
             next: 0,
         }
     }
@@ -126,6 +131,11 @@
         self
     }
 
+    /// Answers and retries are counted there.
+    pub fn count_in(&mut self, counters: Rc<Counters>) {
+        self.counters = counters;
+    }
+
     /// Takes in what another told: purges and drains at once, the rest as the module's priors.
     pub fn learn(&mut self, transit: Micros, items: Vec<Item>) {
         let Some(learnt) = self.knowledge.as_mut().map(|k| k.take(transit, items)) else { return };
@@ -323,7 +333,8 @@
         let call = Rc::new(call);
         self.by_client.insert((port.id(), seq), id);
         let (came, out, ran, closed) = (clock::now(), Vec::new(), Vec::new(), false);
-        let open = Open { call: call.clone(), came, port, seq, attempts: 0, out, ran, closed };
+        let (attempts, last_end) = (0, None);
+        let open = Open { call: call.clone(), came, port, seq, attempts, out, ran, closed, last_end };
         self.requests.insert(id, open);
         self.owed.set(self.owed.get() + 1);
         self.wake(call.deadline + LAST_WORD, Due::Request(id));
@@ -372,6 +383,7 @@
         let served = matches!(verdict, Verdict::Served(_) | Verdict::Holds);
         self.shared.board.answered(served && took <= self.aim(&open.call));
         if self.close(id) {
+            self.counters.answered(verdict.name());
             port.answer(seq, verdict);
         }
     }
@@ -394,6 +406,9 @@
     fn ended(&mut self, end: End) {
         let Some(out) = self.attempts.remove(&end.ticket) else { return };
         self.shared.board.over(&out.attempt, end.status == Status::Ok, end.note);
+        if let Some(open) = self.requests.get_mut(&out.id) {
+            open.last_end = Some(end.status);
+        }
         let never_ran = [Status::Full, Status::ConnectFailed, Status::Moot, Status::Miss];
         if let Some(open) = self.requests.get_mut(&out.id).filter(|_| never_ran.contains(&end.status)) {
             open.ran.retain(|(ticket, _)| *ticket != end.ticket);
@@ -619,6 +634,9 @@
             (attempt.terms.source.map_or_else(String::new, spelt), attempt.terms.mode.held_only);
         let Call { rid, class, object, part, size_kb, .. } = &*attempt.call;
         let member_name = spelt(member);
+        if number > 0 {
+            self.counters.retried(open.last_end.filter(|_| open.out.is_empty()));
+        }
         tracing::trace!(
             rid,
             class,
--- a/silverspindle/src/drain.rs
+++ b/silverspindle/src/drain.rs
@@ -49,6 +49,28 @@
     pub used: Micros,
 }
 
+/// Why a client's connection is not closed yet under a drain or an end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Hold {
+    /// Clients are still being sent here.
+    Grace,
+    /// Requests on it are open.
+    OpenRequests,
+    /// It came late and has its time for a first message.
+    FirstMessage,
+}
+
+impl Hold {
+    /// As it stands in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Hold::Grace => "grace",
+            Hold::OpenRequests => "open_requests",
+            Hold::FirstMessage => "first_message",
+        }
+    }
+}
+
 /// The state machine of draining.
 #[derive(Clone, Debug)]
 pub struct Drain {
@@ -183,11 +205,12 @@
     /// Whether a connection is to be closed now: after the grace, once it owes no answer. One that came later
     /// and said nothing yet gets [`FIRST_WORD`] for its request.
     pub fn close(&self, now: Micros, seen: Seen) -> bool {
-        let Some(since) = self.since() else { return false };
-        if now < since.saturating_add(GRACE) || seen.open > 0 {
-            return false;
-        }
-        seen.asked || seen.used < since || now >= seen.used.saturating_add(FIRST_WORD)
+        self.since().is_some_and(|since| hold(since, now, seen).is_none())
+    }
+
+    /// Why a connection is kept for now, under a drain or an end.
+    pub fn hold(&self, now: Micros, seen: Seen) -> Option<Hold> {
+        hold(self.since()?, now, seen)
     }
 
     /// Whether a request that came now and is due by `deadline` is taken, or refused at once as never run.
@@ -215,6 +238,17 @@
     }
 }
 
+fn hold(since: Micros, now: Micros, seen: Seen) -> Option<Hold> {
+    if now < since.saturating_add(GRACE) {
+        return Some(Hold::Grace);
+    }
+    if seen.open > 0 {
+        return Some(Hold::OpenRequests);
+    }
+    let said_nothing = !seen.asked && seen.used >= since;
+    (said_nothing && now < seen.used.saturating_add(FIRST_WORD)).then_some(Hold::FirstMessage)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -15,13 +15,16 @@
 use futures_lite::future;
 
 use crate::clock;
+use crate::counters::{Counters, RefusalReason};
 use crate::drain::Drain;
 use crate::traffic::{Message, Verdict};
 
 mod connection;
+mod drain_log;
 mod request;
 
 use connection::Connection;
+use drain_log::DrainLog;
 
 /// Requests that may be open on one connection.
 pub const MOST_OPEN: usize = 32;
@@ -58,6 +61,7 @@
     director: Sender<Message>,
     /// Whether it takes clients: `isWell` and the second address are answered from this.
     drain: Rc<RefCell<Drain>>,
+    counters: Rc<Counters>,
     /// Answers not yet written, and bytes of bodies in them; as much is borne.
     unflushed: Cell<usize>,
     held: Cell<usize>,
@@ -98,6 +102,7 @@
             catalogue,
             director,
             drain,
+            counters: Rc::default(),
             unflushed: Cell::new(0),
             held: Cell::new(0),
             most_held: Cell::new(memory / 3),
@@ -116,6 +121,11 @@
         })
     }
 
+    /// What became of connections and requests, by reason.
+    pub fn counters(&self) -> Rc<Counters> {
+        self.counters.clone()
+    }
+
     /// Whoever changes the drain tells the sweep with this.
     pub fn nudger(&self) -> Sender<()> {
         self.nudged.0.clone()
@@ -124,7 +134,9 @@
     /// Closes what a drain or an end lets go, for ever: each connection once it owes nothing after the grace.
     /// While the router serves it waits to be nudged, and costs no wake-up.
     pub async fn sweep(self: Rc<Self>) {
+        let mut log = DrainLog::default();
         loop {
+            log.look(&self);
             if self.drain.borrow().since().is_none() {
                 let _ = self.nudged.1.recv().await;
                 continue;
@@ -185,7 +197,9 @@
     }
 
     /// The answer to what is refused before the module sees it.
-    fn refusal(&self) -> Verdict {
+    fn refusal(&self, reason: RefusalReason) -> Verdict {
+        self.counters.refused(reason);
+        tracing::debug!(reason = reason.name(), "refused");
         Verdict::refused(&self.catalogue.settings, STAY_AWAY)
     }
 
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -15,7 +15,8 @@
 use rustix::time::Timespec;
 
 use super::{Front, MOST_ANSWERS, MOST_OPEN};
-use crate::drain::Seen;
+use crate::counters::{CloseReason, RefusalReason};
+use crate::drain::{Hold, Phase, Seen};
 use crate::framing::{Malformed, Messages};
 use crate::traffic::{Message, Port, Verdict};
 use crate::{clock, invariant, thrift};
@@ -58,6 +59,10 @@
     /// Any message came; and when it last had something to do.
     pub asked: Cell<bool>,
     pub used: Cell<Micros>,
+    /// When a request last came.
+    last_request: Cell<Option<Micros>>,
+    /// Half a message was there at the last look before a close.
+    half: Cell<bool>,
     /// Ends it at once.
     pub cut: Sender<()>,
     /// Asks it to close once it owes nothing.
@@ -132,6 +137,8 @@
             open: Cell::new(0),
             asked: Cell::new(false),
             used: Cell::new(clock::now()),
+            last_request: Cell::new(None),
+            half: Cell::new(false),
             cut,
             close,
             held: Cell::new(0),
@@ -149,6 +156,21 @@
         Seen { open: self.open.get() + self.replies.get(), asked: self.asked.get(), used: self.used.get() }
     }
 
+    /// Why a drain or an end keeps it for now; none: it closes at its next look, or nothing lets it go.
+    pub fn hold(&self, now: Micros) -> Option<&'static str> {
+        let hold = self.front.drain.borrow().hold(now, self.seen());
+        match hold {
+            None if self.half.get() => Some("half_message"),
+            Some(Hold::OpenRequests) if self.owed.get() > 0 => Some("unwritten_answers"),
+            hold => hold.map(Hold::name),
+        }
+    }
+
+    /// For log lines: how many answers wait to be written, and how long ago a request last came.
+    pub fn backlog(&self, now: Micros) -> (usize, Option<Micros>) {
+        (self.owed.get(), self.last_request.get().map(|at| now.saturating_sub(at)))
+    }
+
     fn finished(&self) {
         invariant!(self.open.get() > 0, "more requests finished than taken in");
         self.open.set(self.open.get().saturating_sub(1));
@@ -191,19 +213,28 @@
         // Nothing may come between the last look at the socket, which found nothing, and this: what is read from here
         // on is thrown away. The client sends it anew elsewhere.
         self.gone.set(true);
-        let linger = match &ended {
-            Ok(End::Closing) => stream.get_ref().shutdown(Shutdown::Write).is_ok(),
-            Ok(End::Left) => false,
-            Err(e) if e.kind() == ErrorKind::InvalidData => {
-                tracing::warn!(target: "silverspindle::front", client = self.id, "{e}; closed");
-                // Answers that it was given before stay readable.
-                stream.get_ref().shutdown(Shutdown::Write).is_ok()
-            }
+        let (reason, linger) = match &ended {
+            Ok(End::Closing(reason)) => (*reason, true),
+            Ok(End::Left) => (CloseReason::ClientLeft, false),
             Err(e) => {
-                tracing::debug!(target: "silverspindle::front", client = self.id, "{e}");
-                false
+                let reason = match e.kind() {
+                    ErrorKind::InvalidData => CloseReason::Malformed,
+                    ErrorKind::ConnectionAborted => CloseReason::Memory,
+                    ErrorKind::TimedOut => CloseReason::Stalled,
+                    _ => CloseReason::ClientLeft,
+                };
+                match reason {
+                    CloseReason::Malformed => tracing::warn!(client = self.id, "{e}; closed"),
+                    _ => tracing::debug!(client = self.id, "{e}"),
+                }
+                // Answers that it was given before stay readable.
+                (reason, reason == CloseReason::Malformed)
             }
         };
+        let open = self.seen().open;
+        tracing::debug!(client = self.id, open, reason = reason.name(), "closed");
+        self.front.counters.closed(reason);
+        let linger = linger && stream.get_ref().shutdown(Shutdown::Write).is_ok();
         let mut closing = None;
         if linger {
             closing = Some(self.front.closing(self.id));
@@ -255,8 +286,8 @@
                 // The client has closed, also where requests are open: nobody waits for them.
                 Ok(None) => return Ok(End::Left),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => match self.may_close(frames.begun()) {
-                    true => return Ok(End::Closing),
-                    false => continue,
+                    Some(reason) => return Ok(End::Closing(reason)),
+                    None => continue,
                 },
                 Err(e) => return Err(e),
             };
@@ -275,15 +306,20 @@
                 }
                 thrift::Message::Serve { seq, fields, body } => {
                     last_seq = seq;
+                    self.last_request.set(Some(arrived));
                     let body = frame.slice_ref(body);
                     match front.call(&fields, body, arrived) {
                         // Past what may be open: nothing has run, and `forget` must be read behind it.
                         Ok(_) if self.open.get() >= MOST_ANSWERS => {
-                            Some(Reply::Verdict(seq, front.refusal()))
+                            Some(Reply::Verdict(seq, front.refusal(RefusalReason::TooManyOpen)))
                         }
                         // An ending router refuses what it could not answer before it is killed.
                         Ok(call) if !front.drain.borrow().takes(arrived, call.deadline) => {
-                            Some(Reply::Verdict(seq, front.refusal()))
+                            let reason = match front.drain.borrow().phase() {
+                                Phase::Ending(_) => RefusalReason::Ending,
+                                _ => RefusalReason::Withdrawn,
+                            };
+                            Some(Reply::Verdict(seq, front.refusal(reason)))
                         }
                         Ok(call) => {
                             self.open.set(self.open.get() + 1);
@@ -308,21 +344,30 @@
         }
     }
 
-    /// Whether it closes, now that there was nothing to read: it is to, by its own time or because it was asked, and
-    /// owes nothing.
-    fn may_close(&self, begun: Option<Micros>) -> bool {
+    /// Why it closes, now that there was nothing to read: it is to, by its own time or because it was asked, and owes
+    /// nothing.
+    fn may_close(&self, begun: Option<Micros>) -> Option<CloseReason> {
         let now = clock::now();
         let idle = self.idle_until(begun).is_some_and(|until| until <= now);
         let half = begun.is_some_and(|begun| now < begun + HALF);
+        self.half.set(half);
         // Half a message for so long ends the connection with all that is open on it: who sends it is broken, and the
         // time that has passed would be over at every further look.
         if begun.is_some_and(|begun| now >= begun + SILENT) {
-            return true;
+            return Some(CloseReason::HalfMessage);
         }
         let front = &self.front;
         let room = front.wanted.replace(front.wanted.get().filter(|id| *id != self.id)) == Some(self.id);
-        let asked = room || front.drain.borrow().close(now, self.seen());
-        self.seen().open == 0 && (idle || (asked && !half))
+        let drained = front.drain.borrow().close(now, self.seen());
+        if self.seen().open > 0 {
+            return None;
+        }
+        match (drained && !half, room && !half, idle) {
+            (true, ..) => Some(CloseReason::Drained),
+            (_, true, _) => Some(CloseReason::Room),
+            (.., true) => Some(CloseReason::Idle),
+            _ => None,
+        }
     }
 
     async fn write(
@@ -372,7 +417,7 @@
     /// The client has closed, or nobody is left to answer.
     Left,
     /// This side closes it, and owes nothing.
-    Closing,
+    Closing(CloseReason),
 }
 
 /// Reads until the client closes as well, for [`LINGER`] at most.
--- /dev/null
+++ b/silverspindle/src/front/drain_log.rs
@@ -0,0 +1,93 @@
+//! What a drain or an end still waits for, in the log: how many connections are held and why, at its start, every second
+//! and at its end.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::rc::Rc;
+
+use bitternhold::Micros;
+
+use super::Front;
+use super::connection::Connection;
+use crate::clock;
+
+/// While connections are held it says so this often.
+const SAY_EVERY: Micros = 1_000_000;
+/// Connections that are described one by one, those held for longest first.
+const MOST_DESCRIBED: usize = 3;
+
+/// What was said of the drain that is on.
+#[derive(Debug, Default)]
+pub(super) struct DrainLog {
+    /// Its time, and when its state was last said.
+    began: Option<(Micros, Micros)>,
+    /// That all connections are gone was said.
+    emptied: bool,
+}
+
+impl DrainLog {
+    /// Looks at the drain, and says what there is to say.
+    pub fn look(&mut self, front: &Front) {
+        let (now, since) = (clock::now(), front.drain.borrow().since());
+        match (since, self.began) {
+            (None, None) => {}
+            (None, Some((began, _))) => {
+                if !self.emptied {
+                    let held = front.connections.borrow().len();
+                    tracing::info!(
+                        "drain ended after {} ms with {held} connections held",
+                        (now - began) / 1000
+                    );
+                }
+                *self = Self::default();
+            }
+            (Some(_), None) => {
+                let (held, open) = front.held();
+                tracing::info!("draining: {held} connections held, {open} requests open");
+                self.began = Some((now, now));
+            }
+            (Some(_), Some((began, said))) => self.go_on(front, now, began, said),
+        }
+    }
+
+    fn go_on(&mut self, front: &Front, now: Micros, began: Micros, said: Micros) {
+        let after = now.saturating_sub(began) / 1000;
+        if front.connections.borrow().is_empty() {
+            if !self.emptied {
+                tracing::info!("drained: no connection left after {after} ms; {}", front.counters);
+            }
+            self.emptied = true;
+        } else if now >= said.saturating_add(SAY_EVERY) {
+            self.emptied = false;
+            self.began = Some((began, now));
+            tracing::info!("draining for {after} ms: {}", reasons(front, now));
+            for connection in longest_held(front) {
+                describe(&connection, now);
+            }
+        }
+    }
+}
+
+/// How many connections are held for each reason.
+fn reasons(front: &Front, now: Micros) -> String {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for connection in front.connections.borrow().values() {
+        *counts.entry(connection.hold(now).unwrap_or("closing")).or_insert(0) += 1;
+    }
+    let mut text = String::from("connections held:");
+    for (reason, count) in counts {
+        let _ = write!(text, " {reason}={count}");
+    }
+    text
+}
+
+fn longest_held(front: &Front) -> Vec<Rc<Connection>> {
+    front.connections.borrow().values().take(MOST_DESCRIBED).cloned().collect()
+}
+
+fn describe(connection: &Connection, now: Micros) {
+    let (unwritten, asked) = connection.backlog(now);
+    let last_request_ms = asked.map(|ago| ago / 1000);
+    let (open, reason) = (connection.seen().open, connection.hold(now).unwrap_or("closing"));
+    tracing::info!(client = connection.id, open, unwritten, last_request_ms, reason, "connection held");
+}
--- a/silverspindle/src/front/request.rs
+++ b/silverspindle/src/front/request.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 
 use super::Front;
+use crate::counters::RefusalReason;
 use crate::feed::hex;
 use crate::thrift;
 use crate::traffic::{Call, Taken, Verdict};
@@ -99,7 +100,7 @@
         }
         match self.taken.get() > self.most_taken.get() {
             // Guards the memory: nothing has run, so a refusal does no harm.
-            true => Err(self.refusal()),
+            true => Err(self.refusal(RefusalReason::Memory)),
             false => Ok(call),
         }
     }
--- a/silverspindle/src/lib.rs
+++ b/silverspindle/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod coordinator;
 pub mod copies;
+pub mod counters;
 pub mod director;
 pub mod distribution;
 pub mod drain;
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -140,6 +140,7 @@
         let drain = Rc::new(RefCell::new(Drain::new().with_longest(longest)));
         let front =
             Front::new(catalogue.clone(), mailbox.clone(), config.memory, config.sockets, drain.clone());
+        director.count_in(front.counters());
         let agreed: Rc<RefCell<Option<agreement::Handle>>> = Rc::default();
         if let Some(terms) = conf.agreement.clone() {
             if let Some(lacks) = agreement::lacks(&conf, &config.name) {
@@ -305,6 +306,7 @@
             }
             Timer::after(LOOK_AGAIN).await;
         }
+        tracing::info!("since the start: {}", self.front.counters());
         // Only now: others wait for what is answered by who is on the roll.
         let handle = self.agreed.borrow().clone();
         if let Some(handle) = handle {
