Drains end on every connection: refuse, then give up, by the clock; closes keep what was written

Cause: a drained router closed a connection only in a moment in which it owed nothing and no half message was under way (Drain::close, Connection::may_close), and took all that came: overlapping requests, a hung cache, a slow reader or halves of messages put that moment off for ever. Written to the kernel counted as delivered, and the close reset it 0.5 s later. Change: drain.rs refuses behind open requests from 1 s on (behind unwritten answers from 0.4 s), all from 2 s on, and gives up what is open at 3.4 s where the connection is in use; the end gives up 150 ms before SIGKILL can come. front/closing.rs holds the one rule for closes: 2 s, 4 MB, TCP_NOTSENT_LOWAT of 16 kB; a stall is counted by bytes taken.

--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -18,7 +18,7 @@
 use silverspindle_knowledge::Item;
 
 use crate::copies::{Copies, Copy};
-use crate::counters::Counters;
+use crate::counters::{Counters, RefusalReason};
 use crate::feed::{Listed, News, Purged};
 use crate::knowledge::Knowledge;
 use crate::traffic::{Attempt, Call, End, Message, Notice, Port, Shared, Terms, Verdict};
@@ -284,11 +284,8 @@
                     self.left(id);
                 }
             }
-            Message::Left { port } => {
-                let range = (port, i32::MIN)..=(port, i32::MAX);
-                let all: Vec<RequestId> = self.by_client.range(range).map(|(_, id)| *id).collect();
-                all.into_iter().for_each(|id| self.left(id));
-            }
+            Message::Left { port } => self.open_on(port).into_iter().for_each(|id| self.left(id)),
+            Message::GiveUp { port } => self.open_on(port).into_iter().for_each(|id| self.give_up(id)),
             Message::Ended(end) => self.ended(end),
             Message::Give { reply } => {
                 let report = self.module.report(clock::now());
@@ -388,6 +385,26 @@
         }
     }
 
+    /// Requests that are open on a client's connection.
+    fn open_on(&self, port: u64) -> Vec<RequestId> {
+        self.by_client.range((port, i32::MIN)..=(port, i32::MAX)).map(|(_, id)| *id).collect()
+    }
+
+    /// Gives a request its final answer before its time: refused where nothing can have run, else failed.
+    fn give_up(&mut self, id: RequestId) {
+        let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return };
+        let written = |ticket: &u64| self.attempts.get(ticket).is_none_or(|out| out.attempt.written.get());
+        let may_have_run = open.ran.iter().any(|(ticket, _)| written(ticket));
+        let verdict = match may_have_run {
+            true => Verdict::Failed,
+            false => Verdict::refused(&self.settings, DENIED),
+        };
+        tracing::debug!(rid = open.call.rid, "given up: {}", verdict.name());
+        self.counters.refused(RefusalReason::GivenUp);
+        self.answer(id, verdict);
+        self.event(Event::ClientGone { id });
+    }
+
     /// The time in which an answer to this is worth all: the class's, and as many times as it says of the sending's.
     fn aim(&self, call: &Call) -> Micros {
         let Some(class) = self.settings.classes.get(call.class) else { return 0 };
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -1,7 +1,7 @@
 //! Clients' connections: each is read and written by a task of its own ([`connection`]) and answers every request once.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -15,14 +15,16 @@
 use futures_lite::future;
 
 use crate::clock;
-use crate::counters::{Counters, RefusalReason};
+use crate::counters::{CloseReason, Counters, RefusalReason};
 use crate::drain::Drain;
 use crate::traffic::{Message, Verdict};
 
+mod closing;
 mod connection;
 mod drain_log;
 mod request;
 
+use closing::ClosingConnections;
 use connection::Connection;
 use drain_log::DrainLog;
 
@@ -34,10 +36,8 @@
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 /// That there is no room, or that accepting fails, is said once in so long.
 const SAY_AGAIN: Micros = 5_000_000;
-/// Connections closed from this side that wait for the client's own close, while others wait to be accepted; each for
-/// so long at least, as what crosses the close comes within 50 ms.
+/// Connections closed from this side that wait for the client's own close, while others wait to be accepted.
 const MOST_CLOSING: usize = 8;
-const CROSSES: Micros = 50_000;
 /// Answers that may wait for a connection's writer: the open requests, and as many that were answered
 /// while an earlier answer was still being written.
 const MOST_ANSWERS: usize = 2 * MOST_OPEN;
@@ -73,8 +73,8 @@
     connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
     /// Ids of requests that came lately.
     rids: RefCell<AgeingFilter>,
-    /// Connections that this side has closed and reads to their ends: id, since when, and what hurries them.
-    closing: RefCell<VecDeque<(u64, Micros, Sender<()>)>>,
+    /// Connections that this side has closed and reads to their ends.
+    closing: ClosingConnections,
     /// It is to close to make room.
     wanted: Cell<Option<u64>>,
     /// The listener is there.
@@ -111,7 +111,7 @@
             most_connections: most_clients(sockets),
             connections: RefCell::default(),
             rids: RefCell::new(AgeingFilter::new(RIDS, RIDS_QUIET)),
-            closing: RefCell::default(),
+            closing: ClosingConnections::default(),
             wanted: Cell::new(None),
             accepting: Cell::new(true),
             freed: async_channel::bounded(1),
@@ -146,12 +146,19 @@
         }
     }
 
-    /// Asks each connection that the drain lets go to close. It looks once more whether anything came.
+    /// Asks each connection that the drain lets go to close: it looks once more whether anything came. Where the drain
+    /// waits no longer for a quiet moment, what is open gets its final answer, and who does not read is cut off.
     pub fn let_go(&self) {
         let (now, drain) = (clock::now(), self.drain.borrow());
         for port in self.connections.borrow().values() {
-            if drain.close(now, port.seen()) {
+            let seen = port.seen();
+            if drain.close(now, seen) {
                 let _ = port.close.try_send(());
+            } else if port.is_waiting() && drain.gives_up(now, seen) {
+                // Where its mailbox is full it is told at the next look.
+                let _ = self.director.try_send(Message::GiveUp { port: port.id });
+            } else if seen.unwritten > 0 && drain.cuts(now, port.last_taken()) {
+                let _ = port.cut.try_send(CloseReason::Stalled);
             }
         }
     }
@@ -171,7 +178,7 @@
     /// No client has anything to come: no listener with connections in its queue, and each connection that there was has
     /// been read to its end, answered and closed. Only then may the process exit: with it all else would be reset.
     pub fn settled(&self) -> bool {
-        !self.accepting.get() && self.connections.borrow().is_empty() && self.closing.borrow().is_empty()
+        !self.accepting.get() && self.connections.borrow().is_empty() && self.closing.len() == 0
     }
 
     /// All answers are written.
@@ -192,7 +199,7 @@
         }
         if let Some(port) = self.connections.borrow().values().max_by_key(|p| p.held.get()) {
             tracing::warn!(client = port.id, "cut off, {} bytes wait for it", port.held.get());
-            let _ = port.cut.try_send(());
+            let _ = port.cut.try_send(CloseReason::Memory);
         }
     }
 
@@ -218,14 +225,7 @@
     }
 
     fn is_full(&self) -> bool {
-        self.connections.borrow().len() + self.closing.borrow().len() >= self.most_connections
-    }
-
-    /// This side has closed a connection; what comes on it is thrown away until it ends, or this says so.
-    fn closing(&self, id: u64) -> Receiver<()> {
-        let (hurry, hurried) = async_channel::bounded(1);
-        self.closing.borrow_mut().push_back((id, clock::now(), hurry));
-        hurried
+        self.connections.borrow().len() + self.closing.len() >= self.most_connections
     }
 
     /// A connection has ended, or is closing.
@@ -236,20 +236,10 @@
 
     /// One that was closing has ended.
     fn closed(&self, id: u64) {
-        self.closing.borrow_mut().retain(|(other, ..)| *other != id);
+        self.closing.remove(id);
         let _ = self.freed.0.try_send(());
     }
 
-    /// Ends those closing that had their time: others wait for the room.
-    fn hurry(&self) {
-        let before = clock::now().saturating_sub(CROSSES);
-        for (_, since, hurry) in self.closing.borrow().iter() {
-            if *since <= before {
-                let _ = hurry.try_send(());
-            }
-        }
-    }
-
     /// Accepts clients, for ever. With all descriptors of clients in use, the next wait until one is free.
     pub async fn accept(
         self: Rc<Self>,
@@ -287,10 +277,10 @@
                 }
             };
             while self.is_full() {
-                if self.closing.borrow().len() < MOST_CLOSING {
+                if self.closing.len() < MOST_CLOSING {
                     self.evict();
                 }
-                self.hurry();
+                self.closing.hurry();
                 say("clients hold all their connections; those unused are closed for others");
                 let freed = async { self.freed.1.recv().await.is_ok() };
                 let later = async { Timer::after(ACCEPT_AGAIN).await < std::time::Instant::now() };
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -10,13 +10,15 @@
 use async_io::{Async, Timer};
 use bitternhold::Micros;
 use bytes::Bytes;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::{AsyncWriteExt, future};
 use rustix::event::{PollFd, PollFlags, poll};
 use rustix::time::Timespec;
+use socket2::SockRef;
 
+use super::closing::{LINGER, UNSENT, throw_away};
 use super::{Front, MOST_ANSWERS, MOST_OPEN};
 use crate::counters::{CloseReason, RefusalReason};
-use crate::drain::{Hold, Phase, Seen};
+use crate::drain::{Hold, Seen};
 use crate::framing::{Malformed, Messages};
 use crate::traffic::{Message, Port, Verdict};
 use crate::{clock, invariant, thrift};
@@ -25,7 +27,7 @@
 const CHUNK: usize = 8 * 1024;
 /// Bodies up to this are copied behind their head, so that one write does.
 const SMALL: usize = 4096;
-/// A client that takes nothing for so long is gone.
+/// A client that takes no byte of an answer for so long is gone.
 const STALLED: Duration = Duration::from_secs(10);
 /// A connection without an open request is closed after so long: usual clients close theirs after 4 s.
 const IDLE: Micros = 5_000_000;
@@ -34,12 +36,6 @@
 const SILENT: Micros = 2_500_000;
 /// A message that began to come within this is waited for, when its connection is to be closed.
 const HALF: Micros = 300_000;
-/// After the last byte this side reads and throws away until the client closes as well, so long and so much at most: a
-/// close over unread bytes would reset the connection, and with it answers that the client has not read yet. A client
-/// that sends on what was closed to it notices within 50 ms.
-const LINGER: Duration = Duration::from_millis(500);
-const LINGER_BYTES: usize = 512 * 1024;
-
 /// What the writer has to write.
 #[derive(Debug)]
 pub(super) enum Reply {
@@ -63,8 +59,10 @@
     last_request: Cell<Option<Micros>>,
     /// Half a message was there at the last look before a close.
     half: Cell<bool>,
+    /// When the client last took bytes of an answer.
+    taken: Cell<Micros>,
     /// Ends it at once.
-    pub cut: Sender<()>,
+    pub cut: Sender<CloseReason>,
     /// Asks it to close once it owes nothing.
     pub close: Sender<()>,
     pub held: Cell<usize>,
@@ -81,7 +79,7 @@
 /// Ends of the channels that its task reads.
 pub(super) struct Ends {
     answers: Receiver<Reply>,
-    cuts: Receiver<()>,
+    cuts: Receiver<CloseReason>,
     closes: Receiver<()>,
 }
 
@@ -139,6 +137,7 @@
             used: Cell::new(clock::now()),
             last_request: Cell::new(None),
             half: Cell::new(false),
+            taken: Cell::new(0),
             cut,
             close,
             held: Cell::new(0),
@@ -153,7 +152,13 @@
 
     /// What the drain goes by.
     pub fn seen(&self) -> Seen {
-        Seen { open: self.open.get() + self.replies.get(), asked: self.asked.get(), used: self.used.get() }
+        Seen {
+            open: self.open.get() + self.replies.get(),
+            unwritten: self.owed.get() + self.replies.get(),
+            last_request: self.last_request.get(),
+            asked: self.asked.get(),
+            used: self.used.get(),
+        }
     }
 
     /// Why a drain or an end keeps it for now; none: it closes at its next look, or nothing lets it go.
@@ -166,6 +171,16 @@
         }
     }
 
+    /// Requests on it wait for their answer.
+    pub fn is_waiting(&self) -> bool {
+        self.open.get() > self.owed.get()
+    }
+
+    /// When the client last took bytes of an answer; 0: never.
+    pub fn last_taken(&self) -> Micros {
+        self.taken.get()
+    }
+
     /// For log lines: how many answers wait to be written, and how long ago a request last came.
     pub fn backlog(&self, now: Micros) -> (usize, Option<Micros>) {
         (self.owed.get(), self.last_request.get().map(|at| now.saturating_sub(at)))
@@ -202,63 +217,58 @@
     /// The connection's life: the one place where it ends.
     pub async fn run(self: Rc<Self>, stream: Rc<Async<TcpStream>>, ends: Ends) {
         let _ = stream.get_ref().set_nodelay(true);
+        // What the kernel holds is out of sight: a platform without the option keeps the usual.
+        let _ = SockRef::from(stream.get_ref()).set_tcp_notsent_lowat(UNSENT);
         // What needs no decision is answered by the reader itself, which waits while that is not taken.
         let (own, direct) = async_channel::bounded(MOST_OPEN);
-        let cut = async {
-            let _ = ends.cuts.recv().await;
-            Err(io::Error::new(ErrorKind::ConnectionAborted, "cut off"))
-        };
+        let cut = async { Ok(End::Closing(ends.cuts.recv().await.unwrap_or(CloseReason::Memory))) };
         let write = self.write(&stream, &ends.answers, &direct);
         let ended = future::or(cut, future::or(self.read(&stream, own, &ends.closes), write)).await;
         // Nothing may come between the last look at the socket, which found nothing, and this: what is read from here
         // on is thrown away. The client sends it anew elsewhere.
         self.gone.set(true);
-        let (reason, linger) = match &ended {
-            Ok(End::Closing(reason)) => (*reason, true),
-            Ok(End::Left) => (CloseReason::ClientLeft, false),
-            Err(e) => {
-                let reason = match e.kind() {
-                    ErrorKind::InvalidData => CloseReason::Malformed,
-                    ErrorKind::ConnectionAborted => CloseReason::Memory,
-                    ErrorKind::TimedOut => CloseReason::Stalled,
-                    _ => CloseReason::ClientLeft,
-                };
-                match reason {
-                    CloseReason::Malformed => tracing::warn!(client = self.id, "{e}; closed"),
-                    _ => tracing::debug!(client = self.id, "{e}"),
-                }
-                // Answers that it was given before stay readable.
-                (reason, reason == CloseReason::Malformed)
-            }
+        let reason = match &ended {
+            Ok(End::Closing(reason)) => *reason,
+            Ok(End::Left) => CloseReason::ClientLeft,
+            Err(e) => self.reason_of(e),
         };
         let open = self.seen().open;
         tracing::debug!(client = self.id, open, reason = reason.name(), "closed");
         self.front.counters.closed(reason);
-        let linger = linger && stream.get_ref().shutdown(Shutdown::Write).is_ok();
-        let mut closing = None;
-        if linger {
-            closing = Some(self.front.closing(self.id));
-        }
+        // Answers that it was given before stay readable, whatever ends it from this side.
+        let lingers = reason != CloseReason::ClientLeft && stream.get_ref().shutdown(Shutdown::Write).is_ok();
+        let hurried = lingers.then(|| self.front.closing.add(self.id, self.taken.get()));
         self.front.ended(self.id);
         self.out.close();
         // What was not written is not owed any more.
         self.owe(-(self.owed.get() as isize), -(self.held.get() as isize));
-        if linger {
+        if let Some(hurried) = hurried {
             let _ = self.front.director.send(Message::Left { port: self.id }).await;
-        }
-        if let Some(hurry) = closing {
-            future::or(throw_away(&stream), async {
-                let _ = hurry.recv().await;
-            })
-            .await;
+            let at_most = self.front.drain.borrow().lingers(clock::now(), LINGER);
+            throw_away(&stream, at_most, hurried).await;
         }
         drop(stream);
         self.front.closed(self.id);
-        if !linger {
+        if !lingers {
             let _ = self.front.director.send(Message::Left { port: self.id }).await;
         }
     }
 
+    /// What an error on the connection means for it.
+    fn reason_of(&self, error: &io::Error) -> CloseReason {
+        match error.kind() {
+            ErrorKind::InvalidData => {
+                tracing::warn!(client = self.id, "{error}; closed");
+                CloseReason::Malformed
+            }
+            ErrorKind::TimedOut => CloseReason::Stalled,
+            _ => {
+                tracing::debug!(client = self.id, "{error}");
+                CloseReason::ClientLeft
+            }
+        }
+    }
+
     async fn read(
         self: &Rc<Self>,
         stream: &Async<TcpStream>,
@@ -313,20 +323,15 @@
                         Ok(_) if self.open.get() >= MOST_ANSWERS => {
                             Some(Reply::Verdict(seq, front.refusal(RefusalReason::TooManyOpen)))
                         }
-                        // An ending router refuses what it could not answer before it is killed.
-                        Ok(call) if !front.drain.borrow().takes(arrived, call.deadline) => {
-                            let reason = match front.drain.borrow().phase() {
-                                Phase::Ending(_) => RefusalReason::Ending,
-                                _ => RefusalReason::Withdrawn,
-                            };
-                            Some(Reply::Verdict(seq, front.refusal(reason)))
-                        }
-                        Ok(call) => {
-                            self.open.set(self.open.get() + 1);
-                            let request = Message::Request { port: self.clone(), seq, call };
-                            front.director.send(request).await.map_err(closed)?;
-                            None
-                        }
+                        Ok(call) => match self.refuses(arrived, call.deadline) {
+                            Some(reason) => Some(Reply::Verdict(seq, front.refusal(reason))),
+                            None => {
+                                self.open.set(self.open.get() + 1);
+                                let request = Message::Request { port: self.clone(), seq, call };
+                                front.director.send(request).await.map_err(closed)?;
+                                None
+                            }
+                        },
                         Err(verdict) => Some(Reply::Verdict(seq, verdict)),
                     }
                 }
@@ -344,12 +349,18 @@
         }
     }
 
+    /// Why a drain or an end refuses a request that came now.
+    fn refuses(&self, arrived: Micros, deadline: Micros) -> Option<RefusalReason> {
+        self.front.drain.borrow().refuses(arrived, deadline, self.seen())
+    }
+
     /// Why it closes, now that there was nothing to read: it is to, by its own time or because it was asked, and owes
     /// nothing.
     fn may_close(&self, begun: Option<Micros>) -> Option<CloseReason> {
         let now = clock::now();
         let idle = self.idle_until(begun).is_some_and(|until| until <= now);
-        let half = begun.is_some_and(|begun| now < begun + HALF);
+        let waits = self.front.drain.borrow().waits_for_halves(now);
+        let half = waits && begun.is_some_and(|begun| now < begun + HALF);
         self.half.set(half);
         // Half a message for so long ends the connection with all that is open on it: who sends it is broken, and the
         // time that has passed would be over at every further look.
@@ -380,22 +391,17 @@
         let own = async || direct.recv().await.map(|reply| (false, reply));
         while let Ok((handed_on, reply)) = future::or(answer(), own()).await {
             let (mut head, body, tail) = encode(reply);
-            let stalled = async {
-                Timer::after(STALLED).await;
-                Err(io::Error::from(ErrorKind::TimedOut))
-            };
             let write = async {
-                let mut stream = stream;
                 if body.len() <= SMALL {
                     head.extend_from_slice(&body);
                     head.extend_from_slice(&tail);
-                    return stream.write_all(&head).await;
+                    return self.write_part(stream, &head).await;
                 }
-                stream.write_all(&head).await?;
-                stream.write_all(&body).await?;
-                stream.write_all(&tail).await
+                self.write_part(stream, &head).await?;
+                self.write_part(stream, &body).await?;
+                self.write_part(stream, &tail).await
             };
-            let written = future::or(write, stalled).await;
+            let written = write.await;
             if handed_on {
                 self.owe(-1, -(body.len() as isize));
                 self.finished();
@@ -412,6 +418,25 @@
     }
 }
 
+impl Connection {
+    /// Writes all of it, as long as the client takes some of it every now and then.
+    async fn write_part(&self, mut stream: &Async<TcpStream>, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let stalled = async {
+                Timer::after(STALLED).await;
+                Err(ErrorKind::TimedOut.into())
+            };
+            let written = future::or(stream.write(bytes), stalled).await?;
+            if written == 0 {
+                return Err(ErrorKind::WriteZero.into());
+            }
+            self.taken.set(clock::now());
+            bytes = &bytes[written..];
+        }
+        Ok(())
+    }
+}
+
 /// How a connection ended.
 enum End {
     /// The client has closed, or nobody is left to answer.
@@ -420,24 +445,6 @@
     Closing(CloseReason),
 }
 
-/// Reads until the client closes as well, for [`LINGER`] at most.
-async fn throw_away(stream: &Async<TcpStream>) {
-    let read = async {
-        let (mut stream, mut buffer, mut left) = (stream, [0; 4096], LINGER_BYTES);
-        while let Ok(n) = stream.read(&mut buffer).await {
-            left = left.saturating_sub(n);
-            if n == 0 || left == 0 {
-                return;
-            }
-            future::yield_now().await;
-        }
-    };
-    future::or(read, async {
-        Timer::after(LINGER).await;
-    })
-    .await;
-}
-
 fn closed<T>(_: T) -> io::Error {
     ErrorKind::BrokenPipe.into()
 }
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -168,6 +168,11 @@
         /// The connection.
         port: u64,
     },
+    /// What is open on a client's connection gets its final answer now: the connection has to end.
+    GiveUp {
+        /// The connection.
+        port: u64,
+    },
     /// An attempt ended.
     Ended(End),
     /// Someone asks for all that is known.
--- a/silverspindle/tests/drain_terms.rs
+++ b/silverspindle/tests/drain_terms.rs
@@ -206,3 +206,10 @@
 fn a_client_that_reads_slowly_is_let_go_in_time_with_all_its_answers() {
     drains_in_time(Habit { reads: 1000, ..USUAL }, Cached::After(20 * MS, 200_000));
 }
+
+/// There is always half a message on its connection.
+#[test]
+fn a_client_that_sends_in_halves_is_let_go_in_time() {
+    let habit = Habit { every: 150 * MS, halves: true, ..USUAL };
+    drains_in_time(habit, Cached::After(20 * MS, 1000));
+}
