--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod office;
 pub mod process;
 pub mod relays;
+pub mod sender;
 pub mod world;
 
 use std::future::Future;
--- a/silverspindle/tests/common/process.rs
+++ b/silverspindle/tests/common/process.rs
@@ -5,6 +5,14 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+/// It ends with the test, also with one that fails.
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 /// So long a test waits for what must come at all; a failure guard, never the verdict.
 pub const AT_MOST: Duration = Duration::from_secs(20);
 
@@ -25,6 +33,16 @@
 }
 
 pub fn start_in(file: &serde_json::Value, listen: &str, directory: &std::path::Path) -> Router {
+    start_with(file, listen, directory, &[])
+}
+
+/// The same with further variables.
+pub fn start_with(
+    file: &serde_json::Value,
+    listen: &str,
+    directory: &std::path::Path,
+    variables: &[(&str, &std::path::Path)],
+) -> Router {
     let mut child = Command::new(env!("CARGO_BIN_EXE_silverspindle"))
         .arg("serve")
         .env("TMPDIR", directory)
@@ -32,6 +50,7 @@
         .env("LB_LISTEN", listen)
         .env("LB_MANAGEMENT", "127.0.0.1:0")
         .env_remove("LB_CONF")
+        .envs(variables.iter().copied())
         .stdin(Stdio::piped())
         .stderr(Stdio::piped())
         .spawn()
--- /dev/null
+++ b/silverspindle/tests/common/sender.rs
@@ -0,0 +1,158 @@
+//! A client that sends on, whatever comes, and a cache that answers late or never.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use bytes::BytesMut;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use silverspindle::framing::{Measure, split};
+
+use super::*;
+
+/// A request that crosses a close within this is sent again by its client.
+pub const CROSSES: Duration = Duration::from_millis(50);
+/// Bytes of an answer without a body, at most; the caches here answer with more.
+const LARGEST_REFUSAL: usize = 200;
+pub const MS: Duration = Duration::from_millis(1);
+
+/// What a client does.
+#[derive(Clone, Copy)]
+pub struct Habit {
+    /// It sends a request this often.
+    pub every: Duration,
+    /// How long it waits for an answer, in milliseconds.
+    pub budget: &'static str,
+    /// Bytes that it reads in a millisecond at most.
+    pub reads: usize,
+    /// Of each request the first half goes out with the second half of the one before it.
+    pub halves: bool,
+}
+
+pub const USUAL: Habit =
+    Habit { every: Duration::from_millis(200), budget: "3000", reads: 1_000_000, halves: false };
+
+/// A client that sends on, whatever comes, until its connection ends.
+#[derive(Default)]
+pub struct Sender {
+    /// When each request was sent whole.
+    pub sent: RefCell<BTreeMap<i32, Instant>>,
+    pub answered: RefCell<BTreeMap<i32, u32>>,
+    /// Those that were served.
+    pub served: RefCell<BTreeSet<i32>>,
+    /// When and how the connection ended, as the client saw it.
+    pub ended: RefCell<Option<(Instant, std::io::Result<()>)>>,
+    pub last: Cell<i32>,
+}
+
+impl Sender {
+    pub async fn run(self: Rc<Self>, stream: Stream, habit: Habit) {
+        future::zip(self.read(&stream, habit), self.write(&stream, habit)).await;
+    }
+
+    pub fn is_over(&self) -> bool {
+        self.ended.borrow().is_some()
+    }
+
+    async fn write(&self, mut stream: &Async<std::net::TcpStream>, habit: Habit) {
+        let mut owed: Vec<u8> = Vec::new();
+        while !self.is_over() {
+            let seq = self.last.get() + 1;
+            let (rid, object) = (format!("{seq:016x}"), format!("{:016x}", seq * 7919));
+            let mut fields: Vec<(&str, &str)> = page("");
+            (fields[1].1, fields[2].1, fields[3].1) = (&rid, habit.budget, &object);
+            let request = serve(seq, &fields, b"");
+            let half = if habit.halves { request.len() / 2 } else { request.len() };
+            let mut bytes = std::mem::take(&mut owed);
+            // With halves, what completes the request before this one.
+            let whole = if habit.halves { seq - 1 } else { seq };
+            bytes.extend(&request[..half]);
+            owed.extend(&request[half..]);
+            if stream.write_all(&bytes).await.is_err() {
+                return;
+            }
+            self.last.set(seq);
+            if whole > 0 {
+                self.sent.borrow_mut().insert(whole, Instant::now());
+            }
+            Timer::after(habit.every).await;
+        }
+    }
+
+    async fn read(&self, mut stream: &Async<std::net::TcpStream>, habit: Habit) {
+        let measure: Measure = |b| match b.first_chunk::<4>() {
+            Some(length) => Ok(4 + u32::from_be_bytes(*length) as usize),
+            None => Ok(4),
+        };
+        let (mut buffer, mut piece) = (BytesMut::new(), vec![0; habit.reads.min(16_000)]);
+        let end = loop {
+            match stream.read(&mut piece).await {
+                Ok(0) => break Ok(()),
+                Ok(n) => buffer.extend_from_slice(&piece[..n]),
+                Err(e) => break Err(e),
+            }
+            while let Some(answer) = split(&mut buffer, measure).unwrap() {
+                // Behind length, version, kind and the name `serve`.
+                let seq = i32::from_be_bytes(answer[17..21].try_into().unwrap());
+                *self.answered.borrow_mut().entry(seq).or_insert(0) += 1;
+                // A refusal or a failure is a small frame of another shape.
+                if answer.len() > LARGEST_REFUSAL {
+                    self.served.borrow_mut().insert(seq);
+                }
+            }
+            if habit.reads < piece.len() * 10 {
+                Timer::after(MS * piece.len() as u32 / habit.reads as u32).await;
+            }
+        };
+        *self.ended.borrow_mut() = Some((Instant::now(), end));
+    }
+
+    /// Its connection ended cleanly within this time, and each request that did not cross its end has one answer.
+    pub fn check(&self, since: Instant, term: Duration) {
+        let ended = self.ended.borrow();
+        let Some((at, how)) = &*ended else { panic!("held after {term:?}") };
+        let after = at.duration_since(since);
+        how.as_ref().unwrap_or_else(|e| panic!("{e} after {after:?}"));
+        assert!(after < term, "held for {after:?}");
+        let answered = self.answered.borrow();
+        for (seq, sent) in self.sent.borrow().iter().filter(|(_, sent)| **sent + CROSSES < *at) {
+            let answers = answered.get(seq).copied().unwrap_or(0);
+            assert_eq!(answers, 1, "request {seq}, sent {:?} before the end", at.duration_since(*sent));
+        }
+    }
+}
+
+/// How a cache answers.
+#[derive(Clone, Copy)]
+pub enum Cached {
+    /// With so many bytes after this time.
+    After(Duration, usize),
+    /// Never.
+    Never,
+}
+
+pub fn serve_from(tasks: &Tasks, cached: Cached) -> std::net::SocketAddr {
+    let cache = Cache::start(tasks);
+    let address = cache.address;
+    let all = tasks.clone();
+    let answer = async move {
+        loop {
+            let (command, line) = cache.next().await;
+            let Cached::After(time, bytes) = cached else { continue };
+            if command[0] == "want" {
+                let answer = async move {
+                    Timer::after(time).await;
+                    let body = "x".repeat(bytes);
+                    let strings: [&[u8]; 4] =
+                        [command[1].as_bytes(), b"HIT", NAMED.as_bytes(), body.as_bytes()];
+                    let _ = (&*line).write_all(&silverspindle::resp::command(&strings)).await;
+                };
+                all.spawn(answer).detach();
+            }
+        }
+    };
+    tasks.spawn(answer).detach();
+    address
+}
--- a/silverspindle/tests/drain_terms.rs
+++ b/silverspindle/tests/drain_terms.rs
@@ -3,158 +3,18 @@
 
 mod common;
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
-use bytes::BytesMut;
 use common::process::{Router, put, start};
+use common::sender::{Cached, Habit, MS, Sender, USUAL, serve_from};
 use common::*;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use silverspindle::framing::{Measure, split};
 
 /// The terms look at connections so long after the call.
 const TERM: Duration = Duration::from_secs(4);
-/// A request that crosses a close within this is sent again by its client.
-const CROSSES: Duration = Duration::from_millis(50);
 /// Requests that have come before the drain is asked for.
 const WARM_UP: i32 = 4;
-const MS: Duration = Duration::from_millis(1);
-
-/// What a client does.
-#[derive(Clone, Copy)]
-struct Habit {
-    /// It sends a request this often.
-    every: Duration,
-    /// How long it waits for an answer, in milliseconds.
-    budget: &'static str,
-    /// Bytes that it reads in a millisecond at most.
-    reads: usize,
-    /// Of each request the first half goes out with the second half of the one before it.
-    halves: bool,
-}
-
-const USUAL: Habit =
-    Habit { every: Duration::from_millis(200), budget: "3000", reads: 1_000_000, halves: false };
-
-/// A client that sends on, whatever comes, until its connection ends.
-#[derive(Default)]
-struct Sender {
-    /// When each request was sent whole.
-    sent: RefCell<BTreeMap<i32, Instant>>,
-    answered: RefCell<BTreeMap<i32, u32>>,
-    /// When and how the connection ended, as the client saw it.
-    ended: RefCell<Option<(Instant, std::io::Result<()>)>>,
-    last: Cell<i32>,
-}
-
-impl Sender {
-    async fn run(self: Rc<Self>, stream: Stream, habit: Habit) {
-        future::zip(self.read(&stream, habit), self.write(&stream, habit)).await;
-    }
-
-    fn is_over(&self) -> bool {
-        self.ended.borrow().is_some()
-    }
-
-    async fn write(&self, mut stream: &Async<std::net::TcpStream>, habit: Habit) {
-        let mut owed: Vec<u8> = Vec::new();
-        while !self.is_over() {
-            let seq = self.last.get() + 1;
-            let (rid, object) = (format!("{seq:016x}"), format!("{:016x}", seq * 7919));
-            let mut fields: Vec<(&str, &str)> = page("");
-            (fields[1].1, fields[2].1, fields[3].1) = (&rid, habit.budget, &object);
-            let request = serve(seq, &fields, b"");
-            let half = if habit.halves { request.len() / 2 } else { request.len() };
-            let mut bytes = std::mem::take(&mut owed);
-            // With halves, what completes the request before this one.
-            let whole = if habit.halves { seq - 1 } else { seq };
-            bytes.extend(&request[..half]);
-            owed.extend(&request[half..]);
-            if stream.write_all(&bytes).await.is_err() {
-                return;
-            }
-            self.last.set(seq);
-            if whole > 0 {
-                self.sent.borrow_mut().insert(whole, Instant::now());
-            }
-            Timer::after(habit.every).await;
-        }
-    }
-
-    async fn read(&self, mut stream: &Async<std::net::TcpStream>, habit: Habit) {
-        let measure: Measure = |b| match b.first_chunk::<4>() {
-            Some(length) => Ok(4 + u32::from_be_bytes(*length) as usize),
-            None => Ok(4),
-        };
-        let (mut buffer, mut piece) = (BytesMut::new(), vec![0; habit.reads.min(16_000)]);
-        let end = loop {
-            match stream.read(&mut piece).await {
-                Ok(0) => break Ok(()),
-                Ok(n) => buffer.extend_from_slice(&piece[..n]),
-                Err(e) => break Err(e),
-            }
-            while let Some(answer) = split(&mut buffer, measure).unwrap() {
-                // Behind length, version, kind and the name `serve`.
-                let seq = i32::from_be_bytes(answer[17..21].try_into().unwrap());
-                *self.answered.borrow_mut().entry(seq).or_insert(0) += 1;
-            }
-            if habit.reads < piece.len() * 10 {
-                Timer::after(MS * piece.len() as u32 / habit.reads as u32).await;
-            }
-        };
-        *self.ended.borrow_mut() = Some((Instant::now(), end));
-    }
-
-    /// Its connection ended cleanly by this time, and each request that did not cross its end has one answer.
-    fn check(&self, drained: Instant) {
-        let ended = self.ended.borrow();
-        let Some((at, how)) = &*ended else { panic!("held 4 s after the drain") };
-        let after = at.duration_since(drained);
-        how.as_ref().unwrap_or_else(|e| panic!("{e} after {after:?}"));
-        assert!(after < TERM, "held for {after:?}");
-        let answered = self.answered.borrow();
-        for (seq, sent) in self.sent.borrow().iter().filter(|(_, sent)| **sent + CROSSES < *at) {
-            let answers = answered.get(seq).copied().unwrap_or(0);
-            assert_eq!(answers, 1, "request {seq}, sent {:?} before the end", at.duration_since(*sent));
-        }
-    }
-}
-
-/// How a cache answers.
-#[derive(Clone, Copy)]
-enum Cached {
-    /// With so many bytes after this time.
-    After(Duration, usize),
-    /// Never.
-    Never,
-}
-
-fn serve_from(tasks: &Tasks, cached: Cached) -> std::net::SocketAddr {
-    let cache = Cache::start(tasks);
-    let address = cache.address;
-    let all = tasks.clone();
-    let answer = async move {
-        loop {
-            let (command, line) = cache.next().await;
-            let Cached::After(time, bytes) = cached else { continue };
-            if command[0] == "want" {
-                let answer = async move {
-                    Timer::after(time).await;
-                    let body = "x".repeat(bytes);
-                    let strings: [&[u8]; 4] =
-                        [command[1].as_bytes(), b"HIT", NAMED.as_bytes(), body.as_bytes()];
-                    let _ = (&*line).write_all(&silverspindle::resp::command(&strings)).await;
-                };
-                all.spawn(answer).detach();
-            }
-        }
-    };
-    tasks.spawn(answer).detach();
-    address
-}
 
 /// Drains a router while a client of this habit sends through it, and holds the drain to its terms.
 fn drains_in_time(habit: Habit, cached: Cached) {
@@ -177,7 +37,7 @@
         while !client.is_over() && drained.elapsed() < TERM {
             Timer::after(MS).await;
         }
-        let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| client.check(drained)));
+        let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| client.check(drained, TERM)));
         drop(traffic);
         let _ = router.child.kill();
         let _ = router.child.wait();
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod process;
 pub mod proxy;
 pub mod rig;
+pub mod shim;
 pub mod trial;
 
 /// Microseconds.
