Two clocks that can't be mixed: spans run on the process's own, stamps are typed

Cause: clock::now() read the wall clock, so each step moved every deadline, grace and wait, and a drain's time with it.

--- a/silverspindle/src/copies.rs
+++ b/silverspindle/src/copies.rs
@@ -7,6 +7,7 @@
 use bitternhold::{EVERY_GROUP, Micros};
 use bytes::Bytes;
 
+use crate::clock::Stamp;
 use crate::feed::Purged;
 
 /// A purge is held against answers that were under way for so long after it was told.
@@ -27,7 +28,7 @@
     /// Its tag.
     pub tag: Bytes,
     /// When the origin gave it out.
-    pub stamp: Micros,
+    pub stamp: Stamp,
     /// When a cache last answered with it.
     pub seen: Micros,
     group: u64,
@@ -50,7 +51,7 @@
     /// By last use, the oldest first.
     order: BTreeMap<u64, Key>,
     uses: u64,
-    purges: BTreeMap<Purged, (Micros, Micros)>,
+    purges: BTreeMap<Purged, (Stamp, Micros)>,
     /// Bytes a second of one transfer and of all together; when the link has sent what it has.
     flow: f64,
     link: f64,
@@ -77,7 +78,7 @@
     }
 
     /// Keeps an answer's copy. The bytes are copied: a slice would hold the whole buffer it was read into.
-    pub fn keep(&mut self, now: Micros, key: Key, group: u64, tag: &[u8], stamp: Micros, body: &[u8]) {
+    pub fn keep(&mut self, now: Micros, key: Key, group: u64, tag: &[u8], stamp: Stamp, body: &[u8]) {
         let size = body.len() + tag.len() + ENTRY;
         let old = self.copies.get(&key).is_some_and(|c| c.stamp > stamp);
         let purged = [Purged::Object(key.0), Purged::Group(group), Purged::Group(EVERY_GROUP)];
@@ -120,7 +121,7 @@
     }
 
     /// Drops what is older than a purge, now and when it comes in late.
-    pub fn purge(&mut self, now: Micros, what: Purged, at: Micros) {
+    pub fn purge(&mut self, now: Micros, what: Purged, at: Stamp) {
         self.purges.retain(|_, (_, told)| now.saturating_sub(*told) < PURGE_KEPT);
         let slot = self.purges.entry(what).or_insert((at, now));
         *slot = (at.max(slot.0), now);
--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -17,6 +17,7 @@
 use futures_lite::future;
 use silverspindle_knowledge::Item;
 
+use crate::clock::Stamp;
 use crate::copies::{Copies, Copy};
 use crate::counters::{Counters, RefusalReason};
 use crate::feed::{Listed, News, Purged};
@@ -234,7 +235,7 @@
         }
     }
 
-    fn purged(&mut self, what: Purged, at: Micros) {
+    fn purged(&mut self, what: Purged, at: Stamp) {
         let now = clock::now();
         let keep = self.settings.purge_done + self.settings.purge_grace;
         self.shared.board.purged(now, what, keep);
@@ -243,7 +244,7 @@
             Purged::Object(key) => (Some(format!("{key:016x}")), 0),
             Purged::Group(group) => (None, group),
         };
-        self.event(Event::Purged { object, group, age: now.saturating_sub(at) });
+        self.event(Event::Purged { object, group, age: at.age(now) });
     }
 
     fn gone(&mut self, id: MemberId) {
@@ -338,7 +339,7 @@
         let now = clock::now();
         let young = |copy: &&Copy| self.is_young(now, copy.stamp);
         let own = call.copy().and_then(|key| self.copies.get(&key)).filter(young).map(|copy| Own {
-            age: now.saturating_sub(copy.stamp),
+            age: copy.stamp.age(now),
             unseen: now.saturating_sub(copy.seen),
             wait: self.copies.wait(now, copy.bytes(call.holds(&copy.tag))),
         });
@@ -476,9 +477,7 @@
         let Some(call) = self.requests.get(&id).map(|open| open.call.clone()) else { return };
         let (Some(key), now) = (call.copy(), clock::now()) else { return };
         let terms = self.settings.classes.get(call.class).filter(|c| !c.write);
-        let young = |stamp: Micros| {
-            terms.is_some_and(|c| c.fresh == 0 || now.saturating_sub(stamp) < c.fresh + c.stale)
-        };
+        let young = |stamp: Stamp| terms.is_some_and(|c| c.fresh == 0 || stamp.age(now) < c.fresh + c.stale);
         let young = |copy: &&Copy| young(copy.stamp) && self.is_young(now, copy.stamp);
         let Some(copy) = self.copies.get(&key).filter(young).cloned() else {
             return self.answer(id, Verdict::Refused { backoff: None });
--- a/silverspindle/src/director/freshness.rs
+++ b/silverspindle/src/director/freshness.rs
@@ -4,6 +4,7 @@
 use bitternhold::{EVERY_GROUP, Event, ListKind, Micros};
 
 use super::Director;
+use crate::clock::Stamp;
 use crate::feed::Purged;
 use crate::steady::steady;
 use crate::traffic::Notice;
@@ -26,8 +27,8 @@
     }
 
     /// Whether a copy that the origin gave out then is younger than the feed's lease, where that has run out.
-    pub(super) fn is_young(&self, now: Micros, stamp: Micros) -> bool {
-        self.shared.board.oldest().is_none_or(|oldest| now.saturating_sub(stamp) < oldest)
+    pub(super) fn is_young(&self, now: Micros, stamp: Stamp) -> bool {
+        self.shared.board.oldest().is_none_or(|oldest| stamp.age(now) < oldest)
     }
 
     /// Tells the module that copies as old as the feed's lease may be purged, while that has run out. Told again before
--- a/silverspindle/src/distribution/translate.rs
+++ b/silverspindle/src/distribution/translate.rs
@@ -5,7 +5,7 @@
 use bitternhold::Lifecycle;
 use silverspindle_relay::{ANY_COPY, Entry, Log, Record, Reset};
 
-use crate::clock;
+use crate::clock::{self, Stamp};
 use crate::feed::{self, Event, Listed, News};
 use crate::framing::Malformed;
 use crate::traffic::Notice;
@@ -20,7 +20,7 @@
 pub fn record(event: &Event, frame: &[u8]) -> Option<Record> {
     let entry = match &event.news {
         News::Nothing => return None,
-        News::Purged { what, at } => Entry::Purge { what: *what, at_ms: at / 1000 },
+        News::Purged { what, at } => Entry::Purge { what: *what, at_ms: at.as_micros() / 1000 },
         News::Members { .. } => Entry::List(frame.get(HEAD..)?.to_vec()),
     };
     Some(Record { number: event.index, entry })
@@ -42,7 +42,7 @@
 /// What the director is told of a record.
 pub fn news(entry: &Entry) -> Result<News, Malformed> {
     match entry {
-        Entry::Purge { what, at_ms } => Ok(News::Purged { what: *what, at: at_ms.saturating_mul(1000) }),
+        Entry::Purge { what, at_ms } => Ok(News::Purged { what: *what, at: Stamp::from_millis(*at_ms) }),
         Entry::List(bytes) => list(bytes),
     }
 }
@@ -57,7 +57,7 @@
         }
     }
     // Where the purges are not known, all that is older than now may be purged.
-    let before = reset.purged_before_ms.saturating_mul(1000).min(clock::now());
+    let before = Stamp::from_millis(reset.purged_before_ms).min(Stamp::from_micros(clock::now()));
     all.push(Notice::PurgedBefore(before));
     all.push(Notice::Reset { number: reset.number });
     all
--- a/silverspindle/src/knowledge/mod.rs
+++ b/silverspindle/src/knowledge/mod.rs
@@ -14,7 +14,7 @@
 use silverspindle_knowledge::store::{CLOCK_START, Store};
 use silverspindle_knowledge::{Aspect, Ids, InstanceId, Item, Lifecycle, Source, Subject, Value};
 
-use crate::clock;
+use crate::clock::{self, Stamp};
 use crate::feed::{Listed, Purged};
 
 pub mod exchange;
@@ -53,7 +53,7 @@
 #[derive(Debug, Default)]
 pub struct Learnt {
     /// Purges that the router had not heard of.
-    pub purges: Vec<(Purged, Micros)>,
+    pub purges: Vec<(Purged, Stamp)>,
     /// What the module starts from.
     pub inherited: Inherited,
     /// Items refused as out of their ranges.
@@ -137,8 +137,8 @@
     }
 
     /// The coordinator's word on a purge.
-    pub fn purged(&mut self, what: Purged, at: Micros) {
-        let what = named(what);
+    pub fn purged(&mut self, what: Purged, at: Stamp) {
+        let (what, at) = (named(what), at.as_micros());
         self.store.purged(clock::now(), what, at);
         let slot = self.purges.entry(what).or_insert(at);
         *slot = at.max(*slot);
@@ -220,6 +220,7 @@
             if known.get(&what).is_some_and(|before| *before >= at) {
                 continue;
             }
+            let at = Stamp::from_micros(at);
             match what {
                 silverspindle_knowledge::Purged::Object(key) => purges.push((Purged::Object(key), at)),
                 silverspindle_knowledge::Purged::Group(group) => purges.push((Purged::Group(group), at)),
--- a/silverspindle/src/knowledge/snapshots.rs
+++ b/silverspindle/src/knowledge/snapshots.rs
@@ -12,7 +12,7 @@
 use silverspindle_conf::Snapshot;
 use silverspindle_knowledge::{InstanceId, Item, snapshot};
 
-use crate::clock;
+use crate::clock::Stamp;
 use crate::traffic::Message;
 
 /// Where the snapshot of a router lies. The instance's number stands for its name, which may be no file name.
@@ -47,7 +47,8 @@
     if bytes.len() as u64 > most {
         return Err(format!("{}: is larger than {most} bytes", path.display()));
     }
-    let read = snapshot::decode(me, clock::now(), &bytes).map_err(|e| format!("{}: {e}", path.display()))?;
+    let read = snapshot::decode(me, Stamp::now().as_micros(), &bytes)
+        .map_err(|e| format!("{}: {e}", path.display()))?;
     Ok(Some(read))
 }
 
@@ -81,7 +82,7 @@
     let (reply, items) = async_channel::bounded(1);
     director.send(Message::Give { reply }).await.ok()?;
     let items: Vec<Item> = items.recv().await.ok()?;
-    let (file, unix) = (file.to_owned(), clock::now());
+    let (file, unix) = (file.to_owned(), Stamp::now().as_micros());
     let work = move || write(&file, &snapshot::encode(me, unix, items, most as usize));
     Some(blocking::unblock(work).await)
 }
--- a/silverspindle/src/logging.rs
+++ b/silverspindle/src/logging.rs
@@ -39,12 +39,12 @@
     }
 }
 
-/// Unix seconds and milliseconds, as all of the program's times count.
+/// Unix seconds and milliseconds by the wall clock, as other machines' logs have them.
 struct Unix;
 
 impl FormatTime for Unix {
     fn format_time(&self, w: &mut Writer) -> fmt::Result {
-        let now = crate::clock::now();
+        let now = crate::clock::Stamp::now().as_micros();
         write!(w, "{}.{:03}", now / 1_000_000, now / 1000 % 1000)
     }
 }
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -15,6 +15,7 @@
 use silverspindle_knowledge::{InstanceId, Source};
 
 use crate::agreement;
+use crate::clock::Stamp;
 use crate::config::Config;
 use crate::coordinator::Coordinator;
 use crate::copies::Copies;
@@ -212,7 +213,7 @@
         }
         let to_director = mailbox.clone();
         let beside = std::env::var_os("TMPDIR")
-            .and_then(|directory| Beside::enter(std::path::Path::new(&directory), address, clock::now()))
+            .and_then(|directory| Beside::enter(std::path::Path::new(&directory), address, Stamp::now()))
             .map(Rc::new);
         if let Some(beside) = beside.clone().filter(|beside| beside.elders().is_some()) {
             let limits = (config.sockets, config.memory);
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -17,6 +17,7 @@
 use silverspindle_conf::HalfLives;
 use silverspindle_knowledge::Item;
 
+use crate::clock::Stamp;
 use crate::copies;
 use crate::feed::hex;
 use crate::{clock, resp};
@@ -366,7 +367,7 @@
     /// The bytes, if it was served; none where the client's copy is the one.
     pub body: Option<Bytes>,
     /// The copy's tag and when the origin gave it out, where it has these.
-    pub name: Option<(Bytes, Micros)>,
+    pub name: Option<(Bytes, Stamp)>,
 }
 
 impl End {
--- a/silverspindle/src/traffic/board.rs
+++ b/silverspindle/src/traffic/board.rs
@@ -9,7 +9,7 @@
 use silverspindle_work::Ledger;
 
 use super::Attempt;
-use crate::clock;
+use crate::clock::{self, Stamp};
 use crate::feed::{News, Purged};
 use crate::steady::steady;
 
@@ -22,7 +22,7 @@
     pub zone: usize,
     /// It takes work.
     pub ready: bool,
-    /// When it started, by the Unix clock.
+    /// When it started, on the own clock.
     pub started: Micros,
 }
 
@@ -72,7 +72,7 @@
     /// An event of the coordinator's.
     News(News),
     /// All copies from before then may be purged.
-    PurgedBefore(Micros),
+    PurgedBefore(Stamp),
     /// What was told since is the whole batch of these numbers.
     Batch {
         /// The number before the first.
--- a/silverspindle/src/upgrade.rs
+++ b/silverspindle/src/upgrade.rs
@@ -2,8 +2,9 @@
 //! same clients' address, and sends the old one SIGTERM once the new one is ready.
 //!
 //! Each process leaves a file in `$TMPDIR` named after the clients' address and its process id, holding the
-//! time it started. An ending process that finds a younger one alive on its address knows it has a successor:
-//! it stops accepting at once, so that the kernel sends every new connection to the successor, instead of
+//! time it started. Which one is younger the kernel's account of their starts says, which no step of the wall clock
+//! touches; the files' times decide only where that tells no difference. An ending process that finds a younger one
+//! alive on its address knows it has a successor: it stops accepting at once, so that the kernel sends every new connection to the successor, instead of
 //! lingering on a listener whose queue would be reset at its exit. Without a successor it lingers as a
 //! planned restart wants. Files of processes that are gone are removed at each start; the own one at exit.
 //! Deciding is pure ([`successor`], [`name`], [`parse`]); the few file calls are in [`Beside`].
@@ -12,7 +13,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use bitternhold::Micros;
+use crate::clock::Stamp;
 
 const PREFIX: &str = "silverspindle-";
 const SUFFIX: &str = ".live";
@@ -33,9 +34,29 @@
     (!pid.is_empty() && pid.bytes().all(|b| b.is_ascii_digit())).then(|| pid.parse().ok())?
 }
 
+/// When a process started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Start {
+    /// By the kernel, in ticks since the machine's own start; 0 where it does not tell.
+    pub ticks: u64,
+    /// By the process itself, in its file.
+    pub stamp: Stamp,
+}
+
+impl Start {
+    /// Of a process that says so itself.
+    fn of(pid: u32, stamp: Stamp) -> Self {
+        let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        // The name may hold blanks and brackets; behind its end the start is the twentieth field.
+        let rest = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+        let ticks = rest.split_whitespace().nth(19).and_then(|ticks| ticks.parse().ok());
+        Self { ticks: ticks.unwrap_or(0), stamp }
+    }
+}
+
 /// Whether one of the others, each a process id with its start and whether it lives, is a successor of a
 /// process started at `started`: alive, another, and younger.
-pub fn successor(me: u32, started: Micros, others: impl IntoIterator<Item = (u32, Micros, bool)>) -> bool {
+pub fn successor(me: u32, started: Start, others: impl IntoIterator<Item = (u32, Start, bool)>) -> bool {
     others.into_iter().any(|(pid, since, alive)| alive && pid != me && since > started)
 }
 
@@ -60,7 +81,7 @@
     directory: PathBuf,
     listen: SocketAddr,
     pid: u32,
-    started: Micros,
+    started: Start,
 }
 
 /// Whether a process lives and is a router: a process id that was given anew to another program is none.
@@ -72,14 +93,15 @@
 impl Beside {
     /// Removes the files of processes that are gone and writes the own one. Off where the directory can't be
     /// written: then no successor is ever found, and an end lingers.
-    pub fn enter(directory: &Path, listen: SocketAddr, started: Micros) -> Option<Self> {
-        let me = Self { directory: directory.to_owned(), listen, pid: std::process::id(), started };
+    pub fn enter(directory: &Path, listen: SocketAddr, started: Stamp) -> Option<Self> {
+        let pid = std::process::id();
+        let me = Self { directory: directory.to_owned(), listen, pid, started: Start::of(pid, started) };
         for (pid, _) in me.others() {
             if !alive(pid) {
                 let _ = fs::remove_file(directory.join(name(listen, pid)));
             }
         }
-        match fs::write(me.directory.join(name(listen, me.pid)), started.to_string()) {
+        match fs::write(me.directory.join(name(listen, me.pid)), started.as_micros().to_string()) {
             Ok(()) => Some(me),
             Err(e) => {
                 tracing::warn!("{}: {e}; an upgrade can't be told from a restart", directory.display());
@@ -89,15 +111,17 @@
     }
 
     /// The other processes on this address, with their starts.
-    fn others(&self) -> Vec<(u32, Micros)> {
+    fn others(&self) -> Vec<(u32, Start)> {
         let Ok(entries) = fs::read_dir(&self.directory) else { return Vec::new() };
         let pids = entries.take(4 * MOST_FILES).filter_map(|entry| {
             let entry = entry.ok()?;
             parse(entry.file_name().to_str()?, self.listen).filter(|pid| *pid != self.pid)
         });
-        let started =
-            |pid| fs::read_to_string(self.directory.join(name(self.listen, pid))).ok()?.trim().parse().ok();
-        pids.take(MOST_FILES).map(|pid| (pid, started(pid).unwrap_or(0))).collect()
+        let stamp = |pid| {
+            let file = fs::read_to_string(self.directory.join(name(self.listen, pid))).unwrap_or_default();
+            Stamp::from_micros(file.trim().parse().unwrap_or(0))
+        };
+        pids.take(MOST_FILES).map(|pid| (pid, Start::of(pid, stamp(pid)))).collect()
     }
 
     /// What older processes on this address hold, descriptors and bytes of memory; none: there is none any more.
@@ -143,11 +167,19 @@
 
     #[test]
     fn a_successor_is_alive_another_and_younger() {
-        assert!(!successor(1, 100, []));
-        assert!(successor(1, 100, [(2, 200, true)]));
-        assert!(!successor(1, 100, [(2, 200, false)]), "a killed one left its file");
-        assert!(!successor(1, 100, [(2, 50, true)]), "the older one is no successor");
-        assert!(!successor(1, 100, [(1, 200, true)]), "nor the process itself");
+        let start = |ticks, stamp| Start { ticks, stamp: Stamp::from_micros(stamp) };
+        let own = start(100, 100);
+        assert!(!successor(1, own, []));
+        assert!(successor(1, own, [(2, start(200, 200), true)]));
+        assert!(!successor(1, own, [(2, start(200, 200), false)]), "a killed one left its file");
+        assert!(!successor(1, own, [(2, start(50, 50), true)]), "the older one is no successor");
+        assert!(!successor(1, own, [(1, start(200, 200), true)]), "nor the process itself");
+        assert!(
+            successor(1, own, [(2, start(200, 50), true)]),
+            "the wall clock was set back between the starts"
+        );
+        assert!(!successor(1, own, [(2, start(50, 200), true)]), "or forward");
+        assert!(successor(1, own, [(2, start(100, 200), true)]), "within a tick the files tell");
     }
 
     /// Both processes of an upgrade keep to one limit: what the older one holds the younger leaves, but for a quarter.
@@ -168,7 +200,8 @@
         let stale = directory.join(name(listen, 4_999_999));
         fs::write(&stale, "5").unwrap();
         fs::write(directory.join("silverspindle-127.0.0.9_1-x.live"), "junk").unwrap();
-        let me = Beside::enter(&directory, listen, 10).unwrap();
+        let me = Beside::enter(&directory, listen, Stamp::from_micros(10)).unwrap();
+        assert!(me.started.ticks > 0, "the kernel tells");
         assert!(!stale.exists());
         let own = directory.join(name(listen, std::process::id()));
         assert_eq!(fs::read_to_string(&own).unwrap(), "10");
--- a/silverspindle/tests/codecs.rs
+++ b/silverspindle/tests/codecs.rs
@@ -5,6 +5,7 @@
 use bitternhold::{Lifecycle, Note, Status};
 use common::*;
 use proptest::prelude::*;
+use silverspindle::clock::Stamp;
 use silverspindle::feed::{self, News, Purged};
 use silverspindle::framing::Measure;
 use silverspindle::{resp, thrift};
@@ -78,7 +79,7 @@
         let m = &listed.member;
         prop_assert_eq!((m.id.0, m.lifecycle, m.zone, m.kind, m.cell), (u64::from(id), Lifecycle::Draining, 2, 1, 5));
         prop_assert_eq!((m.weight, m.started), (f64::from(weight) / 1000.0, u64::from(at) * 1000));
-        let purge = News::Purged { what: Purged::Group(17), at: u64::from(at) * 1000 };
+        let purge = News::Purged { what: Purged::Group(17), at: Stamp::from_millis(u64::from(at)) };
         prop_assert_eq!(&events[2].news, &purge);
     }
 
--- a/silverspindle/tests/copies.rs
+++ b/silverspindle/tests/copies.rs
@@ -1,11 +1,16 @@
 //! Copies of the router's own: purges, memory, the link.
 
+use silverspindle::clock::Stamp;
 use silverspindle::copies::{Copies, Key};
 use silverspindle::feed::Purged;
 
 const KEY: Key = (7, 0, 0);
 const S: u64 = 1_000_000;
 
+fn at(unix: u64) -> Stamp {
+    Stamp::from_micros(unix)
+}
+
 fn copies(room: usize) -> Copies {
     Copies::new(room, 1000.0, 4000.0)
 }
@@ -16,15 +21,15 @@
 fn a_purge_drops_what_is_older_now_and_later() {
     for what in [Purged::Object(7), Purged::Group(3)] {
         let mut copies = copies(100_000);
-        copies.keep(S, KEY, 3, b"old", 5 * S, b"x");
-        copies.keep(S, (8, 0, 0), 4, b"other", 5 * S, b"x");
-        copies.purge(7 * S, what, 6 * S);
+        copies.keep(S, KEY, 3, b"old", at(5 * S), b"x");
+        copies.keep(S, (8, 0, 0), 4, b"other", at(5 * S), b"x");
+        copies.purge(7 * S, what, at(6 * S));
         assert!(copies.get(&KEY).is_none() && copies.get(&(8, 0, 0)).is_some());
-        copies.keep(8 * S, KEY, 3, b"late", 6 * S, b"x");
+        copies.keep(8 * S, KEY, 3, b"late", at(6 * S), b"x");
         assert!(copies.get(&KEY).is_none());
-        copies.keep(8 * S, KEY, 3, b"new", 6 * S + 1, b"x");
+        copies.keep(8 * S, KEY, 3, b"new", at(6 * S + 1), b"x");
         assert_eq!(copies.get(&KEY).unwrap().tag, "new");
-        copies.keep(9 * S, KEY, 3, b"late", 6 * S, b"x");
+        copies.keep(9 * S, KEY, 3, b"late", at(6 * S), b"x");
         assert_eq!(copies.get(&KEY).unwrap().tag, "new", "an older one does not replace it");
     }
 }
@@ -34,15 +39,15 @@
 fn memory_holds_what_was_used_last() {
     let mut copies = copies(3000);
     for object in 1..=2 {
-        copies.keep(S, (object, 0, 0), 0, b"t", S, &[0; 1000]);
+        copies.keep(S, (object, 0, 0), 0, b"t", at(S), &[0; 1000]);
     }
     copies.touch(&(1, 0, 0));
-    copies.keep(S, (3, 0, 0), 0, b"t", S, &[0; 1000]);
-    copies.keep(S, (4, 0, 0), 0, b"t", S, &[0; 3000]);
+    copies.keep(S, (3, 0, 0), 0, b"t", at(S), &[0; 1000]);
+    copies.keep(S, (4, 0, 0), 0, b"t", at(S), &[0; 3000]);
     let held: Vec<u64> = (1..=4).filter(|object| copies.get(&(*object, 0, 0)).is_some()).collect();
     assert_eq!(held, [1, 3]);
     let mut none = Copies::new(3000, 0.0, 0.0);
-    none.keep(S, KEY, 0, b"t", S, b"x");
+    none.keep(S, KEY, 0, b"t", at(S), b"x");
     assert!(none.get(&KEY).is_none(), "without the link's figures none are kept");
 }
 
@@ -53,7 +58,7 @@
     (0..4).for_each(|_| copies.send(S, 1000));
     assert_eq!(copies.wait(S, 1000), S + S / 4);
     assert_eq!(copies.wait(3 * S, 1000), S);
-    copies.keep(S, KEY, 0, b"t", S, &[0; 2000]);
+    copies.keep(S, KEY, 0, b"t", at(S), &[0; 2000]);
     let copy = copies.get(&KEY).unwrap();
     assert_eq!((copy.bytes(false), copy.bytes(true)), (2000, 100));
 }
--- a/silverspindle/tests/crossing_lists.rs
+++ b/silverspindle/tests/crossing_lists.rs
@@ -42,7 +42,7 @@
 async fn purged(feed: &Feed) -> u64 {
     loop {
         match feed.news.recv().await.unwrap() {
-            News::Purged { at, .. } => return at / 1000,
+            News::Purged { at, .. } => return at.as_micros() / 1000,
             News::Nothing => {}
             other => panic!("{other:?}"),
         }
--- a/silverspindle/tests/distribution.rs
+++ b/silverspindle/tests/distribution.rs
@@ -280,7 +280,7 @@
     };
     let members = vec![Listed { member, address }];
     let whole = News::Members { complete: true, members };
-    let purge = News::Purged { what: Purged::Group(17), at: 5_000 };
+    let purge = News::Purged { what: Purged::Group(17), at: silverspindle::clock::Stamp::from_micros(5_000) };
     let events = [Event { index: 4, news: whole.clone() }, Event { index: 9, news: purge.clone() }];
     let records = translate::known(&events);
     assert_eq!(records.iter().map(|record| record.number).collect::<Vec<_>>(), [4, 9]);
--- a/wire/src/feed.rs
+++ b/wire/src/feed.rs
@@ -3,9 +3,10 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use bitternhold::settings::{Catalogue, place};
-use bitternhold::{Lifecycle, Member, MemberId, Micros};
+use bitternhold::{Lifecycle, Member, MemberId};
 use serde_json::Value;
 
+use crate::clock::Stamp;
 use crate::framing::{Cursor, Malformed};
 
 /// The largest frame: a list of some ten thousand members.
@@ -37,8 +38,8 @@
     Purged {
         /// What was purged.
         what: Purged,
-        /// When.
-        at: Micros,
+        /// When, by the wall clock of whoever purged.
+        at: Stamp,
     },
 }
 
@@ -83,8 +84,8 @@
             }
             News::Members { complete: kind == 1, members }
         }
-        3 => News::Purged { what: Purged::Object(c.number(8)?), at: millis(c.number(8)?) },
-        4 => News::Purged { what: Purged::Group(c.number(2)?), at: millis(c.number(8)?) },
+        3 => News::Purged { what: Purged::Object(c.number(8)?), at: Stamp::from_millis(c.number(8)?) },
+        4 => News::Purged { what: Purged::Group(c.number(2)?), at: Stamp::from_millis(c.number(8)?) },
         _ => return Err(Malformed("unknown kind or half a record")),
     };
     if kind != 0 && !c.0.is_empty() {
@@ -93,10 +94,6 @@
     Ok(Event { index, news })
 }
 
-fn millis(ms: u64) -> Micros {
-    ms.saturating_mul(1000)
-}
-
 fn record(c: &mut Cursor) -> Result<Listed, Malformed> {
     let id = MemberId(c.number(4)?);
     let address = SocketAddr::from((Ipv4Addr::from(c.number(4)? as u32), c.number(2)? as u16));
@@ -108,7 +105,7 @@
     };
     let (zone, kind, cell) = (c.number(1)? as usize, c.number(1)? as usize, c.number(2)?);
     let weight = c.number(4)? as f64 / 1000.0;
-    let started = millis(c.number(8)?);
+    let started = Stamp::from_millis(c.number(8)?).on_own_clock();
     Ok(Listed { member: Member { id, lifecycle, zone, kind, cell, weight, started }, address })
 }
 
@@ -132,7 +129,7 @@
                 (None, group) => group.and_then(Value::as_u64).map(Purged::Group),
             };
             let at = purge["unix_ms"].as_u64().ok_or_else(|| bad("evict.unix_ms"))?;
-            News::Purged { what: what.ok_or_else(|| bad("evict.ref"))?, at: millis(at) }
+            News::Purged { what: what.ok_or_else(|| bad("evict.ref"))?, at: Stamp::from_millis(at) }
         };
         Ok(Event { index: v["index"].as_u64().ok_or_else(|| bad("index"))?, news })
     });
@@ -161,7 +158,7 @@
             kind: place(&names.kinds, m["flavor"].as_str()),
             cell: m["cell"].as_u64().unwrap_or(0),
             weight: m["size"].as_f64().unwrap_or(0.0),
-            started: millis(m["up_since_ms"].as_u64().unwrap_or(0)),
+            started: Stamp::from_millis(m["up_since_ms"].as_u64().unwrap_or(0)).on_own_clock(),
         },
         address: m["host_port"].as_str().and_then(|t| t.parse().ok()).ok_or("host_port")?,
     })
--- a/wire/src/resp.rs
+++ b/wire/src/resp.rs
@@ -2,6 +2,7 @@
 
 use bitternhold::{Load, Micros, Note, Status};
 
+use crate::clock::Stamp;
 use crate::framing::Malformed;
 
 /// The largest object is 240,000 bytes; what else an answer holds is short.
@@ -83,7 +84,7 @@
     /// The load report.
     pub load: Option<Load>,
     /// The tag of its copy, and when the origin gave it out.
-    pub name: Option<(&'a [u8], Micros)>,
+    pub name: Option<(&'a [u8], Stamp)>,
     /// The bytes.
     pub body: &'a [u8],
 }
@@ -149,7 +150,7 @@
             "why" => answer.note = NOTES.iter().find(|(n, _)| *n == value).map(|(_, note)| *note),
             "took" => answer.waited = number(value).map(|ms| (ms * 1000.0) as Micros),
             "version" => tag = Some(value.as_bytes()).filter(|tag| !tag.is_empty()),
-            "stamp" => stamp = value.parse().ok().and_then(|ms: u64| ms.checked_mul(1000)),
+            "stamp" => stamp = value.parse().ok().filter(|ms| *ms <= u64::MAX / 1000).map(Stamp::from_millis),
             "rep" => answer.load = Some(load(value)),
             _ => {}
         }
