--- a/silverspindle/src/drain.rs
+++ b/silverspindle/src/drain.rs
@@ -40,7 +40,7 @@
 /// reaches the client within 50 ms. What is open then is given up.
 pub const BEFORE_KILL: Micros = 150_000;
 /// Connections that wait for their client's own close are let go so long before SIGKILL.
-pub const LAST_CLOSES: Micros = 50_000;
+pub const LAST_CLOSES: Micros = 100_000;
 /// Where no SIGKILL comes, the process waits so long beyond its time for clients that still read.
 pub const LATEST_EXIT: Micros = 10_000_000;
 
--- a/silverspindle/src/trials.rs
+++ b/silverspindle/src/trials.rs
@@ -5,7 +5,7 @@
 use async_executor::LocalExecutor;
 use silverspindle_standins::rig::hollow;
 use silverspindle_standins::rig::purges::{self, Tree};
-use silverspindle_standins::{SECOND, rig, trial};
+use silverspindle_standins::{SECOND, rig, soak, trial};
 
 const MS: u64 = 1000;
 /// The stated time of routers that agree, and the lease of the purge log, where the line names none.
@@ -48,6 +48,12 @@
     /// Drain a box, slow the head office, restart a box and purge on the way
     #[arg(long)]
     rough: bool,
+    /// Signals, drains, upgrades, kills, clock steps and faulty caches drawn from the seed, judged by the protocol's rules
+    #[arg(long, conflicts_with_all = ["agree", "rough", "kill"])]
+    soak: bool,
+    /// With --soak: another build of the program in place of this one
+    #[arg(long, value_name = "FILE", requires = "soak")]
+    program: Option<std::path::PathBuf>,
     /// The routers agree on decisions, with proxies between them; judged from their records
     #[arg(long)]
     agree: bool,
@@ -142,6 +148,9 @@
     if line.purges {
         return purges(line);
     }
+    if line.soak {
+        return soak(&line);
+    }
     if !line.hollow.is_empty() {
         return hollow(&line);
     }
@@ -164,6 +173,17 @@
     async_io::block_on(tasks.run(play(&tasks))).map_err(io)
 }
 
+fn soak(line: &Line) -> Result<(), Vec<String>> {
+    let program = match &line.program {
+        Some(program) => program.clone(),
+        None => std::env::current_exe().map_err(io)?,
+    };
+    let (seed, seconds, routers) = (line.seed, line.seconds, usize::from(line.routers));
+    let outcome = soak::run(&soak::Options { program, seed, seconds, routers }).map_err(io)?;
+    print!("{}", outcome.report());
+    kept(outcome.broken.is_empty())
+}
+
 fn kept(is_good: bool) -> Result<(), Vec<String>> {
     if is_good { Ok(()) } else { Err(one("a promise was broken".to_owned())) }
 }
--- /dev/null
+++ b/silverspindle/tests/soak.rs
@@ -0,0 +1,21 @@
+//! The seeded soak, short: routers as processes under signals, drains, upgrades, kills, clock steps and faulty caches.
+
+use std::path::PathBuf;
+
+use silverspindle_standins::soak::{Options, run};
+
+/// Two seeds that bring most acts; `silverspindle try --soak` plays others.
+const SEEDS: [u64; 2] = [3, 9];
+const SECONDS: u64 = 18;
+const ROUTERS: usize = 3;
+
+#[test]
+fn no_rule_is_broken_in_a_short_soak() {
+    for seed in SEEDS {
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_silverspindle"));
+        let outcome = run(&Options { program, seed, seconds: SECONDS, routers: ROUTERS }).unwrap();
+        assert!(outcome.broken.is_empty(), "{}", outcome.report());
+        let [requests, attempts, ..] = outcome.counts;
+        assert!(requests > 500 && attempts > 500, "{}", outcome.report());
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod proxy;
 pub mod rig;
 pub mod shim;
+pub mod soak;
 pub mod trial;
 
 /// Microseconds.
--- /dev/null
+++ b/standins/src/soak/checker.rs
@@ -0,0 +1,195 @@
+//! The rules of the protocol, held against a soak's records. It knows nothing of the router.
+
+use std::collections::BTreeMap;
+
+use super::record::{Attempt, Class, Connection, EndKind, Process, Records, Request};
+use crate::{Micros, SECOND};
+
+const MS: Micros = 1000;
+/// A final answer may come so long after its time: it only earns nothing.
+const LATE: Micros = 500 * MS;
+/// What crosses a close within this is sent again by its client.
+const CROSSES: Micros = 50 * MS;
+/// The end of the stream reaches a client that reads slowly behind all that it has to read before.
+const CROSSES_SLOWLY: Micros = 1500 * MS;
+/// An attempt may begin so long after its client has left.
+const AFTER_LEAVING: Micros = 100 * MS;
+/// The deadline passed on may exceed the client's by so much.
+const DEADLINE: Micros = 150 * MS;
+/// A member gets nothing new so long after it was told to drain.
+const CACHE_GRACE: Micros = SECOND;
+/// The terms of a drain.
+const TERM: Micros = 4 * SECOND;
+const RECENT: Micros = 2 * SECOND;
+/// Repeats of a keyed request are dropped for so long.
+pub(super) const WINDOW: Micros = 2 * SECOND;
+/// Each limit of time is so much longer on sockets.
+const SLACK: Micros = 50 * MS;
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// When.
+    pub at: Micros,
+    /// Which.
+    pub rule: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// Every broken rule, in the order of time. All limits are longer by `lateness`, which the soak itself was late.
+pub fn check(records: &Records, ended: Micros, lateness: Micros) -> Vec<Broken> {
+    let slack = SLACK + lateness;
+    let mut broken = Vec::new();
+    answers(records, ended, slack, &mut broken);
+    attempts(records, slack, &mut broken);
+    repeats(records, slack, &mut broken);
+    drains(records, slack, &mut broken);
+    ends(records, &mut broken);
+    broken.sort_by_key(|broken| broken.at);
+    broken
+}
+
+/// Each request has one final answer in its time.
+fn answers(records: &Records, ended: Micros, slack: Micros, broken: &mut Vec<Broken>) {
+    let (connections, processes) = (records.connections.borrow(), records.processes.borrow());
+    for (place, request) in records.requests.borrow().iter().enumerate() {
+        let connection = &connections[request.connection];
+        let by = request.sent + request.budget + LATE + slack;
+        let seen = || format!("request {place} ({}) {request:?} on {connection:?}", request.class.name());
+        match &request.answers[..] {
+            [] => {
+                if by < ended && is_lost(request, connection, &processes[connection.process], slack) {
+                    broken.push(Broken { at: by, rule: "lost: no answer", seen: seen() });
+                }
+            }
+            [at] if *at > by && !connection.slow => {
+                broken.push(Broken { at: *at, rule: "lost: answered too late", seen: seen() });
+            }
+            [_] => {}
+            [_, second, ..] => broken.push(Broken { at: *second, rule: "a second answer", seen: seen() }),
+        }
+    }
+}
+
+/// Whether a request without an answer should have one.
+fn is_lost(request: &Request, connection: &Connection, process: &Process, slack: Micros) -> bool {
+    if !request.whole || request.cancelled.is_some() || matches!(process.killed, Some((_, true))) {
+        return false;
+    }
+    match connection.ended {
+        Some((at, EndKind::Left)) => request.sent + request.budget + LATE + slack < at,
+        Some((at, EndKind::Closed)) => {
+            let crosses = if connection.slow { CROSSES_SLOWLY } else { CROSSES };
+            request.sent + crosses + slack < at
+        }
+        Some((_, EndKind::Reset)) => {
+            !connection.slow || request.sent + CROSSES_SLOWLY < connection_end(connection)
+        }
+        None => true,
+    }
+}
+
+fn connection_end(connection: &Connection) -> Micros {
+    connection.ended.map_or(Micros::MAX, |(at, _)| at)
+}
+
+/// Attempts begin only while their client waits, for a cache that takes work, and with a deadline that the client has.
+fn attempts(records: &Records, slack: Micros, broken: &mut Vec<Broken>) {
+    let (requests, connections) = (records.requests.borrow(), records.connections.borrow());
+    let cache_drains = records.cache_drains.borrow();
+    for attempt in records.attempts.borrow().iter() {
+        let request = &requests[attempt.request];
+        let Attempt { arrived, ttl, cache, .. } = *attempt;
+        let left = match connections[request.connection].ended {
+            Some((at, EndKind::Left)) => Some(at),
+            _ => None,
+        };
+        let gone = left.into_iter().chain(request.cancelled).min();
+        let seen = || format!("{attempt:?} of {request:?}, client gone at {gone:?}");
+        if gone.is_some_and(|gone| arrived > gone + AFTER_LEAVING + slack) {
+            broken.push(Broken { at: arrived, rule: "an attempt after its client left", seen: seen() });
+        }
+        if arrived + ttl > request.sent + request.budget + DEADLINE + slack {
+            broken.push(Broken { at: arrived, rule: "a deadline later than the client's", seen: seen() });
+        }
+        let drained = |drain: &&super::record::CacheDrain| {
+            let over = drain.until.is_some_and(|until| until <= arrived);
+            drain.cache == cache && arrived > drain.told + CACHE_GRACE + slack && !over
+        };
+        if let Some(drain) = cache_drains.iter().find(drained) {
+            let seen = format!("{} by {drain:?}", seen());
+            broken.push(Broken { at: arrived, rule: "new work for a draining cache", seen });
+        }
+    }
+}
+
+/// A request runs again only as its class allows.
+fn repeats(records: &Records, slack: Micros, broken: &mut Vec<Broken>) {
+    let requests = records.requests.borrow();
+    let mut first: BTreeMap<usize, Micros> = BTreeMap::new();
+    for attempt in records.attempts.borrow().iter() {
+        let Some(before) = first.get(&attempt.request) else {
+            first.insert(attempt.request, attempt.arrived);
+            continue;
+        };
+        let allowed = match requests[attempt.request].class {
+            Class::Page => true,
+            Class::Scan => attempt.arrived <= before + WINDOW + slack,
+            Class::Order => false,
+        };
+        if !allowed {
+            let seen = format!("{attempt:?}, first at {before}, of {:?}", requests[attempt.request]);
+            broken.push(Broken { at: attempt.arrived, rule: "run more than its class allows", seen });
+        }
+    }
+}
+
+/// 4 s after a drain no connection is idle or has a request of the last 2 s.
+fn drains(records: &Records, slack: Micros, broken: &mut Vec<Broken>) {
+    let connections = records.connections.borrow();
+    for drain in records.drains.borrow().iter() {
+        let at = drain.at + TERM;
+        if drain.until.is_some_and(|until| until <= at) {
+            continue;
+        }
+        for (place, connection) in connections.iter().enumerate().filter(|(_, c)| c.process == drain.process)
+        {
+            if connection.opened > at || connection_end(connection) <= at + slack {
+                continue;
+            }
+            let requests = records.requests.borrow();
+            let own = || requests.iter().filter(|request| request.connection == place && request.sent <= at);
+            let last = own().map(|request| request.sent).max();
+            let is_open = |request: &&Request| {
+                let over = request.answers.first().copied().into_iter().chain(request.cancelled).min();
+                over.is_none_or(|over| over > at)
+            };
+            let rule = match last {
+                Some(last) if last + RECENT >= at + slack => "a drained router holds a connection in use",
+                _ if own().find(is_open).is_none() => "a drained router holds an idle connection",
+                _ => continue,
+            };
+            let seen = format!("connection {place} {connection:?}, last request {last:?}, {drain:?}");
+            broken.push(Broken { at, rule, seen });
+        }
+    }
+}
+
+/// A process that was told to end has ended with 0 before it may be killed; none ends by itself.
+fn ends(records: &Records, broken: &mut Vec<Broken>) {
+    for (place, process) in records.processes.borrow().iter().enumerate() {
+        let seen = || format!("process {place} of n{} {process:?}", process.router);
+        match (process.told, process.killed, process.ended) {
+            (_, Some((_, true)), _) => {}
+            (Some(_), Some((at, false)), _) => {
+                broken.push(Broken { at, rule: "alive when SIGKILL may come", seen: seen() });
+            }
+            (Some(_), None, Some((_, true))) | (None, None, None) => {}
+            (_, _, Some((at, _))) => broken.push(Broken { at, rule: "crashed", seen: seen() }),
+            (told, ..) => {
+                broken.push(Broken { at: told.unwrap_or(0), rule: "never ended", seen: seen() });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/soak/mod.rs
@@ -0,0 +1,455 @@
+//! A seeded soak: router processes between clients and caches, with signals, drains, upgrades, kills, steps of the wall
+//! clock and failing calls drawn from the seed, judged from records by the protocol's rules.
+
+mod caches;
+pub mod checker;
+mod clients;
+mod nodes;
+pub mod record;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::io;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rustix::io::Errno;
+use serde_json::{Value, json};
+use silverspindle_wire::clock;
+
+use crate::codec::{Member, News};
+use crate::coordinator::Coordinator;
+use crate::shim::SystemCall;
+use crate::{Micros, SECOND};
+use caches::{Cache, Fault};
+pub use checker::Broken;
+use clients::{Habit, Town};
+use nodes::{Node, call, is_ready};
+use record::{CacheDrain, Drain, Records};
+
+/// The longest deadline of the settings.
+const LONGEST: Micros = 2 * SECOND;
+const MS: Micros = 1000;
+/// Caches.
+const CACHES: usize = 4;
+/// Clients of each habit, for each router.
+const CLIENTS: usize = 1;
+/// A round of acts, each on a router or cache of its own, takes so long.
+const ROUND: Micros = 9 * SECOND;
+/// New connections stop so long after a no: the front asks ten times a second, and 0.2 s pass.
+const FRONT_STOPS: Duration = Duration::from_millis(300);
+/// A drain lasts so long; yes is due again so long after its end.
+const DRAINED: Micros = 6 * SECOND;
+const DRAIN_TERM: Micros = 4 * SECOND;
+const READY_AGAIN: Micros = 2 * SECOND;
+/// Idle connections of a crowd.
+const CROWD: usize = 120;
+/// So often it is looked whether the soak itself is late.
+const TICK: Duration = Duration::from_millis(5);
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The router's program.
+    pub program: PathBuf,
+    /// For all that is drawn.
+    pub seed: u64,
+    /// How long acts are begun.
+    pub seconds: u64,
+    /// Routers.
+    pub routers: usize,
+}
+
+/// What came of it.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Its seed.
+    pub seed: u64,
+    /// Broken rules, the first first.
+    pub broken: Vec<Broken>,
+    /// What was done, in time.
+    pub acts: Vec<(Micros, String)>,
+    /// When it began.
+    pub began: Micros,
+    /// Requests, attempts, connections and processes.
+    pub counts: [usize; 4],
+    /// How late the soak itself was at worst: all limits are longer by it.
+    pub lateness: Micros,
+}
+
+impl Outcome {
+    /// For people: the counts, the first broken rule, and what was done before.
+    pub fn report(&self) -> String {
+        let [requests, attempts, connections, processes] = self.counts;
+        let mut text = format!(
+            "seed {}: {requests} requests, {attempts} attempts, {connections} connections, {processes} processes, late by \
+             {} ms at most, {} broken\n",
+            self.seed,
+            self.lateness / MS,
+            self.broken.len()
+        );
+        let second = |at: Micros| (at as f64 - self.began as f64) / SECOND as f64;
+        if let Some(first) = self.broken.first() {
+            for (at, act) in self.acts.iter().filter(|(at, _)| *at <= first.at) {
+                let _ = writeln!(text, "  {:8.3} {act}", second(*at));
+            }
+            let _ = writeln!(text, "  {:8.3} BROKEN {}: {}", second(first.at), first.rule, first.seen);
+            for other in self.broken.iter().skip(1) {
+                let _ = writeln!(text, "  {:8.3} also {}", second(other.at), other.rule);
+            }
+        }
+        text
+    }
+}
+
+/// The configuration of a router but for its addresses.
+fn config(members: &[Member], coordinator: &Coordinator, routers: usize, seed: u64) -> Value {
+    let class = |name: &str, kind: &str| {
+        json!({"name": name, "idempotency": kind, "group": "all", "slo_ms": 400.0,
+            "deadline_ms": LONGEST as f64 / 1e3, "window_ms": checker::WINDOW as f64 / 1e3, "worth": 1.0,
+            "late_worth": 0.2})
+    };
+    let settings = json!({
+        "balancers": routers, "index": 0, "my_zone": "edge", "failure_domains": ["hub", "edge"],
+        "kinds": ["box", "parent", "origin"], "weights": "rough", "membership_mode": "pushed",
+        "classes": [class("page", "idempotent"), class("scan", "deduplicated"), class("order", "at_most_once")],
+        "family_info": {"parent_kind": 1, "root_kind": 2, "flow_kb_per_s": 5000.0, "detail": "all",
+            "class_write": [false, true, true], "crew_by_zone": [0, routers], "hub_by_zone": [0, 0],
+            "heed_within_ms": 500.0, "cleared_within_ms": 6000.0, "neighbours": "any"},
+        "limits": {"try_limit": 6, "retry_after": true, "max_retry_after_ms": 2000.0, "cancelling": true,
+            "second_copies": true, "connect_timeout_ms": 400.0, "streams_per_conn": 32, "idle_close_ms": 30000.0},
+        "rules": {"drain_grace_ms": 1000.0, "cold_ms": 16000.0, "tip_after_ms": 1500.0}
+    });
+    let members: Vec<Value> = members.iter().map(Member::json).collect();
+    json!({"seed": format!("{seed:x}"), "coordinator": coordinator.address.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 512},
+        "settings": settings,
+        "known": {"index": 1, "updates": [{"index": 1, "endpoints":
+            {"revision": 1, "complete": true, "members": members}}]}})
+}
+
+/// All that acts need.
+struct Soak {
+    records: Rc<Records>,
+    nodes: Vec<Rc<Node>>,
+    caches: Vec<Rc<Cache>>,
+    members: Vec<Member>,
+    coordinator: Rc<Coordinator>,
+    /// What acts saw that no record holds.
+    seen: RefCell<Vec<Broken>>,
+}
+
+/// Plays a soak.
+pub fn run(options: &Options) -> io::Result<Outcome> {
+    let tasks = Rc::new(LocalExecutor::new());
+    async_io::block_on(tasks.run(play(options, tasks.clone())))
+}
+
+async fn play(options: &Options, tasks: Rc<LocalExecutor<'static>>) -> io::Result<Outcome> {
+    let mut random = Pcg64Mcg::seed_from_u64(options.seed);
+    let directory = tempfile::tempdir()?;
+    let (records, places) = (Rc::<Records>::default(), Rc::<RefCell<HashMap<String, usize>>>::default());
+    let coordinator = Coordinator::start(&tasks)?;
+    let mut fork = || Pcg64Mcg::seed_from_u64(random.random());
+    let mut caches = Vec::new();
+    for number in 0..CACHES {
+        caches.push(Cache::start(&tasks, number, &records, &places, fork())?);
+    }
+    let member = |cache: &Rc<Cache>| {
+        let kind = if cache.number + 1 == CACHES { 2 } else { 0 };
+        let id = cache.number as u32 + 1;
+        Member { id, state: 0, kind, weight: 10, started_ms: 0, address: cache.address }
+    };
+    let members: Vec<Member> = caches.iter().map(member).collect();
+    let config = config(&members, &coordinator, options.routers, options.seed);
+    let mut nodes = Vec::new();
+    for number in 0..options.routers {
+        let node = Node::new(number, &options.program, directory.path(), config.clone(), &records)?;
+        let running = node.start().await?;
+        node.serve(running);
+        nodes.push(Rc::new(node));
+    }
+    let began = clock::now();
+    let doors = nodes.iter().map(|node| node.door.clone()).collect();
+    let town = Rc::new(Town { records: records.clone(), places, doors, is_over: Cell::new(false) });
+    let mut clients = Vec::new();
+    for _ in 0..CLIENTS * options.routers {
+        for habit in Habit::ALL {
+            clients.push(tasks.spawn(clients::live(town.clone(), habit, fork())));
+        }
+    }
+    let lateness = Rc::new(Cell::new(0));
+    let watch = tasks.spawn(watch(lateness.clone()));
+    let soak = Rc::new(Soak {
+        records: records.clone(),
+        nodes,
+        caches,
+        members,
+        coordinator,
+        seen: RefCell::default(),
+    });
+    let rounds = (options.seconds * SECOND).div_ceil(ROUND).max(1);
+    let mut acts = Vec::new();
+    for _ in 0..rounds {
+        let next = clock::now() + ROUND;
+        acts.extend(soak.round(&tasks, &mut fork()));
+        clock::at(next).await;
+    }
+    for act in acts {
+        act.await;
+    }
+    town.is_over.set(true);
+    for client in clients {
+        client.await;
+    }
+    let ends: Vec<_> =
+        soak.nodes.iter().map(|node| tasks.spawn(soak.clone().last_end(node.clone()))).collect();
+    for end in ends {
+        end.await;
+    }
+    drop(watch);
+    let mut broken = checker::check(&records, clock::now(), lateness.get());
+    broken.extend(soak.seen.take());
+    broken.sort_by_key(|broken| broken.at);
+    let counts = [
+        records.requests.borrow().len(),
+        records.attempts.borrow().len(),
+        records.connections.borrow().len(),
+        records.processes.borrow().len(),
+    ];
+    let acts = records.acts.take();
+    Ok(Outcome { seed: options.seed, broken, acts, began, counts, lateness: lateness.get() })
+}
+
+/// How late this process itself gets its turn.
+async fn watch(lateness: Rc<Cell<Micros>>) {
+    loop {
+        let due = clock::now() + TICK.as_micros() as Micros;
+        Timer::after(TICK).await;
+        lateness.set(lateness.get().max(clock::now().saturating_sub(due)));
+    }
+}
+
+async fn rest(time: Micros) {
+    Timer::after(Duration::from_micros(time)).await;
+}
+
+impl Soak {
+    fn act(&self, what: String) {
+        self.records.act(clock::now(), what);
+    }
+
+    fn broke(&self, rule: &'static str, seen: String) {
+        self.seen.borrow_mut().push(Broken { at: clock::now(), rule, seen });
+    }
+
+    /// Begins what this round brings: all routers but one may be concerned, and each cache.
+    fn round(
+        self: &Rc<Self>,
+        tasks: &Rc<LocalExecutor<'static>>,
+        random: &mut Pcg64Mcg,
+    ) -> Vec<async_executor::Task<()>> {
+        let mut all = Vec::new();
+        let mut free: Vec<Rc<Node>> = self.nodes.iter().filter(|node| !node.is_busy.get()).cloned().collect();
+        free.shuffle(random);
+        let most = free.len().min(self.nodes.len().saturating_sub(1).max(1));
+        let together = random.random_range(1..=most.max(1)).min(free.len());
+        // Drains come in series, on several at once; the rest one by one.
+        let drains = random.random_bool(0.5);
+        for node in free.into_iter().take(together) {
+            node.is_busy.set(true);
+            let kind = if drains { 0 } else { random.random_range(0..8) };
+            let wait = random.random_range(0..500) * MS;
+            let offset = [5, -5, 3600, -3600][random.random_range(0..4usize)] * SECOND as i64;
+            let step = random.random_bool(0.5).then_some(offset);
+            all.push(tasks.spawn(self.clone().on_router(node, kind, wait, step, random.random())));
+        }
+        for cache in self.caches.iter().take(CACHES - 1).cloned() {
+            if random.random_bool(0.4) {
+                let faults = [Fault::Hang, Fault::Slow, Fault::Reset, Fault::Late];
+                let fault = faults[random.random_range(0..faults.len())];
+                let (wait, lasts) =
+                    (random.random_range(0..5 * SECOND), random.random_range(SECOND..4 * SECOND));
+                all.push(tasks.spawn(self.clone().on_cache(cache, fault, wait, lasts)));
+            }
+        }
+        let listed = random.random_range(0..3);
+        let wait = random.random_range(0..3 * SECOND);
+        all.push(tasks.spawn(self.clone().on_list(listed, wait, random.random_range(0..CACHES - 1))));
+        all
+    }
+
+    async fn on_router(
+        self: Rc<Self>,
+        node: Rc<Node>,
+        kind: u32,
+        wait: Micros,
+        step: Option<i64>,
+        seed: u64,
+    ) {
+        rest(wait).await;
+        let Some(running) = node.running.borrow().clone() else { return };
+        let name = format!("n{}", node.number);
+        if let Some(offset) = step {
+            self.act(format!("{name}: its wall clock is off by {} s", offset / SECOND as i64));
+            let _ = node.clock.step_to(offset);
+        }
+        let done = match kind {
+            0 => self.drain(&node, &running, &name).await,
+            1 => self.restart(&node, &running, &name).await,
+            2 | 3 => self.upgrade(&node, &running, &name).await,
+            4 => self.kill(&node, &running, &name).await,
+            5 => self.fail_accepts(&node, &name, seed).await,
+            6 => self.crowd(&node, &name).await,
+            _ => {
+                self.act(format!("{name}: SIGHUP"));
+                node.reload(&running);
+                Ok(())
+            }
+        };
+        if let Err(e) = done {
+            self.broke("a router is not ready in time", e.to_string());
+        }
+        node.is_busy.set(false);
+    }
+
+    async fn drain(&self, node: &Node, running: &nodes::Running, name: &str) -> io::Result<()> {
+        self.act(format!("{name}: drain"));
+        if call(running.management, "PUT /-/drain").await != Some(true) {
+            self.broke("a call is not answered", format!("{name}: drain"));
+        }
+        let at = clock::now();
+        let drain = {
+            let mut drains = self.records.drains.borrow_mut();
+            drains.push(Drain { process: running.place, at, until: None });
+            drains.len() - 1
+        };
+        Timer::after(FRONT_STOPS).await;
+        node.door.admits.set(false);
+        clock::at(at + DRAIN_TERM).await;
+        if is_ready(running.management).await {
+            self.broke("ready under a drain", name.to_owned());
+        }
+        clock::at(at + DRAINED).await;
+        self.act(format!("{name}: resume"));
+        self.records.drains.borrow_mut()[drain].until = Some(clock::now());
+        if call(running.management, "PUT /-/resume").await != Some(true) {
+            self.broke("a call is not answered", format!("{name}: resume"));
+        }
+        let by = clock::now() + READY_AGAIN;
+        while !is_ready(running.management).await {
+            if clock::now() > by {
+                self.broke("not ready again after a drain", name.to_owned());
+                break;
+            }
+            rest(10 * MS).await;
+        }
+        node.door.admits.set(true);
+        Ok(())
+    }
+
+    async fn restart(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        running: &nodes::Running,
+        name: &str,
+    ) -> io::Result<()> {
+        self.act(format!("{name}: SIGTERM, and a restart"));
+        let door = node.door.clone();
+        let close = async {
+            Timer::after(FRONT_STOPS).await;
+            door.admits.set(false);
+        };
+        futures_lite::future::zip(node.end(running), close).await;
+        node.running.borrow_mut().take();
+        node.serve(node.start().await?);
+        Ok(())
+    }
+
+    async fn upgrade(&self, node: &Node, running: &nodes::Running, name: &str) -> io::Result<()> {
+        self.act(format!("{name}: an upgrade beside it"));
+        let new = node.start().await?;
+        node.serve(new);
+        self.act(format!("{name}: SIGTERM to the older process"));
+        node.end(running).await;
+        Ok(())
+    }
+
+    async fn kill(&self, node: &Node, running: &nodes::Running, name: &str) -> io::Result<()> {
+        self.act(format!("{name}: SIGKILL"));
+        node.kill(running);
+        node.door.admits.set(false);
+        rest(500 * MS).await;
+        node.running.borrow_mut().take();
+        node.serve(node.start().await?);
+        Ok(())
+    }
+
+    async fn fail_accepts(&self, node: &Node, name: &str, seed: u64) -> io::Result<()> {
+        let errors = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::CONNABORTED];
+        let error = errors[seed as usize % errors.len()];
+        self.act(format!("{name}: accepts fail, {error}"));
+        node.calls.fail(SystemCall::Accept, Some(error.raw_os_error()))?;
+        rest(300 * MS).await;
+        node.calls.fail(SystemCall::Accept, None)
+    }
+
+    async fn crowd(&self, node: &Node, name: &str) -> io::Result<()> {
+        self.act(format!("{name}: a crowd of idle clients"));
+        let mut idle = Vec::new();
+        for _ in 0..CROWD {
+            idle.extend(Async::<TcpStream>::connect(node.door.address).await);
+        }
+        rest(2 * SECOND).await;
+        Ok(())
+    }
+
+    async fn on_cache(self: Rc<Self>, cache: Rc<Cache>, fault: Fault, wait: Micros, lasts: Micros) {
+        rest(wait).await;
+        self.act(format!("cache {}: {fault:?} for {} ms", cache.number, lasts / MS));
+        cache.fault.set(Some(fault));
+        rest(lasts).await;
+        cache.fault.set(None);
+    }
+
+    /// The list: a cache drains and comes back, or the feed is silent for a while, or nothing happens.
+    async fn on_list(self: Rc<Self>, kind: u32, wait: Micros, cache: usize) {
+        rest(wait).await;
+        match kind {
+            0 => {
+                self.act(format!("list: cache {cache} drains"));
+                self.coordinator.tell(News::Changes(vec![Member { state: 1, ..self.members[cache] }]));
+                let drain = {
+                    let mut drains = self.records.cache_drains.borrow_mut();
+                    drains.push(CacheDrain { cache, told: clock::now(), until: None });
+                    drains.len() - 1
+                };
+                rest(3 * SECOND).await;
+                self.act(format!("list: cache {cache} is ready"));
+                self.records.cache_drains.borrow_mut()[drain].until = Some(clock::now());
+                self.coordinator.tell(News::Changes(vec![self.members[cache]]));
+            }
+            1 => {
+                self.act("list: silent for 2.5 s".to_owned());
+                self.coordinator.stalled.set(true);
+                rest(2500 * MS).await;
+                self.coordinator.stalled.set(false);
+            }
+            _ => {}
+        }
+    }
+
+    async fn last_end(self: Rc<Self>, node: Rc<Node>) {
+        let Some(running) = node.running.borrow().clone() else { return };
+        self.act(format!("n{}: SIGTERM at the end", node.number));
+        node.end(&running).await;
+    }
+}
