--- a/standins/src/soak/caches.rs
+++ b/standins/src/soak/caches.rs
@@ -21,10 +21,12 @@
 
 const CHUNK: usize = 16 * 1024;
 /// Milliseconds that an answer takes, at most, where nothing is wrong; and where the cache is slow.
-const USUAL_MS: u64 = 60;
-const SLOW_MS: u64 = 900;
-/// Bytes of an answer, at most.
-const MOST_BYTES: usize = 60_000;
+const USUAL_MS: u64 = 300;
+const SLOW_MS: u64 = 1500;
+/// Bytes of an answer, at most; and of one in so many, which is large.
+const MOST_BYTES: usize = 20_000;
+const LARGE_BYTES: usize = 240_000;
+const LARGE_EVERY: u32 = 4;
 /// A copy that is fresh whenever it is asked for.
 const YOUNG_MS: u64 = 10;
 
@@ -103,13 +105,21 @@
                 }
                 continue;
             };
-            let bytes = self.random.borrow_mut().random_range(1..MOST_BYTES);
+            let bytes = self.bytes();
             let stream = stream.clone();
             tasks.spawn(async move { drop(answer(&stream, &id, class, wait, bytes).await) }).detach();
         }
         Ok(())
     }
 
+    fn bytes(&self) -> usize {
+        let mut random = self.random.borrow_mut();
+        match random.random_ratio(1, LARGE_EVERY) {
+            true => random.random_range(MOST_BYTES..LARGE_BYTES),
+            false => random.random_range(1..MOST_BYTES),
+        }
+    }
+
     /// How long an answer takes; none: it never comes.
     fn wait(&self) -> Option<Duration> {
         let mut random = self.random.borrow_mut();
--- a/standins/src/soak/clients.rs
+++ b/standins/src/soak/clients.rs
@@ -27,6 +27,10 @@
 /// How long clients wait for an answer, in milliseconds.
 const BUDGETS: std::ops::Range<u64> = 700..2000;
 
+/// How long a client keeps a connection, and how often it asks, in milliseconds.
+const LIFE: std::ops::Range<Micros> = 2 * SECOND..20 * SECOND;
+const EVERY_MS: std::ops::Range<u64> = 10..150;
+
 /// What a client does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Habit {
@@ -105,7 +109,7 @@
             connections.push(Connection { process, opened, slow, ended: None });
             connections.len() - 1
         };
-        let until = opened + random.random_range(SECOND..8 * SECOND);
+        let until = opened + random.random_range(LIFE);
         let line = Line { town: town.clone(), place, habit, until, open: RefCell::default() };
         future::or(line.read(&stream), line.write(&stream, &mut random)).await;
         line.end(EndKind::Left);
@@ -169,7 +173,7 @@
                 }
                 break;
             }
-            Timer::after(Duration::from_millis(random.random_range(10..250))).await;
+            Timer::after(Duration::from_millis(random.random_range(EVERY_MS))).await;
             while self.habit == Habit::Sequential && !self.open.borrow().is_empty() && !self.is_late() {
                 Timer::after(Duration::from_millis(1)).await;
             }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -268,12 +268,17 @@
             node.is_busy.set(true);
             let kind = if drains { 0 } else { random.random_range(0..8) };
             let wait = random.random_range(0..500) * MS;
-            let offset = [5, -5, 3600, -3600][random.random_range(0..4usize)] * SECOND as i64;
-            let step = random.random_bool(0.5).then_some(offset);
-            all.push(tasks.spawn(self.clone().on_router(node, kind, wait, step, random.random())));
+            all.push(tasks.spawn(self.clone().on_router(node, kind, wait, random.random())));
+        }
+        for node in &self.nodes {
+            if random.random_bool(0.5) {
+                let offset = [5, -5, 3600, -3600][random.random_range(0..4usize)];
+                let wait = random.random_range(0..ROUND);
+                all.push(tasks.spawn(self.clone().on_clock(node.clone(), offset, wait)));
+            }
         }
         for cache in self.caches.iter().take(CACHES - 1).cloned() {
-            if random.random_bool(0.4) {
+            if random.random_bool(0.6) {
                 let faults = [Fault::Hang, Fault::Slow, Fault::Reset, Fault::Late];
                 let fault = faults[random.random_range(0..faults.len())];
                 let (wait, lasts) =
@@ -287,21 +292,10 @@
         all
     }
 
-    async fn on_router(
-        self: Rc<Self>,
-        node: Rc<Node>,
-        kind: u32,
-        wait: Micros,
-        step: Option<i64>,
-        seed: u64,
-    ) {
+    async fn on_router(self: Rc<Self>, node: Rc<Node>, kind: u32, wait: Micros, seed: u64) {
         rest(wait).await;
         let Some(running) = node.running.borrow().clone() else { return };
         let name = format!("n{}", node.number);
-        if let Some(offset) = step {
-            self.act(format!("{name}: its wall clock is off by {} s", offset / SECOND as i64));
-            let _ = node.clock.step_to(offset);
-        }
         let done = match kind {
             0 => self.drain(&node, &running, &name).await,
             1 => self.restart(&node, &running, &name).await,
@@ -321,6 +315,12 @@
         node.is_busy.set(false);
     }
 
+    async fn on_clock(self: Rc<Self>, node: Rc<Node>, offset: i64, wait: Micros) {
+        rest(wait).await;
+        self.act(format!("n{}: its wall clock is off by {offset} s", node.number));
+        let _ = node.clock.step_to(offset * SECOND as i64);
+    }
+
     async fn drain(&self, node: &Node, running: &nodes::Running, name: &str) -> io::Result<()> {
         self.act(format!("{name}: drain"));
         if call(running.management, "PUT /-/drain").await != Some(true) {
