--- a/silverspindle/tests/failing_calls.rs
+++ b/silverspindle/tests/failing_calls.rs
@@ -9,16 +9,21 @@
 
 use async_io::{Async, Timer};
 use common::process::{Router, start_with};
-use common::sender::{Cached, serve_from};
+use common::sender::{Cached, MS, serve_from};
 use common::*;
 use rustix::io::Errno;
 use rustix::process::{Pid, Resource, Rlimit, getrlimit, prlimit};
+use silverspindle::drain::LINGER;
+use silverspindle::knowledge::snapshots;
+use silverspindle_knowledge::InstanceId;
 use silverspindle_standins::process::used;
 use silverspindle_standins::shim::{FailingCalls, SystemCall};
 
 const RID: &str = "9b1f03aa5c7e2d41";
 /// Requests while connects fail: so many failures would set a cache aside.
 const FAILING: i32 = 20;
+/// Snapshots are written this often here.
+const SNAPSHOT_EVERY: Duration = Duration::from_secs(1);
 /// A failure lasts for so long.
 const A_WHILE: Duration = Duration::from_millis(500);
 
@@ -33,6 +38,64 @@
     (router, calls, (directory, coordinator))
 }
 
+/// Writes, syncs and renames that fail for a while keep the last snapshot whole, cost no request and are said once;
+/// afterwards snapshots are written again. What a killed writer has left beside it is in nobody's way.
+#[test]
+fn snapshots_wait_out_a_disk_that_fails() {
+    let faults = [
+        (SystemCall::WriteFile, Errno::NOSPC),
+        (SystemCall::Sync, Errno::IO),
+        (SystemCall::Rename, Errno::IO),
+    ];
+    run(async |tasks| {
+        let (_coordinator, nowhere) = listen();
+        let cache = serve_from(tasks, Cached::After(Duration::ZERO, 1000));
+        let file = configuration(&[entry(1, "box", cache), entry(99, "origin", nowhere)], nowhere);
+        let directory = tempfile::tempdir().unwrap();
+        let conf = directory.path().join("conf");
+        std::fs::write(
+            &conf,
+            format!("snapshot-directory {}\nsnapshot-every 1s\n", directory.path().display()),
+        )
+        .unwrap();
+        let snapshot = snapshots::path(directory.path(), InstanceId::of("n0"));
+        std::fs::write(snapshot.with_extension("new"), b"half of").unwrap();
+        let calls = FailingCalls::new(directory.path()).unwrap();
+        let [preload, errors] = calls.variables();
+        let router = start_with(
+            &file,
+            &format!("{}:0", ip()),
+            directory.path(),
+            &[preload, errors, ("LB_CONF", &conf)],
+        );
+        let read = || snapshots::read(&snapshot, InstanceId::of("n0"), 1 << 20);
+        while !matches!(read(), Ok(Some(_))) {
+            Timer::after(MS).await;
+        }
+        for (seq, (call, error)) in (1..).zip(faults) {
+            calls.fail(call, Some(error.raw_os_error())).unwrap();
+            // Long enough for two that fail.
+            Timer::after(2 * SNAPSHOT_EVERY + A_WHILE).await;
+            assert!(matches!(read(), Ok(Some(_))), "{error}: the last one is whole");
+            let (rid, object) = (format!("{seq:016x}"), format!("{:016x}", seq * 7919));
+            let mut fields: Vec<(&str, &str)> = page("");
+            (fields[1].1, fields[3].1) = (&rid, &object);
+            let client = Client::connect(tasks, router.clients).await;
+            client.send(&serve(seq, &fields, b"")).await;
+            assert!(client.next().await.expect("an answer").len() > 1000, "{error}: served");
+            calls.fail(call, None).unwrap();
+            let before = std::fs::metadata(&snapshot).unwrap().modified().unwrap();
+            while std::fs::metadata(&snapshot).unwrap().modified().unwrap() == before {
+                Timer::after(MS).await;
+            }
+        }
+        let log = end(router);
+        let count = |text: &str| log.iter().filter(|line| line.contains(text)).count();
+        assert_eq!(count("the last snapshot is kept"), faults.len(), "{log:?}");
+        assert_eq!(count("snapshots are written again"), faults.len(), "{log:?}");
+    });
+}
+
 /// Ends the router; its log.
 fn end(mut router: Router) -> Vec<String> {
     let pid = router.child.id().to_string();
@@ -69,6 +132,28 @@
     }
 }
 
+/// A connection in the queue when the router is told to end, and accepts fail just then: the listener is not closed over it.
+#[test]
+fn an_end_takes_what_is_queued_once_accepts_succeed_again() {
+    run(async |tasks| {
+        let (mut router, calls, _kept) = start(tasks).await;
+        calls.fail(SystemCall::Accept, Some(Errno::MFILE.raw_os_error())).unwrap();
+        let client = Client::connect(tasks, router.clients).await;
+        client.send(&serve(1, &page(RID), b"")).await;
+        let pid = router.child.id().to_string();
+        assert!(Command::new("kill").arg(pid).status().unwrap().success());
+        // The listener is closed once nobody comes any more; by then accepts have failed for a while.
+        Timer::after(Duration::from_micros(LINGER) + A_WHILE).await;
+        calls.fail(SystemCall::Accept, None).unwrap();
+        let answer = client.next().await.expect("an answer");
+        assert!(advice(&answer, 1).is_some(), "refused: it could not be answered before the kill");
+        let lines = std::mem::replace(&mut router.lines, Box::new(std::iter::empty()));
+        let log: Vec<String> = lines.collect();
+        assert!(log.iter().any(|line| line.contains("no more connections taken; 1 were waiting")), "{log:?}");
+        assert!(router.child.wait().unwrap().success());
+    });
+}
+
 /// What can't be sent for want of descriptors here never ran: it is refused, no cache is blamed, and the next is served
 /// when the want has ended.
 #[test]
