A client with 1.5 MB of answers to take is refused more: drains and ends stay within their time

Cause: what waits for a client that reads 1 MB/s was bounded by 64 answers of 240 kB alone, 15 s of reading; a drain has 3.4 s. Change: front/connection.rs refuses, as never run, while 1.5 MB wait for the client; counted as backlog.

--- a/silverspindle/src/counters.rs
+++ b/silverspindle/src/counters.rs
@@ -51,6 +51,8 @@
     TooManyOpen,
     /// What writes carry took too much of the memory.
     Memory,
+    /// Its client had too many answers to take yet.
+    Backlog,
     /// The router was drained, and its connection had to come to an end.
     Draining,
     /// The process could not have answered it before it is killed.
@@ -67,6 +69,7 @@
         match self {
             RefusalReason::TooManyOpen => "too_many_open",
             RefusalReason::Memory => "memory",
+            RefusalReason::Backlog => "backlog",
             RefusalReason::Draining => "draining",
             RefusalReason::Ending => "ending",
             RefusalReason::Withdrawn => "withdrawn",
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -184,6 +184,11 @@
         !self.accepting.get() && self.connections.borrow().is_empty() && self.closing.len() == 0
     }
 
+    /// Bytes of answers that wait for clients to take them.
+    pub fn backlog(&self) -> usize {
+        self.held.get()
+    }
+
     /// All answers are written.
     pub fn flushed(&self) -> bool {
         self.unflushed.get() == 0
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -27,6 +27,9 @@
 const CHUNK: usize = 8 * 1024;
 /// Bodies up to this are copied behind their head, so that one write does.
 const SMALL: usize = 4096;
+/// Bytes of answers that may wait for a client before it is refused more: at 1 MB/s, the slowest that the operators name,
+/// they are taken within the time that a drain or an end leaves.
+const MOST_BACKLOG: usize = 1_500_000;
 /// A client that takes no byte of an answer for so long is gone.
 const STALLED: Duration = Duration::from_secs(10);
 /// A connection without an open request is closed after so long: usual clients close theirs after 4 s.
@@ -323,6 +326,9 @@
                         Ok(_) if self.open.get() >= MOST_ANSWERS => {
                             Some(Reply::Verdict(seq, front.refusal(RefusalReason::TooManyOpen)))
                         }
+                        Ok(_) if self.held.get() >= MOST_BACKLOG => {
+                            Some(Reply::Verdict(seq, front.refusal(RefusalReason::Backlog)))
+                        }
                         Ok(call) => match self.refuses(arrived, call.deadline) {
                             Some(reason) => Some(Reply::Verdict(seq, front.refusal(reason))),
                             None => {
--- a/silverspindle/tests/actors.rs
+++ b/silverspindle/tests/actors.rs
@@ -2,16 +2,19 @@
 
 mod common;
 
+use std::io::Write;
 use std::rc::Rc;
 
+use async_io::Async;
 use bitternhold::Status;
 use bytes::Bytes;
 use common::world::{PEER, SOURCE, World};
 use common::*;
-use futures_lite::AsyncWriteExt;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use silverspindle::clock;
 use silverspindle::feed::Purged;
 use silverspindle::front::Front;
+use silverspindle::thrift;
 use silverspindle::traffic::{Board, Message, Verdict};
 use silverspindle::upstream::Order;
 
@@ -252,6 +255,45 @@
     });
 }
 
+/// Guards drains and ends against a client that asks for more than it reads: what waits for it is bounded by what it can
+/// take in their time, and the rest is refused as never run.
+#[test]
+fn a_client_with_much_to_take_is_refused_more() {
+    run(async |tasks| {
+        let world = World::new(tasks, 9);
+        let (front, address) = world.front(tasks, &Rc::default()).await;
+        let client = Async::<std::net::TcpStream>::connect(address).await.unwrap();
+        let ask = |seq: i32| {
+            let rid = format!("{seq:016x}");
+            let mut fields: Vec<(&str, &str)> = page("");
+            fields[1].1 = &rid;
+            client.get_ref().write_all(&serve(seq, &fields, b"")).unwrap();
+        };
+        let body = Bytes::from(vec![7; 240_000]);
+        let mut seq = 0;
+        // It reads nothing: at some answer the kernel takes no more, and from then on they wait here.
+        while front.backlog() < 1_500_000 {
+            seq += 1;
+            ask(seq);
+            let (port, ..) = world.request().await;
+            port.answer(seq, Verdict::Served(body.clone()));
+            future::yield_now().await;
+        }
+        ask(seq + 1);
+        let mut all = Vec::new();
+        let refused = thrift::throttled(seq + 1, Some(200));
+        let mut piece = vec![0; 100_000];
+        while !all.ends_with(&refused) {
+            let n = (&client).read(&mut piece).await.unwrap();
+            all.extend_from_slice(&piece[..n]);
+        }
+        assert_eq!(all.len(), seq as usize * served(1, &body).len() + refused.len());
+        ask(seq + 2);
+        let (_, again, _) = world.request().await;
+        assert_eq!(again, seq + 2, "taken again once it has read");
+    });
+}
+
 /// Guards the memory against many writes at once: past the bound one is refused, which harms nothing.
 #[test]
 fn writes_past_the_memory_are_refused() {
