The exit lets go of closed connections before SIGKILL, also of those closed before SIGTERM

Cause: how long a closed connection waits for its client's own close was fixed as it was closed, 2 s, also where SIGTERM followed.

--- a/silverspindle/src/drain.rs
+++ b/silverspindle/src/drain.rs
@@ -305,6 +305,11 @@
         }
     }
 
+    /// Whether connections that wait for their client's own close are let go now, whenever they were closed: SIGKILL is near.
+    pub fn is_last_moment(&self, now: Micros) -> bool {
+        matches!(self.phase, Phase::Ending(_)) && now.saturating_add(LAST_CLOSES) >= self.kill()
+    }
+
     /// Whether the process may exit: it was told to end, [`LINGER`] has passed since, nothing is owed and all
     /// clients' connections are gone or owe nothing. [`LATEST_EXIT`] after SIGKILL could have come it does not wait for
     /// clients any more that take their answers too slowly.
@@ -490,6 +495,7 @@
         assert_eq!(d.lingers(11 * S, S), S);
         assert_eq!(d.lingers(kill - BEFORE_KILL, S), BEFORE_KILL - LAST_CLOSES);
         assert_eq!(d.lingers(kill, S), LAST_CLOSES);
+        assert!(!d.is_last_moment(kill - LAST_CLOSES - 1) && d.is_last_moment(kill - LAST_CLOSES));
         assert!(!d.may_exit(kill + LATEST_EXIT - 1, 0, false) && d.may_exit(kill + LATEST_EXIT, 1, false));
     }
 
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -153,6 +153,9 @@
     /// waits no longer for a quiet moment, what is open gets its final answer, and who does not read is cut off.
     pub fn let_go(&self) {
         let (now, drain) = (clock::now(), self.drain.borrow());
+        if drain.is_last_moment(now) {
+            self.closing.end_all();
+        }
         for port in self.connections.borrow().values() {
             let seen = port.seen();
             if drain.close(now, seen) {
--- a/silverspindle/src/front/closing.rs
+++ b/silverspindle/src/front/closing.rs
@@ -65,6 +65,13 @@
         }
     }
 
+    /// Ends all of them.
+    pub fn end_all(&self) {
+        for closing in self.0.borrow().iter() {
+            let _ = closing.hurry.try_send(());
+        }
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.0.borrow().len()
--- a/silverspindle/tests/crossing_clients.rs
+++ b/silverspindle/tests/crossing_clients.rs
@@ -15,7 +15,7 @@
 use common::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use silverspindle::clock;
-use silverspindle::drain::{Drain, GRACE};
+use silverspindle::drain::{Drain, GRACE, LINGER};
 use silverspindle::framing::Messages;
 use silverspindle::front::MOST_OPEN;
 use silverspindle::thrift;
@@ -146,6 +146,36 @@
     });
 }
 
+/// A connection that was closed before SIGTERM, and that its client holds on to, keeps no process until SIGKILL.
+#[test]
+fn the_exit_lets_go_of_closed_connections_before_the_kill() {
+    run(async |tasks| {
+        let world = World::new(tasks, 9);
+        let drain = Rc::new(RefCell::new(Drain::new().with_longest(0)));
+        drain.borrow_mut().started();
+        let (front, address) = world.front(tasks, &drain).await;
+        let client = Client::connect(tasks, address).await;
+        assert!(client.well(1).await);
+        drain_long_ago(&drain);
+        front.let_go();
+        assert_eq!(client.next().await, None);
+        front.stop_accepting();
+        // SIGTERM was so long ago that SIGKILL may come.
+        drain.borrow_mut().end(clock::now() - 2 * LINGER);
+        let usual = async {
+            Timer::after(Duration::from_secs(1)).await;
+            panic!("waits for the client")
+        };
+        let settled = async {
+            while !front.settled() {
+                front.let_go();
+                Timer::after(Duration::from_millis(1)).await;
+            }
+        };
+        future::or(settled, usual).await;
+    });
+}
+
 /// The exit waits for a request that was read and lies before a full mailbox of the director.
 #[test]
 fn the_exit_waits_for_a_request_that_waits_for_the_director() {
