--- a/silverspindle/tests/failing_calls.rs
+++ b/silverspindle/tests/failing_calls.rs
@@ -136,6 +136,32 @@
     }
 }
 
+/// What is passed on to a cache is what the client has left: the time in the queue counts.
+#[test]
+fn a_request_that_waited_for_an_accept_passes_on_what_its_client_has_left() {
+    /// Milliseconds; and by how much the deadline that is passed on may exceed what is left.
+    const BUDGET: u64 = 5000;
+    const SLACK: u64 = 150;
+    run(async |tasks| {
+        let (_coordinator, nowhere) = listen();
+        let cache = Cache::start(tasks);
+        let file = configuration(&[entry(1, "box", cache.address), entry(99, "origin", nowhere)], nowhere);
+        let directory = tempfile::tempdir().unwrap();
+        let calls = FailingCalls::new(directory.path()).unwrap();
+        let router = start_with(&file, &format!("{}:0", ip()), directory.path(), &calls.variables());
+        calls.fail(SystemCall::Accept, Some(Errno::MFILE.raw_os_error())).unwrap();
+        let client = Client::connect(tasks, router.clients).await;
+        let mut fields = page(RID);
+        fields[2].1 = "5000";
+        client.send(&serve(1, &fields, b"")).await;
+        Timer::after(A_WHILE).await;
+        calls.fail(SystemCall::Accept, None).unwrap();
+        let (want, _) = cache.next().await;
+        let ttl: u64 = field(&want, "ttl").unwrap().parse().unwrap();
+        assert!(ttl <= BUDGET - A_WHILE.as_millis() as u64 + SLACK, "{ttl} ms");
+    });
+}
+
 /// A connection in the queue when the router is told to end, and accepts fail just then: the listener is not closed over it.
 #[test]
 fn an_end_takes_what_is_queued_once_accepts_succeed_again() {
--- a/silverspindle/tests/soak.rs
+++ b/silverspindle/tests/soak.rs
@@ -15,6 +15,8 @@
         let program = PathBuf::from(env!("CARGO_BIN_EXE_silverspindle"));
         let outcome = run(&Options { program, seed, seconds: SECONDS, routers: ROUTERS }).unwrap();
         assert!(outcome.broken.is_empty(), "{}", outcome.report());
+        // Shown where the test's output is.
+        outcome.acts.iter().for_each(|(_, act)| println!("seed {seed}: {act}"));
         let [requests, attempts, ..] = outcome.counts;
         assert!(requests > 500 && attempts > 500, "{}", outcome.report());
     }
