Log each refusal with its request's attempts, and why an own copy was not there

Change: an account of the attempts of each request (traffic/account.rs) in place of two lists, a debug line for each refusal and failure, counters for agreed, exhausted and own_copy_lost refusals and for the reason of the loss. No decision changes.

--- a/silverspindle/src/copies.rs
+++ b/silverspindle/src/copies.rs
@@ -81,9 +81,7 @@
     pub fn keep(&mut self, now: Micros, key: Key, group: u64, tag: &[u8], stamp: Stamp, body: &[u8]) {
         let size = body.len() + tag.len() + ENTRY;
         let old = self.copies.get(&key).is_some_and(|c| c.stamp > stamp);
-        let purged = [Purged::Object(key.0), Purged::Group(group), Purged::Group(EVERY_GROUP)];
-        let purged = purged.iter().filter_map(|what| self.purges.get(what)).any(|(at, _)| stamp <= *at);
-        if size > self.room || old || purged {
+        if size > self.room || old || self.is_purged(&key, group, stamp) {
             return;
         }
         self.remove(&key);
@@ -98,6 +96,12 @@
         self.copies.insert(key, Copy { body, tag, stamp, seen: now, group, used: self.uses });
     }
 
+    /// Whether a copy of this part that the origin gave out then is held to be purged.
+    pub fn is_purged(&self, key: &Key, group: u64, stamp: Stamp) -> bool {
+        let purged = [Purged::Object(key.0), Purged::Group(group), Purged::Group(EVERY_GROUP)];
+        purged.iter().filter_map(|what| self.purges.get(what)).any(|(at, _)| stamp <= *at)
+    }
+
     /// A cache said that this copy is the one still.
     pub fn confirm(&mut self, now: Micros, key: Key, tag: &[u8]) {
         if let Some(copy) = self.copies.get_mut(&key).filter(|c| c.tag == tag) {
--- a/silverspindle/src/counters.rs
+++ b/silverspindle/src/counters.rs
@@ -61,6 +61,12 @@
     Withdrawn,
     /// It was open when its connection had to end under a drain or before a kill.
     GivenUp,
+    /// Its class or group is refused by what the routers agree on.
+    Agreed,
+    /// The module found nothing more to try for it.
+    Exhausted,
+    /// The router's own copy was to answer it, and was not there any more.
+    OwnCopyLost,
 }
 
 impl RefusalReason {
@@ -74,6 +80,34 @@
             RefusalReason::Ending => "ending",
             RefusalReason::Withdrawn => "withdrawn",
             RefusalReason::GivenUp => "given_up",
+            RefusalReason::Agreed => "agreed",
+            RefusalReason::Exhausted => "exhausted",
+            RefusalReason::OwnCopyLost => "own_copy_lost",
+        }
+    }
+}
+
+/// Why the router's own copy, which was offered when a request came, could not answer it later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CopyLoss {
+    /// Other copies took its room.
+    Displaced,
+    /// It was purged.
+    Purged,
+    /// It had grown too old.
+    Aged,
+    /// The feed of purges was too old to vouch for it.
+    Unconfirmed,
+}
+
+impl CopyLoss {
+    /// As it stands in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            CopyLoss::Displaced => "displaced",
+            CopyLoss::Purged => "purged",
+            CopyLoss::Aged => "aged",
+            CopyLoss::Unconfirmed => "unconfirmed",
         }
     }
 }
@@ -87,6 +121,7 @@
     retries: RefCell<BTreeMap<&'static str, u64>>,
     /// Final answers by word.
     answers: RefCell<BTreeMap<&'static str, u64>>,
+    copies_lost: RefCell<BTreeMap<CopyLoss, u64>>,
 }
 
 fn count<K: Ord>(counts: &RefCell<BTreeMap<K, u64>>, key: K) {
@@ -106,7 +141,12 @@
 
     /// A further attempt went out for a request; `after` is how the one before it ended, none while that is still out.
     pub fn retried(&self, after: Option<Status>) {
-        count(&self.retries, after.map_or("second_copy", status_name));
+        count(&self.retries, after.map_or("second_copy", Status::name));
+    }
+
+    /// An own copy could not answer the request that it was offered for.
+    pub fn copy_lost(&self, loss: CopyLoss) {
+        count(&self.copies_lost, loss);
     }
 
     /// A request got this final answer.
@@ -125,20 +165,6 @@
     }
 }
 
-fn status_name(status: Status) -> &'static str {
-    match status {
-        Status::Ok => "ok",
-        Status::Error => "error",
-        Status::Full => "full",
-        Status::Miss => "miss",
-        Status::Moot => "moot",
-        Status::Timeout => "timeout",
-        Status::Reset => "reset",
-        Status::ConnectFailed => "connect_failed",
-        Status::Cancelled => "cancelled",
-    }
-}
-
 fn write_counts<'a>(
     f: &mut fmt::Formatter,
     what: &str,
@@ -160,6 +186,8 @@
         write_counts(f, "answers", answers.iter().map(|(word, n)| (*word, *n)))?;
         write_counts(f, "; closes", closes.iter().map(|(reason, n)| (reason.name(), *n)))?;
         write_counts(f, "; refusals", refusals.iter().map(|(reason, n)| (reason.name(), *n)))?;
-        write_counts(f, "; retries", retries.iter().map(|(after, n)| (*after, *n)))
+        write_counts(f, "; retries", retries.iter().map(|(after, n)| (*after, *n)))?;
+        let lost = self.copies_lost.borrow();
+        write_counts(f, "; own copies lost", lost.iter().map(|(loss, n)| (loss.name(), *n)))
     }
 }
--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -18,11 +18,11 @@
 use silverspindle_knowledge::Item;
 
 use crate::clock::Stamp;
-use crate::copies::{Copies, Copy};
-use crate::counters::{Counters, RefusalReason};
+use crate::copies::{self, Copies, Copy};
+use crate::counters::{CopyLoss, Counters, RefusalReason};
 use crate::feed::{Listed, News, Purged};
 use crate::knowledge::Knowledge;
-use crate::traffic::{Attempt, Call, End, Message, Notice, Port, Shared, Terms, Verdict};
+use crate::traffic::{Account, Attempt, Call, End, Message, Notice, Port, Shared, Terms, Verdict};
 use crate::upstream::{Order, Peer};
 use crate::withheld::Withheld;
 use crate::{clock, invariant};
@@ -38,14 +38,12 @@
     came: Micros,
     port: Rc<dyn Port>,
     seq: i32,
-    attempts: u32,
-    /// Of them, those that are out.
+    account: Account,
+    /// Tickets of its attempts that are out.
     out: Vec<u64>,
-    /// Of them, those that may have run, and when they were decided.
-    ran: Vec<(u64, Micros)>,
+    /// When the origin gave out the router's own copy that the module was offered for it.
+    offered: Option<Stamp>,
     closed: bool,
-    /// How its last attempt ended.
-    last_end: Option<Status>,
 }
 
 struct Out {
@@ -324,25 +322,27 @@
             return port.answer(seq, Verdict::Failed);
         }
         if self.shared.board.refuses(call.class, call.group) {
+            self.counters.refused(RefusalReason::Agreed);
             return port.answer(seq, Verdict::refused(&self.settings, DENIED));
         }
         self.next += 1;
         let id = RequestId(u128::from(self.next));
         let call = Rc::new(call);
         self.by_client.insert((port.id(), seq), id);
-        let (came, out, ran, closed) = (clock::now(), Vec::new(), Vec::new(), false);
-        let (attempts, last_end) = (0, None);
-        let open = Open { call: call.clone(), came, port, seq, attempts, out, ran, closed, last_end };
-        self.requests.insert(id, open);
-        self.owed.set(self.owed.get() + 1);
-        self.wake(call.deadline + LAST_WORD, Due::Request(id));
         let now = clock::now();
         let young = |copy: &&Copy| self.is_young(now, copy.stamp);
-        let own = call.copy().and_then(|key| self.copies.get(&key)).filter(young).map(|copy| Own {
+        let copy = call.copy().and_then(|key| self.copies.get(&key)).filter(young);
+        let own = copy.map(|copy| Own {
             age: copy.stamp.age(now),
             unseen: now.saturating_sub(copy.seen),
             wait: self.copies.wait(now, copy.bytes(call.holds(&copy.tag))),
         });
+        let offered = copy.map(|copy| copy.stamp);
+        let (account, out) = (Account::default(), Vec::new());
+        let open = Open { call: call.clone(), came: now, port, seq, account, out, offered, closed: false };
+        self.requests.insert(id, open);
+        self.owed.set(self.owed.get() + 1);
+        self.wake(call.deadline + LAST_WORD, Due::Request(id));
         self.event(Event::Request(Request {
             own,
             id,
@@ -376,7 +376,12 @@
         let spare = open.call.deadline.saturating_sub(clock::now());
         // Where rules are on, which versions of them it was answered on.
         let rules = tracing::enabled!(tracing::Level::TRACE).then(|| self.shared.board.version()).flatten();
-        tracing::trace!(rid, class, attempts = open.attempts, spare, rules, "answer {}", verdict.name());
+        let attempts = open.account.attempts();
+        tracing::trace!(rid, class, attempts, spare, rules, "answer {}", verdict.name());
+        if matches!(verdict, Verdict::Refused { .. } | Verdict::Failed) && !open.closed {
+            let may_have_run = open.account.may_have_run();
+            tracing::debug!(rid, class, may_have_run, "{}; attempts: {}", verdict.name(), open.account);
+        }
         let took = clock::now().saturating_sub(open.came);
         let served = matches!(verdict, Verdict::Served(_) | Verdict::Holds);
         self.shared.board.answered(served && took <= self.aim(&open.call));
@@ -394,9 +399,7 @@
     /// Gives a request its final answer before its time: refused where nothing can have run, else failed.
     fn give_up(&mut self, id: RequestId) {
         let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return };
-        let written = |ticket: &u64| self.attempts.get(ticket).is_none_or(|out| out.attempt.written.get());
-        let may_have_run = open.ran.iter().any(|(ticket, _)| written(ticket));
-        let verdict = match may_have_run {
+        let verdict = match open.account.may_have_run() {
             true => Verdict::Failed,
             false => Verdict::refused(&self.settings, DENIED),
         };
@@ -425,11 +428,7 @@
         let Some(out) = self.attempts.remove(&end.ticket) else { return };
         self.shared.board.over(&out.attempt, end.status == Status::Ok, end.note);
         if let Some(open) = self.requests.get_mut(&out.id) {
-            open.last_end = Some(end.status);
-        }
-        let never_ran = [Status::Full, Status::ConnectFailed, Status::Moot, Status::Miss];
-        if let Some(open) = self.requests.get_mut(&out.id).filter(|_| never_ran.contains(&end.status)) {
-            open.ran.retain(|(ticket, _)| *ticket != end.ticket);
+            open.account.ended(clock::now(), end.ticket, end.status);
         }
         if end.status == Status::Moot {
             // Perhaps the limit of its copy's age did not do: what is decided instead goes by a new one.
@@ -480,6 +479,8 @@
         let young = |stamp: Stamp| terms.is_some_and(|c| c.fresh == 0 || stamp.age(now) < c.fresh + c.stale);
         let young = |copy: &&Copy| young(copy.stamp) && self.is_young(now, copy.stamp);
         let Some(copy) = self.copies.get(&key).filter(young).cloned() else {
+            self.note_lost_copy(id, &call, key);
+            self.counters.refused(RefusalReason::OwnCopyLost);
             return self.answer(id, Verdict::Refused { backoff: None });
         };
         let holds = call.holds(&copy.tag);
@@ -488,6 +489,22 @@
         self.answer(id, if holds { Verdict::Holds } else { Verdict::Served(copy.body) });
     }
 
+    /// Says and counts why the own copy that was offered for a request can't answer it.
+    fn note_lost_copy(&self, id: RequestId, call: &Call, key: copies::Key) {
+        let Some(open) = self.requests.get(&id) else { return };
+        let now = clock::now();
+        let loss = match (self.copies.get(&key), open.offered) {
+            (Some(copy), _) if !self.is_young(now, copy.stamp) => CopyLoss::Unconfirmed,
+            (Some(_), _) => CopyLoss::Aged,
+            (None, Some(stamp)) if self.copies.is_purged(&key, call.group, stamp) => CopyLoss::Purged,
+            (None, _) => CopyLoss::Displaced,
+        };
+        let waited_ms = now.saturating_sub(open.came) / 1000;
+        let may_have_run = open.account.may_have_run();
+        tracing::debug!(rid = call.rid, waited_ms, may_have_run, "own copy lost: {}", loss.name());
+        self.counters.copy_lost(loss);
+    }
+
     /// An attempt is out no more; whether its request is finished.
     fn let_go(&mut self, id: RequestId, ticket: u64) -> bool {
         let Some(open) = self.requests.get_mut(&id) else { return true };
@@ -559,6 +576,7 @@
                 }
             }
             Action::Refuse { id, wait } => {
+                self.counters.refused(RefusalReason::Exhausted);
                 // Rounded up: the client is to stay away for so long at least.
                 let backoff = (wait > 0).then(|| wait.div_ceil(1000));
                 self.answer(id, Verdict::Refused { backoff });
@@ -599,13 +617,12 @@
             invariant!(false, "an attempt for a request that is not open");
             return;
         };
-        let number = open.attempts;
-        open.attempts += 1;
+        let number = open.account.attempts();
         let until = if until == 0 { open.call.deadline } else { until.min(open.call.deadline) };
         let class = self.settings.classes.get(open.call.class);
         let window = class.filter(|c| c.effect == Effect::Deduplicated).map(|c| c.window);
-        let first = open.ran.iter().map(|(_, at)| *at).min();
-        let repeat_by = window.zip(first).map(|(window, first)| first.saturating_add(window));
+        let repeat_by =
+            window.zip(open.account.repeat_from()).map(|(window, first)| first.saturating_add(window));
         let window = self.settings.fall_window;
         let cold_by = (cold && window > 0).then(|| now + window / COLD_WAIT);
         let write_by = [repeat_by, cold_by].into_iter().flatten().fold(until, Micros::min);
@@ -632,6 +649,7 @@
         let peer = peer.filter(|p| may && p.try_send(Order::Send(attempt.clone())).is_ok());
         let Some(peer) = peer else {
             self.shared.board.over(&attempt, false, None);
+            open.account.unsent(now, member);
             let closed = open.closed;
             self.backlog.push_back(Event::Outcome(Outcome {
                 id,
@@ -651,7 +669,7 @@
         let Call { rid, class, object, part, size_kb, .. } = &*attempt.call;
         let member_name = spelt(member);
         if number > 0 {
-            self.counters.retried(open.last_end.filter(|_| open.out.is_empty()));
+            self.counters.retried(open.account.last_end().filter(|_| open.out.is_empty()));
         }
         tracing::trace!(
             rid,
@@ -666,7 +684,7 @@
             "attempt"
         );
         open.out.push(ticket);
-        open.ran.push((ticket, now));
+        open.account.sent(now, member, &attempt);
         self.attempts.insert(ticket, Out { id, number, member, peer, sent: now, attempt });
         self.wake(until, Due::Attempt(ticket));
     }
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -2,6 +2,7 @@
 //! last news that an attempt is held against when it is written. Below the director and the peers, which
 //! both speak in these terms.
 
+mod account;
 mod board;
 
 use std::cell::{Cell, RefCell};
@@ -22,6 +23,7 @@
 use crate::feed::hex;
 use crate::{clock, resp};
 
+pub use account::Account;
 pub use board::{Board, Freshness, Guard, Lease, Members, Noted, Notice};
 
 /// A request, whatever protocol it came by.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -789,8 +789,7 @@
             return drop(self.open.insert(o.id, open));
         };
         attempt.ended = true;
-        let proven = [Status::Full, Status::ConnectFailed, Status::Moot, Status::Miss];
-        attempt.may_have_run = !proven.contains(&o.status);
+        attempt.may_have_run = !o.status.proves_never_ran();
         let attempt = *attempt;
         self.pace(now, &open, &attempt, &o);
         self.release(&mut open.attempts[o.attempt as usize]);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -293,6 +293,28 @@
     Miss,
 }
 
+impl Status {
+    /// Whether an attempt that ended so can't have run.
+    pub fn proves_never_ran(self) -> bool {
+        matches!(self, Status::Full | Status::ConnectFailed | Status::Moot | Status::Miss)
+    }
+
+    /// As it stands in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Status::Ok => "ok",
+            Status::Error => "error",
+            Status::Full => "full",
+            Status::Timeout => "timeout",
+            Status::ConnectFailed => "connect_failed",
+            Status::Reset => "reset",
+            Status::Cancelled => "cancelled",
+            Status::Moot => "moot",
+            Status::Miss => "miss",
+        }
+    }
+}
+
 /// What an outcome tells besides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Note {
