A refusal needs the proof of its request's attempts; an offered own copy stays with its request

Cause: Director::own worded a refusal when the copy that the module was offered was gone, without a look at the attempts; the module had taken the request for answered. Change: Verdict::Refused holds a Refusal, which can't be made without a proof that the request's account or an unsent call gives out; what lacks it fails, is counted and logged. A request holds the copy that it was offered: others don't displace it, its age counts to when the request came, purges drop it, its bytes stay booked. Where it can't be served the module decides anew (Event::OwnCopy). An attempt remembers zone and cell of its member, as the list may change.

--- a/silverspindle/src/copies.rs
+++ b/silverspindle/src/copies.rs
@@ -1,8 +1,13 @@
 //! Copies of the router's own: answers of caches that are kept in memory, as far as purges, ages and memory
 //! allow, and the time that their bytes take on the router's link. What is served from here the module
 //! decides.
+//!
+//! A request that was offered a copy holds it ([`Copies::get`] hands out a counted reference): such a copy is not displaced by
+//! others, and its bytes count as long as anybody holds them, so that the memory stays bounded.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use bitternhold::{EVERY_GROUP, Micros};
 use bytes::Bytes;
@@ -20,8 +25,21 @@
 /// A part of an object, as a class asks for it.
 pub type Key = (u64, u64, usize);
 
+/// Memory booked for a copy while anybody holds it.
+#[derive(Debug)]
+struct Booked {
+    all: Rc<Cell<usize>>,
+    own: usize,
+}
+
+impl Drop for Booked {
+    fn drop(&mut self) {
+        self.all.set(self.all.get() - self.own);
+    }
+}
+
 /// A copy.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Copy {
     /// Its bytes.
     pub body: Bytes,
@@ -29,13 +47,27 @@
     pub tag: Bytes,
     /// When the origin gave it out.
     pub stamp: Stamp,
-    /// When a cache last answered with it.
-    pub seen: Micros,
+    seen: Cell<Micros>,
     group: u64,
-    used: u64,
+    used: Cell<u64>,
+    _booked: Booked,
 }
 
 impl Copy {
+    /// When a cache last answered with it.
+    pub fn seen(&self) -> Micros {
+        self.seen.get()
+    }
+
+    /// Whether this purge is of it.
+    pub fn falls_to(&self, object: u64, what: Purged, at: Stamp) -> bool {
+        let named = match what {
+            Purged::Object(key) => key == object,
+            Purged::Group(group) => group == self.group || group == EVERY_GROUP,
+        };
+        named && self.stamp <= at
+    }
+
     /// Bytes on the link for an answer from it; a client that holds it is told so alone.
     pub fn bytes(&self, holds: bool) -> usize {
         if holds { self.body.len() / HOLDS_PART } else { self.body.len() }
@@ -46,8 +78,8 @@
 #[derive(Debug, Default)]
 pub struct Copies {
     room: usize,
-    held: usize,
-    copies: BTreeMap<Key, Copy>,
+    held: Rc<Cell<usize>>,
+    copies: BTreeMap<Key, Rc<Copy>>,
     /// By last use, the oldest first.
     order: BTreeMap<u64, Key>,
     uses: u64,
@@ -71,10 +103,15 @@
         if self.flow > 0.0 && self.link > 0.0 {
             self.room = room;
         }
-        while self.held > self.room {
-            let Some(oldest) = self.order.values().next().copied() else { return };
-            self.remove(&oldest);
-        }
+        while self.held.get() > self.room && self.displace() {}
+    }
+
+    /// Drops the copy that was unused for longest and that no request holds; false if there is none.
+    fn displace(&mut self) -> bool {
+        let unheld = |key: &&Key| self.copies.get(key).is_some_and(|copy| Rc::strong_count(copy) == 1);
+        let Some(oldest) = self.order.values().find(unheld).copied() else { return false };
+        self.remove(&oldest);
+        true
     }
 
     /// Keeps an answer's copy. The bytes are copied: a slice would hold the whole buffer it was read into.
@@ -85,15 +122,18 @@
             return;
         }
         self.remove(&key);
-        while self.held + size > self.room {
-            let Some(oldest) = self.order.values().next().copied() else { return };
-            self.remove(&oldest);
+        while self.held.get() + size > self.room {
+            if !self.displace() {
+                return;
+            }
         }
-        self.held += size;
+        self.held.set(self.held.get() + size);
         self.uses += 1;
         self.order.insert(self.uses, key);
         let [body, tag] = [body, tag].map(Bytes::copy_from_slice);
-        self.copies.insert(key, Copy { body, tag, stamp, seen: now, group, used: self.uses });
+        let (seen, used) = (Cell::new(now), Cell::new(self.uses));
+        let booked = Booked { all: self.held.clone(), own: size };
+        self.copies.insert(key, Rc::new(Copy { body, tag, stamp, seen, group, used, _booked: booked }));
     }
 
     /// Whether a copy of this part that the origin gave out then is held to be purged.
@@ -104,22 +144,21 @@
 
     /// A cache said that this copy is the one still.
     pub fn confirm(&mut self, now: Micros, key: Key, tag: &[u8]) {
-        if let Some(copy) = self.copies.get_mut(&key).filter(|c| c.tag == tag) {
-            copy.seen = now;
+        if let Some(copy) = self.copies.get(&key).filter(|c| c.tag == tag) {
+            copy.seen.set(now);
         }
     }
 
-    /// The copy of a part.
-    pub fn get(&self, key: &Key) -> Option<&Copy> {
+    /// The copy of a part; who clones the reference holds it.
+    pub fn get(&self, key: &Key) -> Option<&Rc<Copy>> {
         self.copies.get(key)
     }
 
     /// Notes a use of it, so that it stays.
     pub fn touch(&mut self, key: &Key) {
-        if let Some(copy) = self.copies.get_mut(key) {
+        if let Some(copy) = self.copies.get(key) {
             self.uses += 1;
-            self.order.remove(&copy.used);
-            copy.used = self.uses;
+            self.order.remove(&copy.used.replace(self.uses));
             self.order.insert(self.uses, *key);
         }
     }
@@ -132,12 +171,18 @@
         let gone: Vec<Key> = match what {
             Purged::Object(object) => {
                 let parts = (object, 0, 0)..=(object, u64::MAX, usize::MAX);
-                self.copies.range(parts).filter(|(_, c)| c.stamp <= at).map(|(key, _)| *key).collect()
-            }
-            Purged::Group(group) => {
-                let old = |c: &Copy| (c.group == group || group == EVERY_GROUP) && c.stamp <= at;
-                self.copies.iter().filter(|(_, c)| old(c)).map(|(key, _)| *key).collect()
+                self.copies
+                    .range(parts)
+                    .filter(|(key, c)| c.falls_to(key.0, what, at))
+                    .map(|(key, _)| *key)
+                    .collect()
             }
+            Purged::Group(_) => self
+                .copies
+                .iter()
+                .filter(|(key, c)| c.falls_to(key.0, what, at))
+                .map(|(key, _)| *key)
+                .collect(),
         };
         gone.iter().for_each(|key| self.remove(key));
     }
@@ -155,8 +200,7 @@
 
     fn remove(&mut self, key: &Key) {
         if let Some(copy) = self.copies.remove(key) {
-            self.order.remove(&copy.used);
-            self.held -= copy.body.len() + copy.tag.len() + ENTRY;
+            self.order.remove(&copy.used.get());
         }
     }
 }
--- a/silverspindle/src/counters.rs
+++ b/silverspindle/src/counters.rs
@@ -65,8 +65,8 @@
     Agreed,
     /// The module found nothing more to try for it.
     Exhausted,
-    /// The router's own copy was to answer it, and was not there any more.
-    OwnCopyLost,
+    /// The module would have it refused, and its attempts do not prove that this does no harm: it failed.
+    Unproven,
 }
 
 impl RefusalReason {
@@ -82,7 +82,7 @@
             RefusalReason::GivenUp => "given_up",
             RefusalReason::Agreed => "agreed",
             RefusalReason::Exhausted => "exhausted",
-            RefusalReason::OwnCopyLost => "own_copy_lost",
+            RefusalReason::Unproven => "unproven",
         }
     }
 }
@@ -90,8 +90,6 @@
 /// Why the router's own copy, which was offered when a request came, could not answer it later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CopyLoss {
-    /// Other copies took its room.
-    Displaced,
     /// It was purged.
     Purged,
     /// It had grown too old.
@@ -104,7 +102,6 @@
     /// As it stands in log lines.
     pub fn name(self) -> &'static str {
         match self {
-            CopyLoss::Displaced => "displaced",
             CopyLoss::Purged => "purged",
             CopyLoss::Aged => "aged",
             CopyLoss::Unconfirmed => "unconfirmed",
--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -18,11 +18,13 @@
 use silverspindle_knowledge::Item;
 
 use crate::clock::Stamp;
-use crate::copies::{self, Copies, Copy};
+use crate::copies::{Copies, Copy};
 use crate::counters::{CopyLoss, Counters, RefusalReason};
 use crate::feed::{Listed, News, Purged};
 use crate::knowledge::Knowledge;
-use crate::traffic::{Account, Attempt, Call, End, Message, Notice, Port, Shared, Terms, Verdict};
+use crate::traffic::{
+    Account, Attempt, Call, End, Message, Notice, Port, Refusal, SafeToRetry, Shared, Terms, Verdict,
+};
 use crate::upstream::{Order, Peer};
 use crate::withheld::Withheld;
 use crate::{clock, invariant};
@@ -41,8 +43,8 @@
     account: Account,
     /// Tickets of its attempts that are out.
     out: Vec<u64>,
-    /// When the origin gave out the router's own copy that the module was offered for it.
-    offered: Option<Stamp>,
+    /// The router's own copy that the module was offered for it.
+    own: Option<Rc<Copy>>,
     closed: bool,
 }
 
@@ -238,6 +240,7 @@
         let keep = self.settings.purge_done + self.settings.purge_grace;
         self.shared.board.purged(now, what, keep);
         self.copies.purge(now, what, at);
+        self.drop_offered(what, at);
         let (object, group) = match what {
             Purged::Object(key) => (Some(format!("{key:016x}")), 0),
             Purged::Group(group) => (None, group),
@@ -323,23 +326,23 @@
         }
         if self.shared.board.refuses(call.class, call.group) {
             self.counters.refused(RefusalReason::Agreed);
-            return port.answer(seq, Verdict::refused(&self.settings, DENIED));
+            let refusal = Refusal::new(SafeToRetry::unsent(call), &self.settings, DENIED);
+            return port.answer(seq, Verdict::Refused(refusal));
         }
         self.next += 1;
         let id = RequestId(u128::from(self.next));
         let call = Rc::new(call);
         self.by_client.insert((port.id(), seq), id);
         let now = clock::now();
-        let young = |copy: &&Copy| self.is_young(now, copy.stamp);
-        let copy = call.copy().and_then(|key| self.copies.get(&key)).filter(young);
-        let own = copy.map(|copy| Own {
+        let copy = self.offered_copy(now, &call);
+        let own = copy.as_ref().map(|copy| Own {
             age: copy.stamp.age(now),
-            unseen: now.saturating_sub(copy.seen),
+            unseen: now.saturating_sub(copy.seen()),
             wait: self.copies.wait(now, copy.bytes(call.holds(&copy.tag))),
         });
-        let offered = copy.map(|copy| copy.stamp);
-        let (account, out) = (Account::default(), Vec::new());
-        let open = Open { call: call.clone(), came: now, port, seq, account, out, offered, closed: false };
+        let account = Account::new(self.settings.classes.get(call.class));
+        let (out, closed) = (Vec::new(), false);
+        let open = Open { call: call.clone(), came: now, port, seq, account, out, own: copy, closed };
         self.requests.insert(id, open);
         self.owed.set(self.owed.get() + 1);
         self.wake(call.deadline + LAST_WORD, Due::Request(id));
@@ -361,6 +364,7 @@
         let Some(open) = self.requests.get_mut(&id).filter(|o| !o.closed) else { return false };
         open.closed = true;
         open.call.over.set(true);
+        open.own = None;
         self.by_client.remove(&(open.port.id(), open.seq));
         self.owed.set(self.owed.get() - 1);
         if open.out.is_empty() {
@@ -378,7 +382,7 @@
         let rules = tracing::enabled!(tracing::Level::TRACE).then(|| self.shared.board.version()).flatten();
         let attempts = open.account.attempts();
         tracing::trace!(rid, class, attempts, spare, rules, "answer {}", verdict.name());
-        if matches!(verdict, Verdict::Refused { .. } | Verdict::Failed) && !open.closed {
+        if matches!(verdict, Verdict::Refused(_) | Verdict::Failed) && !open.closed {
             let may_have_run = open.account.may_have_run();
             tracing::debug!(rid, class, may_have_run, "{}; attempts: {}", verdict.name(), open.account);
         }
@@ -396,12 +400,12 @@
         self.by_client.range((port, i32::MIN)..=(port, i32::MAX)).map(|(_, id)| *id).collect()
     }
 
-    /// Gives a request its final answer before its time: refused where nothing can have run, else failed.
+    /// Gives a request its final answer before its time: refused where its account proves that this does no harm, else failed.
     fn give_up(&mut self, id: RequestId) {
         let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return };
-        let verdict = match open.account.may_have_run() {
-            true => Verdict::Failed,
-            false => Verdict::refused(&self.settings, DENIED),
+        let verdict = match open.account.safe_to_retry() {
+            Some(proof) => Verdict::Refused(Refusal::new(proof, &self.settings, DENIED)),
+            None => Verdict::Failed,
         };
         tracing::debug!(rid = open.call.rid, "given up: {}", verdict.name());
         self.counters.refused(RefusalReason::GivenUp);
@@ -409,6 +413,24 @@
         self.event(Event::ClientGone { id });
     }
 
+    /// Refuses a request as the module says, if its account proves that this does no harm; else it has failed.
+    fn refuse(&mut self, id: RequestId, wait: Micros) {
+        let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return };
+        let Some(proof) = open.account.safe_to_retry() else {
+            tracing::warn!(
+                rid = open.call.rid,
+                "a refusal without proof is withheld; attempts: {}",
+                open.account
+            );
+            self.counters.refused(RefusalReason::Unproven);
+            return self.answer(id, Verdict::Failed);
+        };
+        self.counters.refused(RefusalReason::Exhausted);
+        // Rounded up: the client is to stay away for so long at least.
+        let backoff = (wait > 0).then(|| wait.div_ceil(1000));
+        self.answer(id, Verdict::Refused(Refusal::advised(proof, backoff)));
+    }
+
     /// The time in which an answer to this is worth all: the class's, and as many times as it says of the sending's.
     fn aim(&self, call: &Call) -> Micros {
         let Some(class) = self.settings.classes.get(call.class) else { return 0 };
@@ -471,38 +493,46 @@
         }
     }
 
-    /// Answers from the router's own copy; a last look, as a purge may have dropped it since it was offered.
-    fn own(&mut self, id: RequestId) {
-        let Some(call) = self.requests.get(&id).map(|open| open.call.clone()) else { return };
-        let (Some(key), now) = (call.copy(), clock::now()) else { return };
-        let terms = self.settings.classes.get(call.class).filter(|c| !c.write);
-        let young = |stamp: Stamp| terms.is_some_and(|c| c.fresh == 0 || stamp.age(now) < c.fresh + c.stale);
-        let young = |copy: &&Copy| young(copy.stamp) && self.is_young(now, copy.stamp);
-        let Some(copy) = self.copies.get(&key).filter(young).cloned() else {
-            self.note_lost_copy(id, &call, key);
-            self.counters.refused(RefusalReason::OwnCopyLost);
-            return self.answer(id, Verdict::Refused { backoff: None });
-        };
-        let holds = call.holds(&copy.tag);
-        self.copies.send(now, copy.bytes(holds));
-        self.copies.touch(&key);
-        self.answer(id, if holds { Verdict::Holds } else { Verdict::Served(copy.body) });
+    /// The router's own copy of what is asked for, as far as the feed's lease vouches for it.
+    fn offered_copy(&self, now: Micros, call: &Call) -> Option<Rc<Copy>> {
+        let copy = self.copies.get(&call.copy()?)?;
+        self.is_young(now, copy.stamp).then(|| copy.clone())
     }
 
-    /// Says and counts why the own copy that was offered for a request can't answer it.
-    fn note_lost_copy(&self, id: RequestId, call: &Call, key: copies::Key) {
-        let Some(open) = self.requests.get(&id) else { return };
-        let now = clock::now();
-        let loss = match (self.copies.get(&key), open.offered) {
-            (Some(copy), _) if !self.is_young(now, copy.stamp) => CopyLoss::Unconfirmed,
-            (Some(_), _) => CopyLoss::Aged,
-            (None, Some(stamp)) if self.copies.is_purged(&key, call.group, stamp) => CopyLoss::Purged,
-            (None, _) => CopyLoss::Displaced,
+    /// Answers from the copy that the request was offered; false where it may not be served any more. Its age counts to when
+    /// the request came, so the time that passed since takes nothing from it; a purge and the feed's lease do.
+    fn serve_own_copy(&mut self, id: RequestId) -> bool {
+        let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return true };
+        let (call, now) = (open.call.clone(), clock::now());
+        let terms = self.settings.classes.get(call.class).filter(|c| !c.write);
+        let age = |copy: &Copy| copy.stamp.age(open.came);
+        let good = |copy: &Copy| terms.is_some_and(|c| c.fresh == 0 || age(copy) < c.fresh + c.stale);
+        let loss = match &open.own {
+            None => CopyLoss::Purged,
+            Some(copy) if !good(copy) => CopyLoss::Aged,
+            Some(copy) if !self.is_young(now, copy.stamp) => CopyLoss::Unconfirmed,
+            Some(copy) => {
+                let (copy, holds) = (copy.clone(), call.holds(&copy.tag));
+                self.copies.send(now, copy.bytes(holds));
+                call.copy().iter().for_each(|key| self.copies.touch(key));
+                let verdict = if holds { Verdict::Holds } else { Verdict::Served(copy.body.clone()) };
+                self.answer(id, verdict);
+                return true;
+            }
         };
         let waited_ms = now.saturating_sub(open.came) / 1000;
         let may_have_run = open.account.may_have_run();
         tracing::debug!(rid = call.rid, waited_ms, may_have_run, "own copy lost: {}", loss.name());
         self.counters.copy_lost(loss);
+        false
+    }
+
+    /// Requests let go of the own copies that a purge is of.
+    fn drop_offered(&mut self, what: Purged, at: Stamp) {
+        for open in self.requests.values_mut() {
+            let (call, own) = (&open.call, &mut open.own);
+            *own = own.take().filter(|copy| !call.key().is_some_and(|key| copy.falls_to(key, what, at)));
+        }
     }
 
     /// An attempt is out no more; whether its request is finished.
@@ -575,13 +605,12 @@
                     self.drop_attempt(ticket, Status::Cancelled);
                 }
             }
-            Action::Refuse { id, wait } => {
-                self.counters.refused(RefusalReason::Exhausted);
-                // Rounded up: the client is to stay away for so long at least.
-                let backoff = (wait > 0).then(|| wait.div_ceil(1000));
-                self.answer(id, Verdict::Refused { backoff });
+            Action::Refuse { id, wait } => self.refuse(id, wait),
+            Action::Own { id } => {
+                // Whether it is still there says nothing of what may have run: without it the module decides anew.
+                let served = self.serve_own_copy(id);
+                self.backlog.push_back(Event::OwnCopy { id, served });
             }
-            Action::Own { id } => self.own(id),
             Action::Fail { id } => self.answer(id, Verdict::Failed),
             Action::Timer { delay, token } => self.wake(clock::now() + delay, Due::Module(token)),
             Action::Probe { member } => {
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -18,7 +18,7 @@
 use crate::counters::{CloseReason, Counters, RefusalReason};
 use crate::drain::Drain;
 use crate::limited::LimitedLine;
-use crate::traffic::{Message, Verdict};
+use crate::traffic::{Call, Message, Refusal, SafeToRetry, Verdict};
 
 mod closing;
 mod connection;
@@ -215,10 +215,10 @@
     }
 
     /// The answer to what is refused before the module sees it.
-    fn refusal(&self, reason: RefusalReason) -> Verdict {
+    fn refuse(&self, call: Call, reason: RefusalReason) -> Verdict {
         self.counters.refused(reason);
-        tracing::debug!(reason = reason.name(), "refused");
-        Verdict::refused(&self.catalogue.settings, STAY_AWAY)
+        tracing::debug!(rid = call.rid, reason = reason.name(), "refused");
+        Verdict::Refused(Refusal::new(SafeToRetry::unsent(call), &self.catalogue.settings, STAY_AWAY))
     }
 
     /// Makes room for a client that waits to be accepted. Guards against connections that are held and not
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -323,14 +323,14 @@
                     let body = frame.slice_ref(body);
                     match front.call(&fields, body, arrived) {
                         // Past what may be open: nothing has run, and `forget` must be read behind it.
-                        Ok(_) if self.open.get() >= MOST_ANSWERS => {
-                            Some(Reply::Verdict(seq, front.refusal(RefusalReason::TooManyOpen)))
+                        Ok(call) if self.open.get() >= MOST_ANSWERS => {
+                            Some(Reply::Verdict(seq, front.refuse(call, RefusalReason::TooManyOpen)))
                         }
-                        Ok(_) if self.held.get() >= MOST_BACKLOG => {
-                            Some(Reply::Verdict(seq, front.refusal(RefusalReason::Backlog)))
+                        Ok(call) if self.held.get() >= MOST_BACKLOG => {
+                            Some(Reply::Verdict(seq, front.refuse(call, RefusalReason::Backlog)))
                         }
                         Ok(call) => match self.refuses(arrived, call.deadline) {
-                            Some(reason) => Some(Reply::Verdict(seq, front.refusal(reason))),
+                            Some(reason) => Some(Reply::Verdict(seq, front.refuse(call, reason))),
                             None => {
                                 self.open.set(self.open.get() + 1);
                                 let request = Message::Request { port: self.clone(), seq, call };
@@ -467,7 +467,7 @@
             let [head, tail] = thrift::answer("serve", seq, 0, &[("keep", "1")], true);
             (head, Bytes::new(), tail)
         }
-        Reply::Verdict(seq, Verdict::Refused { backoff }) => whole(thrift::throttled(seq, backoff)),
+        Reply::Verdict(seq, Verdict::Refused(refusal)) => whole(thrift::throttled(seq, refusal.backoff())),
         Reply::Verdict(seq, Verdict::Failed) => whole(thrift::broken(seq)),
         Reply::Well(seq, good) => {
             let [head, tail] = thrift::answer("isWell", seq, 0, &[], good);
--- a/silverspindle/src/front/request.rs
+++ b/silverspindle/src/front/request.rs
@@ -100,7 +100,7 @@
         }
         match self.taken.get() > self.most_taken.get() {
             // Guards the memory: nothing has run, so a refusal does no harm.
-            true => Err(self.refusal(RefusalReason::Memory)),
+            true => Err(self.refuse(call, RefusalReason::Memory)),
             false => Ok(call),
         }
     }
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -13,7 +13,7 @@
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use bitternhold::settings::Catalogue;
-use bitternhold::{FillMode, Keep, Load, MemberId, Micros, Note, Settings, Status};
+use bitternhold::{FillMode, Keep, Load, MemberId, Micros, Note, Status};
 use bytes::Bytes;
 use silverspindle_conf::HalfLives;
 use silverspindle_knowledge::Item;
@@ -23,7 +23,7 @@
 use crate::feed::hex;
 use crate::{clock, resp};
 
-pub use account::Account;
+pub use account::{Account, Refusal, SafeToRetry};
 pub use board::{Board, Freshness, Guard, Lease, Members, Noted, Notice};
 
 /// A request, whatever protocol it came by.
@@ -82,28 +82,19 @@
     Served(Bytes),
     /// Served: the client's copy is the one.
     Holds,
-    /// Refused: trying again is harmless, after so many milliseconds where there is advice.
-    Refused {
-        /// The advice.
-        backoff: Option<u64>,
-    },
+    /// Refused: trying again is harmless.
+    Refused(Refusal),
     /// Failed.
     Failed,
 }
 
 impl Verdict {
-    /// A refusal outside the module, with advice in milliseconds as far as the settings have any.
-    pub fn refused(settings: &Settings, advice: u64) -> Self {
-        let most = settings.max_retry_after / 1000;
-        Verdict::Refused { backoff: (most > 0).then_some(advice.min(most)) }
-    }
-
     /// One word for the log.
     pub fn name(&self) -> &'static str {
         match self {
             Verdict::Served(_) => "served",
             Verdict::Holds => "holds",
-            Verdict::Refused { .. } => "refused",
+            Verdict::Refused(_) => "refused",
             Verdict::Failed => "failed",
         }
     }
--- a/silverspindle/src/traffic/account.rs
+++ b/silverspindle/src/traffic/account.rs
@@ -1,11 +1,49 @@
-//! The account of one request's attempts: where each went, whether it was written and how it ended.
+//! The account of one request's attempts: where each went, whether it was written and how it ended, and what that proves.
+//!
+//! A refusal promises the client that trying again does no harm. That promise can be given by nobody who does not know what the
+//! attempts have come to, so [`Refusal`] can't be made without [`SafeToRetry`], and that comes from here alone.
 
 use std::fmt;
 use std::rc::Rc;
 
-use bitternhold::{MemberId, Micros, Status};
+use bitternhold::{Class, DedupGroup, Effect, MemberId, Micros, Settings, Status};
 
-use super::Attempt;
+use super::{Attempt, Call};
+
+/// Proof that trying a request again does no harm.
+#[derive(Debug)]
+pub struct SafeToRetry(());
+
+impl SafeToRetry {
+    /// A request that nobody has handed on, nor can from now on.
+    pub fn unsent(_: Call) -> Self {
+        Self(())
+    }
+}
+
+/// A final answer by which the client is told that trying again does no harm.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    backoff: Option<u64>,
+}
+
+impl Refusal {
+    /// With advice as the module gives it, in milliseconds.
+    pub fn advised(_: SafeToRetry, backoff: Option<u64>) -> Self {
+        Self { backoff }
+    }
+
+    /// With advice from outside the module, in milliseconds, as far as the settings have any.
+    pub fn new(_: SafeToRetry, settings: &Settings, advice: u64) -> Self {
+        let most = settings.max_retry_after / 1000;
+        Self { backoff: (most > 0).then_some(advice.min(most)) }
+    }
+
+    /// For so many milliseconds the client is to stay away.
+    pub fn backoff(&self) -> Option<u64> {
+        self.backoff
+    }
+}
 
 /// How an attempt stands.
 #[derive(Debug)]
@@ -33,12 +71,30 @@
 }
 
 /// All attempts of one request, in the order in which they were decided.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Account {
+    /// Its class may be repeated anywhere, at any time.
+    repeats_freely: bool,
     entries: Vec<Entry>,
 }
 
 impl Account {
+    /// The account of a request that was not sent on yet, by its class; one not known is taken for the most delicate.
+    pub fn new(class: Option<&Class>) -> Self {
+        let freely = |c: &Class| match c.effect {
+            Effect::Idempotent => true,
+            Effect::Deduplicated => c.group == DedupGroup::All,
+            Effect::AtMostOnce => false,
+        };
+        Self { repeats_freely: class.is_some_and(freely), entries: Vec::new() }
+    }
+
+    /// The proof that the request may be refused, where there is one. Who refuses it closes it: what is out and unwritten is
+    /// then never written.
+    pub fn safe_to_retry(&self) -> Option<SafeToRetry> {
+        (self.repeats_freely || !self.may_have_run()).then_some(SafeToRetry(()))
+    }
+
     /// An attempt at this member was decided and is on its way.
     pub fn sent(&mut self, now: Micros, member: MemberId, attempt: &Rc<Attempt>) {
         self.entries.push(Entry { member, decided: now, state: State::Out(attempt.clone()) });
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -189,6 +189,9 @@
     may_have_run: bool,
     /// Told as a late fill before its end.
     late: bool,
+    /// Where its member stood when it was sent: the list may say otherwise later.
+    zone: usize,
+    cell: u64,
 }
 
 /// What looks found: nothing here, nothing at the parent, a fill under way; the next attempt follows one.
@@ -282,6 +285,8 @@
                 out.extend(rest.map(|(n, _)| Action::Cancel { id, attempt: n as u32 }));
                 self.close(id);
             }
+            Event::OwnCopy { id, served: true } => self.close(id),
+            Event::OwnCopy { id, served: false } => self.own_lost(now, id, out),
             Event::Purged { object, group, age } => self.purged(now, object, group, age),
             Event::Inherited(told) => self.inherit(now, told),
             Event::Probed { .. } => {}
@@ -501,12 +506,19 @@
         if let Some(mean) = self.work.get_mut(request.class).filter(|_| request.size_kb.is_some()) {
             *mean += LEARN * (work - *mean);
         }
-        let id = request.id;
-        if self.own_first(now, &request, key) {
-            return out.push(Action::Own { id });
-        }
+        let (id, own_first) = (request.id, self.own_first(now, &request, key));
         let (attempts, bad, erred, look) = (Vec::new(), Vec::new(), Vec::new(), Look::default());
         self.open.insert(id, Open { request, key, keep, attempts, answered: false, look, bad, erred });
+        if own_first {
+            return out.push(Action::Own { id });
+        }
+        self.step(now, id, out);
+    }
+
+    /// The own copy can't answer the request after all: it is decided anew without one.
+    fn own_lost(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.request.own = None;
         self.step(now, id, out);
     }
 
@@ -709,7 +721,9 @@
             self.spend(now, s, self.work_of(&open.request), |p| p.fills += 1);
         }
         open.look.follows = false;
-        let attempt = Attempt { member, source, at: now, held, may_have_run: true, ..Attempt::default() };
+        let (zone, cell) = self.peers.get(&member).map_or((0, 0), |p| (p.entry.zone, p.entry.cell));
+        let attempt =
+            Attempt { member, source, at: now, held, may_have_run: true, zone, cell, ..Attempt::default() };
         open.attempts.push(attempt);
         true
     }
@@ -881,15 +895,17 @@
     }
 
     fn give_up(&mut self, now: Micros, open: &mut Open, out: &mut Vec<Action>) {
-        open.answered = true;
         let id = open.request.id;
         // Rather than nothing: the director's own copy, past its fresh time too.
         let limit = self.oldest(open.request.class, false);
         let due = open.attempts.first().map_or(now, |a| a.at) + self.aim(&open.request);
         let soon = open.request.own.is_some_and(|own| now + own.wait < due.min(open.request.valid_until));
         if soon && self.own_holds(now, &open.request, open.key, limit) {
-            out.push(Action::Own { id });
-        } else if self.may_refuse(open) {
+            // Not answered before the director says that the copy was still there.
+            return out.push(Action::Own { id });
+        }
+        open.answered = true;
+        if self.may_refuse(open) {
             // Soon, so that the next try can still be in time; spread, so that they don't come together.
             let span = (self.class(open.request.class).aim / 4).max(1);
             let wait = (span + self.draw(span)).min(self.settings.max_retry_after);
@@ -930,12 +946,11 @@
             (Effect::Idempotent, _) | (_, None) => true,
             (Effect::AtMostOnce, _) => false,
             (Effect::Deduplicated, Some(first)) => {
-                let old = self.peers.get(&first.member).map(|p| (p.entry.zone, p.entry.cell));
                 now.saturating_sub(first.at) < class.window
                     && match class.group {
                         DedupGroup::All => true,
-                        DedupGroup::Zone => old.is_some_and(|(zone, _)| zone == peer.entry.zone),
-                        DedupGroup::Cell => old == Some((peer.entry.zone, peer.entry.cell)),
+                        DedupGroup::Zone => first.zone == peer.entry.zone,
+                        DedupGroup::Cell => (first.zone, first.cell) == (peer.entry.zone, peer.entry.cell),
                     }
             }
         };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -411,6 +411,14 @@
         /// Time since the purge.
         age: Micros,
     },
+    /// What became of the director's own copy, which was to answer a request. It is told of each [`Action::Own`], before
+    /// any other event of the request.
+    OwnCopy {
+        /// The request.
+        id: RequestId,
+        /// It answered; else it is not there any more, and the request is still open.
+        served: bool,
+    },
     /// A probe's result.
     Probed {
         /// Where it went.
@@ -566,7 +574,7 @@
         /// Number of the attempt.
         attempt: u32,
     },
-    /// Final answer: the director's own copy.
+    /// Final answer: the director's own copy, where it is still there ([`Event::OwnCopy`] tells).
     Own {
         /// The request.
         id: RequestId,
