A request's time runs from when its bytes can have come, also while they lie unread

Cause: the deadline was counted from the read of the request: what it had waited for an accept, for room or for a busy reader was passed on to caches as time left. Change: the reader knows since when the bytes of a message can have come (the socket was last seen empty), a new connection since when it can have waited (the listener's queue was last seen empty, or room was made in it).

--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::TcpStream;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,11 +24,13 @@
 mod closing;
 mod connection;
 mod drain_log;
+mod queue;
 mod request;
 
 use closing::ClosingConnections;
 use connection::Connection;
 use drain_log::DrainLog;
+use queue::AcceptQueue;
 
 /// Requests that may be open on one connection.
 pub const MOST_OPEN: usize = 32;
@@ -35,9 +38,11 @@
 const IN_USE: Micros = 50_000;
 /// Wait for room, or after a failed accept: out of descriptors, say.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// Connections that may wait to be accepted; the kernel lets one more in.
+pub const LISTEN_BACKLOG: usize = 1024;
 /// Told to stop, it takes so many connections at most: twice the queue's length. And it tries so often, after a failed
 /// accept, before it closes the listener all the same: a second's worth of [`ACCEPT_AGAIN`].
-const MOST_QUEUED: usize = 2048;
+const MOST_QUEUED: usize = 2 * LISTEN_BACKLOG;
 const MOST_FAILED: usize = 50;
 /// Connections closed from this side that wait for the client's own close, while others wait to be accepted.
 const MOST_CLOSING: usize = 8;
@@ -257,6 +262,7 @@
         listener: Async<std::net::TcpListener>,
         tasks: Rc<LocalExecutor<'static>>,
     ) {
+        let mut queue = AcceptQueue::new(LISTEN_BACKLOG + 1, clock::now());
         let mut queued = None;
         let (mut crowded, mut failing, mut failed) = (LimitedLine::default(), LimitedLine::default(), 0);
         loop {
@@ -266,7 +272,20 @@
                 None
             };
             let accepted = match &mut queued {
-                None => future::or(async { Some(listener.accept().await.map(|(s, _)| s)) }, stop).await,
+                None => {
+                    let accept = async { Some(listener.accept().await.map(|(s, _)| s)) };
+                    let mut accept = pin!(future::or(accept, stop));
+                    match future::poll_once(&mut accept).await {
+                        Some(accepted) => accepted,
+                        None => {
+                            queue.seen_empty(clock::now());
+                            let accepted = accept.await;
+                            // Woken by who came: nobody waited before that.
+                            queue.seen_empty(clock::now());
+                            accepted
+                        }
+                    }
+                }
                 Some(n) => match listener.get_ref().accept() {
                     Ok((stream, _)) => {
                         *n += 1;
@@ -280,6 +299,7 @@
                 queued = Some(0);
                 continue;
             };
+            let came = accepted.is_ok().then(|| queue.take(clock::now()));
             while self.is_full() {
                 if self.closing.len() < MOST_CLOSING {
                     self.evict();
@@ -295,7 +315,7 @@
             match accepted {
                 Ok(stream) => {
                     failed = 0;
-                    self.admit(stream, &tasks);
+                    self.admit(stream, came.unwrap_or_else(clock::now), &tasks);
                 }
                 // The client's own end, or a signal: the next may wait already.
                 Err(e)
@@ -318,13 +338,13 @@
         tracing::info!("no more connections taken; {} were waiting", queued.unwrap_or(0));
     }
 
-    /// Enters a new connection and starts its task.
-    fn admit(self: &Rc<Self>, stream: Async<TcpStream>, tasks: &LocalExecutor<'static>) {
+    /// Enters a new connection, which can have come at this time at the earliest, and starts its task.
+    fn admit(self: &Rc<Self>, stream: Async<TcpStream>, came: Micros, tasks: &LocalExecutor<'static>) {
         let id = self.next.get();
         self.next.set(id + 1);
         let stream = Rc::new(stream);
         let (port, ends) = Connection::new(id, &stream, self);
         self.connections.borrow_mut().insert(id, port.clone());
-        tasks.spawn(port.run(stream, ends)).detach();
+        tasks.spawn(port.run(stream, came, ends)).detach();
     }
 }
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -218,7 +218,7 @@
     }
 
     /// The connection's life: the one place where it ends.
-    pub async fn run(self: Rc<Self>, stream: Rc<Async<TcpStream>>, ends: Ends) {
+    pub async fn run(self: Rc<Self>, stream: Rc<Async<TcpStream>>, came: Micros, ends: Ends) {
         let _ = stream.get_ref().set_nodelay(true);
         // What the kernel holds is out of sight: a platform without the option keeps the usual.
         let _ = SockRef::from(stream.get_ref()).set_tcp_notsent_lowat(UNSENT);
@@ -226,7 +226,7 @@
         let (own, direct) = async_channel::bounded(MOST_OPEN);
         let cut = async { Ok(End::Closing(ends.cuts.recv().await.unwrap_or(CloseReason::Memory))) };
         let write = self.write(&stream, &ends.answers, &direct);
-        let ended = future::or(cut, future::or(self.read(&stream, own, &ends.closes), write)).await;
+        let ended = future::or(cut, future::or(self.read(&stream, came, own, &ends.closes), write)).await;
         // Nothing may come between the last look at the socket, which found nothing, and this: what is read from here
         // on is thrown away. The client sends it anew elsewhere.
         self.gone.set(true);
@@ -275,11 +275,12 @@
     async fn read(
         self: &Rc<Self>,
         stream: &Async<TcpStream>,
+        came: Micros,
         own: Sender<Reply>,
         closes: &Receiver<()>,
     ) -> io::Result<End> {
         let front = &*self.front;
-        let mut frames = Messages::new(stream, thrift::measure, CHUNK);
+        let mut frames = Messages::new(stream, thrift::measure, CHUNK).opened(came);
         let mut last_seq = 0;
         loop {
             let begun = frames.begun();
@@ -321,7 +322,9 @@
                     last_seq = seq;
                     self.last_request.set(Some(arrived));
                     let body = frame.slice_ref(body);
-                    match front.call(&fields, body, arrived) {
+                    // Its time runs from its last byte, wherever that lay until it was read: the deadline that is passed on
+                    // must be no more than the client has left.
+                    match front.call(&fields, body, frames.came()) {
                         // Past what may be open: nothing has run, and `forget` must be read behind it.
                         Ok(call) if self.open.get() >= MOST_ANSWERS => {
                             Some(Reply::Verdict(seq, front.refuse(call, RefusalReason::TooManyOpen)))
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -22,7 +22,7 @@
 use crate::director::{self, Director, Owed};
 use crate::distribution;
 use crate::drain::{self, Drain};
-use crate::front::{Front, most_clients};
+use crate::front::{Front, LISTEN_BACKLOG, most_clients};
 use crate::knowledge::exchange::{self, Hub};
 use crate::knowledge::{Knowledge, keys::Tls, snapshots};
 use crate::links::Connector;
@@ -392,13 +392,10 @@
     socket.set_reuse_address(true)?;
     socket.set_reuse_port(true)?;
     socket.bind(&address.into())?;
-    socket.listen(LISTEN_BACKLOG)?;
+    socket.listen(LISTEN_BACKLOG as i32)?;
     Ok(socket.into())
 }
 
-/// Connections that may wait to be accepted.
-const LISTEN_BACKLOG: i32 = 1024;
-
 /// Both configurations, read anew.
 pub type Anew = (Result<Config, String>, Result<Conf, Vec<String>>);
 
--- a/silverspindle/tests/codecs.rs
+++ b/silverspindle/tests/codecs.rs
@@ -2,12 +2,17 @@
 
 mod common;
 
+use std::net::TcpStream;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
 use bitternhold::{Lifecycle, Note, Status};
 use common::*;
+use futures_lite::AsyncWriteExt;
 use proptest::prelude::*;
-use silverspindle::clock::Stamp;
+use silverspindle::clock::{self, Stamp};
 use silverspindle::feed::{self, News, Purged};
-use silverspindle::framing::Measure;
+use silverspindle::framing::{Measure, Messages};
 use silverspindle::{resp, thrift};
 
 fn frame(index: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
@@ -123,3 +128,32 @@
     let lie = call(1, "serve", 1, &[13, 0, 1, 11, 11, 0x40, 0, 0, 0, 0]);
     assert!(thrift::decode(&lie).is_err());
 }
+
+/// A request's time runs while it lies unread: what is said of its coming is no later than it came, however late it is read.
+#[test]
+fn a_message_that_lay_unread_is_told_to_have_come_before_it_was_read() {
+    run(async |_| {
+        let (listener, address) = listen();
+        let client = Async::<TcpStream>::connect(address).await.unwrap();
+        let (server, _) = listener.accept().await.unwrap();
+        let mut messages = Messages::new(&server, thrift::measure, 4096);
+        let (send, wake) =
+            (serve(1, &page("9b1f03aa5c7e2d41"), b""), serve(2, &page("9b1f03aa5c7e2d42"), b""));
+        let before = clock::now();
+        let (first, _) = both(messages.next(), async { (&client).write_all(&send).await.unwrap() }).await;
+        assert!(first.unwrap().is_some() && messages.came() >= before, "read as it came");
+        (&client).write_all(&wake).await.unwrap();
+        let sent = clock::now();
+        // Its reader is busy elsewhere.
+        server.readable().await.unwrap();
+        Timer::after(Duration::from_millis(20)).await;
+        assert!(messages.next().await.unwrap().is_some());
+        assert!(messages.came() <= sent, "{} us after it was sent", messages.came() - sent);
+        // A connection that waited to be accepted.
+        let mut late = Messages::new(&server, thrift::measure, 4096).opened(before);
+        (&client).write_all(&serve(3, &page("9b1f03aa5c7e2d43"), b"")).await.unwrap();
+        server.readable().await.unwrap();
+        assert!(late.next().await.unwrap().is_some());
+        assert_eq!(late.came(), before);
+    });
+}
--- a/wire/src/framing.rs
+++ b/wire/src/framing.rs
@@ -2,13 +2,15 @@
 //! without a copy, then read as borrowed slices.
 
 use std::fmt;
+use std::future::poll_fn;
 use std::io;
+use std::pin::Pin;
 use std::time::Duration;
 
 use async_io::Timer;
 use bitternhold::Micros;
 use bytes::{Bytes, BytesMut};
-use futures_lite::{AsyncRead, AsyncReadExt, future};
+use futures_lite::{AsyncRead, future};
 
 use crate::clock;
 
@@ -45,6 +47,10 @@
     filled: usize,
     /// When a message that is not whole yet began to come.
     begun: Option<Micros>,
+    /// No byte that is still unread can have come before.
+    dry: Micros,
+    /// No byte of the last read can have come before.
+    came: Micros,
     measure: Measure,
     chunk: usize,
     /// A message that has begun and then stays away for so long ends the stream.
@@ -61,6 +67,8 @@
             buffer: BytesMut::new(),
             filled: 0,
             begun: None,
+            dry: clock::now(),
+            came: 0,
             measure,
             chunk,
             stall: None,
@@ -68,6 +76,11 @@
         }
     }
 
+    /// Of a stream on which bytes may lie since then.
+    pub fn opened(self, at: Micros) -> Self {
+        Self { dry: at, ..self }
+    }
+
     /// With an error where a message that has begun gets no further for so long.
     pub fn or_stall(self, stall: Duration) -> Self {
         Self { stall: Some(stall), ..self }
@@ -83,6 +96,12 @@
         self.begun
     }
 
+    /// The earliest time at which the last byte of the last message can have come. Bytes lie unread while whoever reads them
+    /// is busy elsewhere.
+    pub fn came(&self) -> Micros {
+        self.came
+    }
+
     /// The next message; none at the end of the stream. May be dropped and called again.
     pub async fn next(&mut self) -> io::Result<Option<Bytes>> {
         loop {
@@ -104,7 +123,23 @@
                 };
                 Err(io::Error::new(io::ErrorKind::TimedOut, "half a message, then nothing"))
             };
-            match future::or(self.stream.read(&mut self.buffer[self.filled..]), late).await? {
+            let (stream, room) = (&mut self.stream, &mut self.buffer[self.filled..]);
+            let (dry, mut waited) = (&mut self.dry, false);
+            let read = poll_fn(|context| {
+                let read = Pin::new(&mut *stream).poll_read(context, room);
+                if read.is_pending() {
+                    (*dry, waited) = (clock::now(), true);
+                }
+                read
+            });
+            let read = future::or(read, late).await?;
+            let now = clock::now();
+            // Woken by the bytes, it reads them as they come.
+            self.came = if waited { now } else { self.dry };
+            if read < self.chunk {
+                self.dry = now;
+            }
+            match read {
                 0 => return Ok(None),
                 read => {
                     self.filled += read;
