An attempt that moved to another connection is not told as never sent by the one before

Cause: the word that a connection may not write an attempt can lie in the actor's mailbox behind a new address, by which the attempt moves to another connection; taken afterwards it ended the attempt as never sent, which it may have been. Found by reading for the incident's related paths. Change: the word counts only from the connection that has the attempt.

--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -201,6 +201,8 @@
                 }
             }
             Order::Answer(line, frame) => self.answer(line, frame).await,
+            // It has moved to another connection meanwhile, which says what becomes of it.
+            Order::Unwritten(line, attempt) if attempt.line.get() != line => {}
             Order::Unwritten(line, attempt) => {
                 // Its id never stood there: where it is sent anew, this connection, up by now, is the one to take.
                 attempt.call.lines.borrow_mut().retain(|stood| *stood != (self.id, line));
--- a/silverspindle/tests/crossing_peers.rs
+++ b/silverspindle/tests/crossing_peers.rs
@@ -418,3 +418,20 @@
         assert!(closed);
     });
 }
+
+/// An attempt that a connection may not write, and that has moved to another connection and been written there before the
+/// actor hears so: it may have run, and only its answer ends it.
+#[test]
+fn what_was_forbidden_on_one_connection_and_written_on_another_is_not_told_as_never_sent() {
+    run(async |tasks| {
+        let world = World::new(tasks, 9);
+        let peer = world.peer();
+        let attempt = world.attempt(1, RID);
+        peer.send(Order::Send(attempt.clone())).await.unwrap();
+        let (_, line) = world.cache.next().await;
+        let left_before = attempt.line.get() + 1;
+        peer.send(Order::Unwritten(left_before, attempt)).await.unwrap();
+        reply(&line, &[RID, "FAULT", "-", ""]).await;
+        assert_eq!(world.end().await, (1, Status::Error));
+    });
+}
