The director's time and the start of its peers can be given, so that tests play it without sockets

Cause: every order of a request's events can't be played where time has to be waited for. Change: Clock (the process's own, or given) in the board, a starter of peers in the director; message, timers and next_timer are public. No behaviour changes.

--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -6,6 +6,7 @@
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
@@ -98,14 +99,20 @@
     /// When the module was last told that the feed's lease has run out, by the steady clock.
     told_stale: Option<Micros>,
     counters: Rc<Counters>,
+    start_peer: StartPeer,
     next: u64,
 }
 
+/// Starts the actor of a member at this address; its mailbox.
+type StartPeer = Box<dyn Fn(MemberId, SocketAddr) -> Sender<Order>>;
+
 impl Director {
     /// A director for a module with this seed.
     pub fn new(seed: u64, shared: Rc<Shared>, owed: Rc<Owed>, copies: Copies) -> Self {
         let settings = shared.catalogue.settings.clone();
+        let all = shared.clone();
         Self {
+            start_peer: Box::new(move |id, address| Peer::start(id, address, &all)),
             module: bitternhold::Director::new(seed, settings.clone()),
             settings,
             shared,
@@ -137,6 +144,15 @@
         self.counters = counters;
     }
 
+    /// Starts members' actors in this way; usually [`Peer::start`].
+    pub fn start_peers_by(&mut self, start: impl Fn(MemberId, SocketAddr) -> Sender<Order> + 'static) {
+        self.start_peer = Box::new(start);
+    }
+
+    fn now(&self) -> Micros {
+        self.shared.board.clock().now()
+    }
+
     /// Takes in what another told: purges and drains at once, the rest as the module's priors.
     pub fn learn(&mut self, transit: Micros, items: Vec<Item>) {
         let Some(learnt) = self.knowledge.as_mut().map(|k| k.take(transit, items)) else { return };
@@ -173,7 +189,7 @@
     /// must not queue behind requests that would be sent without it.
     pub async fn run(mut self, news: Receiver<Notice>, mailbox: Receiver<Message>) {
         loop {
-            let due = self.due.keys().next().map(|(at, _)| *at);
+            let due = self.next_timer();
             let wake = async {
                 match due {
                     Some(at) => clock::at(at).await,
@@ -236,7 +252,7 @@
     }
 
     fn purged(&mut self, what: Purged, at: Stamp) {
-        let now = clock::now();
+        let now = self.now();
         let keep = self.settings.purge_done + self.settings.purge_grace;
         self.shared.board.purged(now, what, keep);
         self.copies.purge(now, what, at);
@@ -266,7 +282,7 @@
                 self.next += 1;
                 self.post(&peer, Order::Address(m.address, self.next));
             }
-            None => drop(self.peers.insert(id, Peer::start(id, m.address, &self.shared))),
+            None => drop(self.peers.insert(id, (self.start_peer)(id, m.address))),
         }
     }
 
@@ -278,7 +294,8 @@
         }
     }
 
-    fn message(&mut self, message: Message) {
+    /// Takes a message in.
+    pub fn message(&mut self, message: Message) {
         match message {
             Message::Request { port, seq, call } => self.request(port, seq, call),
             Message::Forget { port, seq } => {
@@ -290,7 +307,7 @@
             Message::GiveUp { port } => self.open_on(port).into_iter().for_each(|id| self.give_up(id)),
             Message::Ended(end) => self.ended(end),
             Message::Give { reply } => {
-                let report = self.module.report(clock::now());
+                let report = self.module.report(self.now());
                 let items = self.knowledge.as_mut().map_or_else(Vec::new, |k| k.give(report));
                 let _ = reply.try_send(items);
             }
@@ -308,7 +325,7 @@
                 self.act_by(changed);
             }
             Message::Limits => {
-                let members = self.module.members_report(clock::now());
+                let members = self.module.members_report(self.now());
                 let limits = members.into_iter().map(|m| (m.id, (m.limit, m.aside > 0)));
                 *self.shared.board.limits() = limits.collect();
             }
@@ -333,7 +350,7 @@
         let id = RequestId(u128::from(self.next));
         let call = Rc::new(call);
         self.by_client.insert((port.id(), seq), id);
-        let now = clock::now();
+        let now = self.now();
         let copy = self.offered_copy(now, &call);
         let own = copy.as_ref().map(|copy| Own {
             age: copy.stamp.age(now),
@@ -377,7 +394,7 @@
         let Some(open) = self.requests.get(&id) else { return };
         let (port, seq) = (open.port.clone(), open.seq);
         let Call { rid, class, .. } = &*open.call;
-        let spare = open.call.deadline.saturating_sub(clock::now());
+        let spare = open.call.deadline.saturating_sub(self.now());
         // Where rules are on, which versions of them it was answered on.
         let rules = tracing::enabled!(tracing::Level::TRACE).then(|| self.shared.board.version()).flatten();
         let attempts = open.account.attempts();
@@ -386,7 +403,7 @@
             let may_have_run = open.account.may_have_run();
             tracing::debug!(rid, class, may_have_run, "{}; attempts: {}", verdict.name(), open.account);
         }
-        let took = clock::now().saturating_sub(open.came);
+        let took = self.now().saturating_sub(open.came);
         let served = matches!(verdict, Verdict::Served(_) | Verdict::Holds);
         self.shared.board.answered(served && took <= self.aim(&open.call));
         if self.close(id) {
@@ -449,8 +466,9 @@
     fn ended(&mut self, end: End) {
         let Some(out) = self.attempts.remove(&end.ticket) else { return };
         self.shared.board.over(&out.attempt, end.status == Status::Ok, end.note);
+        let now = self.now();
         if let Some(open) = self.requests.get_mut(&out.id) {
-            open.account.ended(clock::now(), end.ticket, end.status);
+            open.account.ended(now, end.ticket, end.status);
         }
         if end.status == Status::Moot {
             // Perhaps the limit of its copy's age did not do: what is decided instead goes by a new one.
@@ -466,7 +484,7 @@
             self.answer(out.id, verdict);
         }
         let End { status, note, waited, load, .. } = end;
-        let elapsed = clock::now().saturating_sub(out.sent);
+        let elapsed = self.now().saturating_sub(out.sent);
         let rid = &out.attempt.call.rid;
         tracing::trace!(rid, number = out.number, member = %spelt(out.member), elapsed, "end {status:?} {note:?}");
         let closed = self.let_go(out.id, end.ticket);
@@ -488,8 +506,8 @@
         let write = self.settings.classes.get(call.class).is_none_or(|c| c.write);
         let Some((key, (tag, stamp))) = call.copy().zip(end.name.as_ref()).filter(|_| !write) else { return };
         match &end.body {
-            Some(body) => self.copies.keep(clock::now(), key, call.group, tag, *stamp, body),
-            None => self.copies.confirm(clock::now(), key, tag),
+            Some(body) => self.copies.keep(self.now(), key, call.group, tag, *stamp, body),
+            None => self.copies.confirm(self.now(), key, tag),
         }
     }
 
@@ -503,7 +521,7 @@
     /// the request came, so the time that passed since takes nothing from it; a purge and the feed's lease do.
     fn serve_own_copy(&mut self, id: RequestId) -> bool {
         let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return true };
-        let (call, now) = (open.call.clone(), clock::now());
+        let (call, now) = (open.call.clone(), self.now());
         let terms = self.settings.classes.get(call.class).filter(|c| !c.write);
         let age = |copy: &Copy| copy.stamp.age(open.came);
         let good = |copy: &Copy| terms.is_some_and(|c| c.fresh == 0 || age(copy) < c.fresh + c.stale);
@@ -559,8 +577,14 @@
         self.due.insert((at, self.next), due);
     }
 
-    fn timers(&mut self) {
-        let now = clock::now();
+    /// When the next timer is due.
+    pub fn next_timer(&self) -> Option<Micros> {
+        self.due.keys().next().map(|(at, _)| *at)
+    }
+
+    /// Does what is due by now.
+    pub fn timers(&mut self) {
+        let now = self.now();
         while let Some(entry) = self.due.first_entry().filter(|e| e.key().0 <= now) {
             match entry.remove() {
                 Due::Module(token) => self.event(Event::Timer { token }),
@@ -582,7 +606,7 @@
         self.backlog.push_back(event);
         while let Some(event) = self.backlog.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
-            self.module.handle(clock::now(), event, &mut actions);
+            self.module.handle(self.now(), event, &mut actions);
             actions.drain(..).for_each(|action| self.act(action));
             self.actions = actions;
         }
@@ -612,7 +636,7 @@
                 self.backlog.push_back(Event::OwnCopy { id, served });
             }
             Action::Fail { id } => self.answer(id, Verdict::Failed),
-            Action::Timer { delay, token } => self.wake(clock::now() + delay, Due::Module(token)),
+            Action::Timer { delay, token } => self.wake(self.now() + delay, Due::Module(token)),
             Action::Probe { member } => {
                 let sent = self.peers.get(&member).is_some_and(|p| p.try_send(Order::Probe).is_ok());
                 if !sent {
@@ -638,7 +662,7 @@
     }
 
     fn send(&mut self, id: RequestId, member: MemberId, until: Micros, terms: Terms) {
-        let now = clock::now();
+        let now = self.now();
         let most = self.settings.max_attempts;
         let peer = self.peers.get(&member).cloned();
         let cold = [Some(member), terms.source].into_iter().flatten().any(|id| self.is_cold(now, id));
--- a/silverspindle/src/traffic/board.rs
+++ b/silverspindle/src/traffic/board.rs
@@ -9,7 +9,7 @@
 use silverspindle_work::Ledger;
 
 use super::Attempt;
-use crate::clock::{self, Stamp};
+use crate::clock::{Clock, Stamp};
 use crate::feed::{News, Purged};
 use crate::steady::steady;
 
@@ -96,6 +96,7 @@
 /// What was told last of the members and of purges, for a last look at the moment of writing.
 #[derive(Debug, Default)]
 pub struct Board {
+    clock: Clock,
     agreed: RefCell<Option<Rc<dyn Guard>>>,
     /// The feed of purges, where it has a lease.
     lease: RefCell<Option<Rc<dyn Lease>>>,
@@ -115,6 +116,16 @@
 }
 
 impl Board {
+    /// A board that goes by this clock.
+    pub fn by(clock: Clock) -> Self {
+        Self { clock, ..Self::default() }
+    }
+
+    /// The clock that it goes by.
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
     /// What routers agree on is in force from now on.
     pub fn agree(&self, guard: Rc<dyn Guard>) {
         *self.agreed.borrow_mut() = Some(guard);
@@ -183,7 +194,7 @@
             let members = [Some(to), attempt.terms.source].into_iter().flatten();
             let members = members.map(|id| id.0 as u32).collect();
             // By the steady clock: what may be open must not end as the Unix clock is set.
-            let (now, left) = (steady(), attempt.until.saturating_sub(clock::now()));
+            let (now, left) = (steady(), attempt.until.saturating_sub(self.clock.now()));
             ledger.begin(now, attempt.ticket, members, now + left);
         }
     }
@@ -266,12 +277,12 @@
     /// Whether an attempt may still be written: asked when its first byte is. Guards against what waited (for a
     /// connection, or behind a full socket) while its time ran out, its client left, its cache or its source was
     /// drained or its object purged.
-    pub(crate) fn allows(&self, attempt: &Attempt, to: MemberId) -> bool {
+    pub fn allows(&self, attempt: &Attempt, to: MemberId) -> bool {
         let purges = self.purges.borrow();
         let since = |what| purges.get(&what).is_some_and(|(told, _)| *told > attempt.decided);
         let look = self.lease.borrow().as_ref().map(|lease| lease.look());
         let oldest = look.and_then(|look| self.asked(look.oldest?));
-        let allows = clock::now() < attempt.write_by
+        let allows = self.clock.now() < attempt.write_by
             && !attempt.call.over.get()
             && !attempt.client.is_gone()
             && self.is_ready(to)
--- a/wire/src/clock.rs
+++ b/wire/src/clock.rs
@@ -8,6 +8,8 @@
 //! outlive the process hold. The one way from it to the own clock is [`Stamp::on_own_clock`], which is as right as this
 //! machine's wall clock was when the process began.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -28,6 +30,24 @@
     Timer::after(Duration::from_micros(time.saturating_sub(now())))
 }
 
+/// Where an actor's time comes from: the process's own clock, or, in a test, what the test says.
+#[derive(Clone, Debug, Default)]
+pub struct Clock {
+    given: Option<Rc<Cell<Micros>>>,
+}
+
+impl Clock {
+    /// A clock that shows what the cell holds.
+    pub fn given(time: Rc<Cell<Micros>>) -> Self {
+        Self { given: Some(time) }
+    }
+
+    /// Now.
+    pub fn now(&self) -> Micros {
+        self.given.as_ref().map_or_else(now, |time| time.get())
+    }
+}
+
 /// A time by a wall clock, in microseconds since the Unix epoch.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Stamp(Micros);
