Every order of one request's events is played on the real director and module

Cause: no test saw that a refusal could cross an attempt that may have run; the orders of a request's events were chosen by hand. It found a fault of the mend itself at four events: after two errors the module asked for the own copy and sent on as well; an open request now says that its own copy is wanted.

--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -22,6 +22,7 @@
 use crate::copies::{Copies, Copy};
 use crate::counters::{CopyLoss, Counters, RefusalReason};
 use crate::feed::{Listed, News, Purged};
+use crate::guards::OWN_COPY_LOSS;
 use crate::knowledge::Knowledge;
 use crate::traffic::{
     Account, Attempt, Call, End, Message, Notice, Port, Refusal, SafeToRetry, Shared, Terms, Verdict,
@@ -523,7 +524,8 @@
         let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return true };
         let (call, now) = (open.call.clone(), self.now());
         let terms = self.settings.classes.get(call.class).filter(|c| !c.write);
-        let age = |copy: &Copy| copy.stamp.age(open.came);
+        let unproven = SafeToRetry::unproven(OWN_COPY_LOSS);
+        let age = |copy: &Copy| copy.stamp.age(if unproven.is_some() { now } else { open.came });
         let good = |copy: &Copy| terms.is_some_and(|c| c.fresh == 0 || age(copy) < c.fresh + c.stale);
         let loss = match &open.own {
             None => CopyLoss::Purged,
@@ -542,7 +544,9 @@
         let may_have_run = open.account.may_have_run();
         tracing::debug!(rid = call.rid, waited_ms, may_have_run, "own copy lost: {}", loss.name());
         self.counters.copy_lost(loss);
-        false
+        let Some(unproven) = unproven else { return false };
+        self.answer(id, Verdict::Refused(Refusal::advised(unproven, None)));
+        true
     }
 
     /// Requests let go of the own copies that a purge is of.
--- a/silverspindle/src/director/freshness.rs
+++ b/silverspindle/src/director/freshness.rs
@@ -13,7 +13,8 @@
 const TELL_STALE: Micros = 1_000_000;
 
 impl Director {
-    pub(super) fn notice(&mut self, notice: Notice) {
+    /// Takes in what is told of the list and of purges.
+    pub fn notice(&mut self, notice: Notice) {
         match notice {
             Notice::News(news) => self.news(news, ListKind::Full),
             Notice::PurgedBefore(at) => {
--- a/silverspindle/src/traffic/account.rs
+++ b/silverspindle/src/traffic/account.rs
@@ -9,6 +9,7 @@
 use bitternhold::{Class, DedupGroup, Effect, MemberId, Micros, Settings, Status};
 
 use super::{Attempt, Call};
+use crate::guards::{REFUSAL_PROOF, without};
 
 /// Proof that trying a request again does no harm.
 #[derive(Debug)]
@@ -19,6 +20,11 @@
     pub fn unsent(_: Call) -> Self {
         Self(())
     }
+
+    /// None at all, where this guard is left out.
+    pub(crate) fn unproven(guard: &str) -> Option<Self> {
+        without(guard).then_some(Self(()))
+    }
 }
 
 /// A final answer by which the client is told that trying again does no harm.
@@ -92,7 +98,8 @@
     /// The proof that the request may be refused, where there is one. Who refuses it closes it: what is out and unwritten is
     /// then never written.
     pub fn safe_to_retry(&self) -> Option<SafeToRetry> {
-        (self.repeats_freely || !self.may_have_run()).then_some(SafeToRetry(()))
+        let proven = self.repeats_freely || !self.may_have_run();
+        proven.then_some(SafeToRetry(())).or_else(|| SafeToRetry::unproven(REFUSAL_PROOF))
     }
 
     /// An attempt at this member was decided and is on its way.
--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod office;
+pub mod orders;
 pub mod process;
 pub mod relays;
 pub mod sender;
--- /dev/null
+++ b/silverspindle/tests/common/orders.rs
@@ -0,0 +1,603 @@
+//! One request between the real director and module, without sockets: the test writes its attempts, ends them, gives the time and
+//! tells the news, and holds what comes of it against the rules of the protocol. The rules are written from the pages, not from
+//! the code: what may have run is what the test wrote and has not ended by a word that proves the contrary.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+
+use async_channel::Receiver;
+use bitternhold::settings::Catalogue;
+use bitternhold::{Lifecycle, ListKind, Member, MemberId, Micros, Status};
+use bytes::Bytes;
+use serde_json::{Value, json};
+use silverspindle::clock::{Clock, Stamp};
+use silverspindle::copies::Copies;
+use silverspindle::director::Director;
+use silverspindle::feed::{Listed, News, Purged};
+use silverspindle::traffic::{
+    Attempt, Board, Call, Descriptors, End, Freshness, Lease, Message, Notice, Port, Shared, Taken, Verdict,
+};
+use silverspindle::upstream::Order;
+
+pub const MS: Micros = 1000;
+pub const S: Micros = 1_000_000;
+const START: Micros = 1_000_000 * S;
+
+/// A class's terms. The copy that the router holds is past its fresh time when the request comes, so that a cache is asked, and
+/// past all its time [`COPY_LEFT`] later, while it would still come within the wanted time.
+pub const AIM: Micros = 1200 * MS;
+pub const DEADLINE: Micros = 3000 * MS;
+pub const WINDOW: Micros = 2200 * MS;
+pub const FRESH: Micros = 5 * S;
+pub const STALE: Micros = 2 * S;
+const COPY_AGE: Micros = 6 * S;
+const COPY_LEFT: Micros = FRESH + STALE - COPY_AGE;
+/// The rules' own figures.
+const DRAIN_GRACE: Micros = S;
+const HEED_PURGES: Micros = 500 * MS;
+const CLEARED: Micros = 6 * S;
+const ANSWER_GRACE: Micros = 8 * MS;
+const SLACK: Micros = 50 * MS;
+/// While the feed's lease has run out, copies must be younger than this.
+const LEASE: Micros = 3 * S;
+
+const OBJECT: u64 = 0x7f3a_9c21_e0b4_d655;
+const GROUP: u64 = 17;
+const OWN_BODY: &[u8] = b"the router's own copy";
+const CACHE_BODY: &[u8] = b"a cache's answer";
+
+/// What a class allows, as the protocol's page says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    Freely,
+    InItsCell,
+    Never,
+}
+
+/// The rules that hold for the request.
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    pub repeats: Repeats,
+    pub write: bool,
+    pub second_copies: bool,
+    pub own_copy: bool,
+    /// Attempts that the settings allow.
+    pub tries: usize,
+}
+
+impl Case {
+    /// The settings that tell a program all this.
+    pub fn settings(&self) -> Value {
+        let (effect, group) = match self.repeats {
+            Repeats::Freely => ("idempotent", "all"),
+            Repeats::InItsCell => ("deduplicated", "cell"),
+            Repeats::Never => ("at_most_once", "all"),
+        };
+        let mut settings = super::settings();
+        settings["classes"] = json!([{"name": "page", "idempotency": effect, "group": group,
+            "slo_ms": AIM / MS, "deadline_ms": DEADLINE / MS, "window_ms": WINDOW / MS}]);
+        settings["family_info"]["class_write"] = json!([self.write]);
+        settings["family_info"]["fresh_for_ms"] = json!([FRESH / MS]);
+        settings["family_info"]["stale_for_ms"] = json!([STALE / MS]);
+        settings["limits"]["second_copies"] = json!(self.second_copies);
+        settings["limits"]["try_limit"] = json!(self.tries);
+        settings
+    }
+}
+
+/// How the test ends an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Served,
+    Error,
+    NoRoom,
+    Miss,
+    Over,
+    Reset,
+    NoConnection,
+    NeverSent,
+}
+
+const WRITTEN_ENDINGS: [Ending; 6] =
+    [Ending::Served, Ending::Error, Ending::NoRoom, Ending::Miss, Ending::Over, Ending::Reset];
+const UNWRITTEN_ENDINGS: [Ending; 2] = [Ending::NoConnection, Ending::NeverSent];
+
+impl Ending {
+    fn status(self) -> Status {
+        match self {
+            Ending::Served => Status::Ok,
+            Ending::Error => Status::Error,
+            Ending::NoRoom => Status::Full,
+            Ending::Miss => Status::Miss,
+            Ending::Over | Ending::NeverSent => Status::Moot,
+            Ending::Reset => Status::Reset,
+            Ending::NoConnection => Status::ConnectFailed,
+        }
+    }
+
+    /// The protocol's page: NONE, SHED and LATE never ran; an error, a reset and a served one may have.
+    fn may_have_run(self) -> bool {
+        matches!(self, Ending::Served | Ending::Error | Ending::Reset)
+    }
+}
+
+/// One thing that can happen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// The first byte of this attempt is written, if the last look allows it.
+    Write(usize),
+    End(usize, Ending),
+    Forget,
+    Left,
+    GiveUp,
+    Drain,
+    Remove,
+    /// The member of the first attempt is listed anew, in another cell.
+    Return,
+    PurgeObject,
+    PurgeGroup,
+    /// A purge that is told when it is older than the caches keep older copies.
+    PurgeLately,
+    LeaseOut,
+    CopyDisplaced,
+    CopyAged,
+    WindowOver,
+    NextTimer,
+}
+
+#[derive(Debug)]
+struct Sent {
+    attempt: Rc<Attempt>,
+    member: MemberId,
+    cell: u64,
+    written: Option<Micros>,
+    ended: Option<Ending>,
+    given_up: bool,
+}
+
+impl Sent {
+    fn may_have_run(&self) -> bool {
+        self.written.is_some() && self.ended.is_none_or(Ending::may_have_run)
+    }
+
+    fn is_out(&self) -> bool {
+        self.written.is_some() && self.ended.is_none() && !self.given_up
+    }
+}
+
+#[derive(Debug, Default)]
+struct Client {
+    id: u64,
+    answers: RefCell<Vec<Verdict>>,
+    gone: Cell<bool>,
+}
+
+impl Port for Client {
+    fn id(&self) -> u64 {
+        self.id
+    }
+    fn answer(&self, _: i32, verdict: Verdict) {
+        self.answers.borrow_mut().push(verdict);
+    }
+    fn drop_request(&self) {}
+    fn is_gone(&self) -> bool {
+        self.gone.get()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Feed(Cell<bool>);
+
+impl Lease for Feed {
+    fn look(&self) -> Freshness {
+        Freshness { at: 0, age: None, oldest: self.0.get().then_some(LEASE) }
+    }
+    fn applied(&self, _: u64, _: u64) {}
+    fn reset(&self, _: u64) {}
+    fn acted(&self, _: &Attempt, _: Freshness) {}
+}
+
+type Mailboxes = Rc<RefCell<BTreeMap<MemberId, Receiver<Order>>>>;
+
+/// The request, its surroundings and what was seen of both.
+pub struct Play {
+    case: Case,
+    time: Rc<Cell<Micros>>,
+    director: Director,
+    board: Rc<Board>,
+    feed: Rc<Feed>,
+    mailboxes: Mailboxes,
+    members: BTreeMap<MemberId, Member>,
+    not_ready_since: BTreeMap<MemberId, Micros>,
+    client: Rc<Client>,
+    came: Micros,
+    copy_stamp: Micros,
+    sent: Vec<Sent>,
+    /// When each purge was told, and its own time.
+    purges: Vec<(Micros, Micros)>,
+    closed: bool,
+    judged: usize,
+    story: Vec<String>,
+    broken: Option<String>,
+}
+
+impl Play {
+    /// A request that has come just now, before a program with these settings.
+    pub fn start(case: Case, program: &Rc<Catalogue>) -> Self {
+        let time = Rc::new(Cell::new(START));
+        let board = Rc::new(Board::by(Clock::given(time.clone())));
+        let feed = Rc::new(Feed::default());
+        board.lease(feed.clone(), CLEARED);
+        let (to_director, _) = async_channel::bounded(1);
+        let shared = Rc::new(Shared {
+            catalogue: program.clone(),
+            board: board.clone(),
+            descriptors: Descriptors::new(64),
+            director: to_director,
+            tasks: Rc::default(),
+        });
+        let mut director = Director::new(7, shared, Rc::default(), Copies::new(1_000_000, 1e6, 4e6));
+        let mailboxes = Mailboxes::default();
+        let all = mailboxes.clone();
+        director.start_peers_by(move |id, _| {
+            let (tell, mailbox) = async_channel::bounded(256);
+            all.borrow_mut().insert(id, mailbox);
+            tell
+        });
+        let cells = [(1, 0), (2, 0), (3, 1)];
+        let boxes = cells.map(|(id, cell)| member(id, 0, 1, cell));
+        let members = boxes.into_iter().chain([member(99, 2, 0, 0)]);
+        let mut play = Play {
+            case,
+            time,
+            director,
+            board,
+            feed,
+            mailboxes,
+            members: members.map(|m| (m.id, m)).collect(),
+            not_ready_since: BTreeMap::new(),
+            client: Rc::new(Client { id: 2, ..Client::default() }),
+            came: 0,
+            copy_stamp: 0,
+            sent: Vec::new(),
+            purges: Vec::new(),
+            closed: false,
+            judged: 0,
+            story: Vec::new(),
+            broken: None,
+        };
+        let list = play.members.values().cloned().map(listed).collect();
+        play.director.news(News::Members { complete: true, members: list }, ListKind::Cached);
+        if case.own_copy {
+            play.fill_own_copy();
+        }
+        play.came = play.now();
+        let client: Rc<dyn Port> = play.client.clone();
+        play.director.message(Message::Request { port: client, seq: 1, call: play.call(0xb) });
+        play.look();
+        play
+    }
+
+    /// An earlier request leaves the router a copy.
+    fn fill_own_copy(&mut self) {
+        let before = Rc::new(Client { id: 1, ..Client::default() });
+        self.director.message(Message::Request { port: before, seq: 1, call: self.call(0xa) });
+        self.look();
+        self.copy_stamp = self.now();
+        self.sent[0].attempt.written.set(true);
+        let end = End { body: Some(Bytes::from_static(OWN_BODY)), ..self.end(0, Status::Ok) };
+        self.director.message(Message::Ended(end));
+        self.sent.clear();
+        self.time.set(self.now() + COPY_AGE);
+        self.director.timers();
+    }
+
+    fn call(&self, rid: u64) -> Call {
+        Call {
+            rid: format!("{rid:016x}"),
+            class: 0,
+            object: format!("{OBJECT:016x}"),
+            part: 0,
+            group: GROUP,
+            size_kb: Some(10.0),
+            token: Some("5c0f6e1a2b3d4c59".to_owned()),
+            cached: None,
+            deadline: self.now() + DEADLINE,
+            body: Bytes::new(),
+            taken: Taken::default(),
+            over: Cell::new(false),
+            lines: RefCell::default(),
+        }
+    }
+
+    fn now(&self) -> Micros {
+        self.time.get()
+    }
+
+    fn deadline(&self) -> Micros {
+        self.came + DEADLINE
+    }
+
+    fn end(&self, index: usize, status: Status) -> End {
+        let name = (Bytes::from_static(b"4be0c1927d55a6f3"), Stamp::from_micros(self.now()));
+        End { name: Some(name), ..End::bare(self.sent[index].attempt.ticket, status) }
+    }
+
+    /// What can happen next.
+    pub fn steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for (index, sent) in self.sent.iter().enumerate().filter(|(_, s)| s.ended.is_none() && !s.given_up) {
+            if sent.written.is_some() {
+                steps.extend(WRITTEN_ENDINGS.map(|ending| Step::End(index, ending)));
+            } else {
+                steps.push(Step::Write(index));
+                steps.extend(UNWRITTEN_ENDINGS.map(|ending| Step::End(index, ending)));
+            }
+        }
+        if !self.closed {
+            steps.extend([Step::Forget, Step::Left, Step::GiveUp]);
+        }
+        if !self.is_over() {
+            let first = self.sent.first().and_then(|s| self.members.get(&s.member));
+            if first.is_some_and(|m| m.lifecycle == Lifecycle::Ready) {
+                steps.extend([Step::Drain, Step::Remove]);
+            }
+            if first.is_none_or(|m| m.lifecycle != Lifecycle::Ready) && !self.sent.is_empty() {
+                steps.push(Step::Return);
+            }
+            if self.purges.is_empty() {
+                steps.extend([Step::PurgeObject, Step::PurgeGroup, Step::PurgeLately]);
+            }
+            if !self.feed.0.get() {
+                steps.push(Step::LeaseOut);
+            }
+            if self.case.own_copy {
+                steps.push(Step::CopyDisplaced);
+            }
+            if self.case.own_copy && self.now() < self.came + COPY_LEFT {
+                steps.push(Step::CopyAged);
+            }
+            if self.now() < self.came + WINDOW {
+                steps.push(Step::WindowOver);
+            }
+            steps.push(Step::NextTimer);
+        }
+        steps
+    }
+
+    /// It has its answer and nothing that could still be written.
+    fn is_over(&self) -> bool {
+        self.closed && self.sent.iter().all(|s| s.written.is_some() || s.ended.is_some() || s.given_up)
+    }
+
+    /// Lets a thing happen.
+    pub fn take(&mut self, step: Step) {
+        self.story.push(format!("{} ms: {step:?}", (self.now() - self.came) / MS));
+        let client: u64 = self.client.id;
+        let first = self.sent.first().map(|s| s.member);
+        match step {
+            Step::Write(index) => self.write(index),
+            Step::End(index, ending) => self.end_attempt(index, ending),
+            Step::Forget => {
+                self.closed = true;
+                self.director.message(Message::Forget { port: client, seq: 1 });
+            }
+            Step::Left => {
+                self.closed = true;
+                self.client.gone.set(true);
+                self.director.message(Message::Left { port: client });
+            }
+            Step::GiveUp => self.director.message(Message::GiveUp { port: client }),
+            Step::Drain => self.list(first, |m| m.lifecycle = Lifecycle::Draining),
+            Step::Remove => self.list(first, |m| m.lifecycle = Lifecycle::Gone),
+            Step::Return => self.list(first, |m| (m.lifecycle, m.cell) = (Lifecycle::Ready, m.cell + 10)),
+            Step::PurgeObject => self.purge(Purged::Object(OBJECT), 0),
+            Step::PurgeGroup => self.purge(Purged::Group(GROUP), 0),
+            Step::PurgeLately => self.purge(Purged::Object(OBJECT), COPY_AGE + 500 * MS),
+            Step::LeaseOut => self.feed.0.set(true),
+            Step::CopyDisplaced => self.director.message(Message::Room(0)),
+            Step::CopyAged => self.pass_to(self.came + COPY_LEFT + MS),
+            Step::WindowOver => self.pass_to(self.came + WINDOW + SLACK + MS),
+            Step::NextTimer => {
+                let next = self.director.next_timer().unwrap_or(self.now());
+                self.pass_to(next.max(self.now()));
+            }
+        }
+        self.look();
+    }
+
+    fn pass_to(&mut self, time: Micros) {
+        while let Some(due) = self.director.next_timer().filter(|due| *due <= time) {
+            self.time.set(due.max(self.now()));
+            self.director.timers();
+            self.look();
+        }
+        self.time.set(time.max(self.now()));
+        self.director.timers();
+    }
+
+    fn list(&mut self, id: Option<MemberId>, change: impl Fn(&mut Member)) {
+        let Some(id) = id else { return };
+        let Some(member) = self.members.get_mut(&id) else { return };
+        change(member);
+        match member.lifecycle {
+            Lifecycle::Ready => drop(self.not_ready_since.remove(&id)),
+            _ => drop(self.not_ready_since.entry(id).or_insert(self.time.get())),
+        }
+        let members = vec![listed(member.clone())];
+        self.director.notice(Notice::News(News::Members { complete: false, members }));
+    }
+
+    fn purge(&mut self, what: Purged, age: Micros) {
+        let at = self.now() - age;
+        self.purges.push((self.now(), at));
+        self.director.notice(Notice::News(News::Purged { what, at: Stamp::from_micros(at) }));
+    }
+
+    fn write(&mut self, index: usize) {
+        let sent = &self.sent[index];
+        if !self.board.allows(&sent.attempt, sent.member) {
+            return self.end_attempt(index, Ending::NeverSent);
+        }
+        if let Some(fault) = self.fault_of_writing(index) {
+            self.breaks(fault);
+        }
+        let now = self.now();
+        self.sent[index].written = Some(now);
+        self.sent[index].attempt.written.set(true);
+    }
+
+    /// The rules on what is sent, and sent again.
+    fn fault_of_writing(&self, index: usize) -> Option<&'static str> {
+        let (now, sent) = (self.now(), &self.sent[index]);
+        let others = || self.sent.iter().enumerate().filter(|(i, _)| *i != index).map(|(_, other)| other);
+        let first_run = others().filter(|other| other.may_have_run()).min_by_key(|other| other.written);
+        if self.closed || now >= self.deadline() {
+            return Some("sent for a request that has its answer, whose client left or whose time is over");
+        }
+        if self.not_ready_since.get(&sent.member).is_some_and(|since| now > since + DRAIN_GRACE) {
+            return Some("sent to a draining or gone member");
+        }
+        if others().filter(|other| other.written.is_some()).count() >= self.case.tries {
+            return Some("sent more often than the settings allow");
+        }
+        if !self.case.second_copies && others().any(Sent::is_out) {
+            return Some("two attempts out where one is allowed");
+        }
+        match (self.case.repeats, first_run) {
+            (Repeats::Freely, _) | (_, None) => {}
+            (Repeats::Never, Some(_)) => return Some("sent again what may have run and may run once"),
+            (Repeats::InItsCell, Some(first)) if first.cell != sent.cell => {
+                return Some("sent again outside the group of the first that may have run");
+            }
+            (Repeats::InItsCell, Some(first))
+                if first.written.is_some_and(|at| now > at + WINDOW + SLACK) =>
+            {
+                return Some("sent again after the window");
+            }
+            (Repeats::InItsCell, Some(_)) => {}
+        }
+        let limit = sent.attempt.terms.max_age.unwrap_or(FRESH + STALE);
+        let heeded = |(told, at): &(Micros, Micros)| now > told + HEED_PURGES && now <= at + CLEARED;
+        if !self.case.write && self.purges.iter().any(|p| heeded(p) && now.saturating_sub(limit) < p.1 - MS) {
+            return Some("asked for a copy that is older than a purge");
+        }
+        (!self.case.write && self.feed.0.get() && limit > LEASE)
+            .then_some("asked for copies that may be purged")
+    }
+
+    fn end_attempt(&mut self, index: usize, ending: Ending) {
+        self.sent[index].ended = Some(ending);
+        let mut end = self.end(index, ending.status());
+        if ending == Ending::Served {
+            end.body = Some(Bytes::from_static(CACHE_BODY));
+        }
+        self.director.message(Message::Ended(end));
+    }
+
+    /// Takes in what the director has ordered and answered.
+    fn look(&mut self) {
+        for (member, mailbox) in &*self.mailboxes.borrow() {
+            while let Ok(order) = mailbox.try_recv() {
+                match order {
+                    Order::Send(attempt) => {
+                        let cell = self.members.get(member).map_or(0, |m| m.cell);
+                        let (written, ended, given_up) = (None, None, false);
+                        let sent = Sent { attempt, member: *member, cell, written, ended, given_up };
+                        self.story.push(format!("  attempt {} at member {}", self.sent.len(), member.0));
+                        self.sent.push(sent);
+                    }
+                    Order::GiveUp(attempt, _) => {
+                        let own = |s: &&mut Sent| s.attempt.ticket == attempt.ticket;
+                        self.sent.iter_mut().filter(own).for_each(|s| s.given_up = true);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let answers: Vec<Verdict> = self.client.answers.borrow()[self.judged..].to_vec();
+        self.judged += answers.len();
+        for verdict in answers {
+            self.story.push(format!("  {} ms: answer {}", (self.now() - self.came) / MS, verdict.name()));
+            if let Some(fault) = self.fault_of_answer(&verdict) {
+                self.breaks(fault);
+            }
+            self.closed = true;
+        }
+    }
+
+    /// The rules on final answers.
+    fn fault_of_answer(&self, verdict: &Verdict) -> Option<&'static str> {
+        let now = self.now();
+        if self.closed {
+            return Some("a second final answer, or one that nobody is owed");
+        }
+        if now > self.deadline() + ANSWER_GRACE {
+            return Some("answered too late");
+        }
+        match verdict {
+            Verdict::Refused(_) => {
+                let ran = self.case.repeats != Repeats::Freely && self.sent.iter().any(Sent::may_have_run);
+                ran.then_some("refused what may have run")
+            }
+            Verdict::Served(body) if body == OWN_BODY => {
+                let old = self.came - self.copy_stamp >= FRESH + STALE;
+                let purged = self
+                    .purges
+                    .iter()
+                    .any(|(told, at)| *told <= now.saturating_sub(HEED_PURGES) && self.copy_stamp <= *at);
+                let unconfirmed = self.feed.0.get() && now - self.copy_stamp >= LEASE;
+                let faults = [
+                    (self.case.write, "a write served from a copy"),
+                    (old, "a copy that was too old when the request came"),
+                    (purged, "a purged copy"),
+                    (unconfirmed, "a copy that may be purged"),
+                ];
+                faults.into_iter().find(|(broken, _)| *broken).map(|(_, fault)| fault)
+            }
+            Verdict::Served(_) => {
+                let served = self.sent.iter().any(|s| s.ended == Some(Ending::Served));
+                (!served).then_some("served what no cache answered")
+            }
+            Verdict::Holds => Some("the client's copy is called current though no cache named it"),
+            Verdict::Failed => None,
+        }
+    }
+
+    fn breaks(&mut self, fault: &str) {
+        if self.broken.is_none() {
+            self.broken = Some(format!("{fault}\n{:?}\n{}", self.case, self.story.join("\n")));
+        }
+    }
+
+    /// Lets the rest of its time pass; the first broken rule, with the story.
+    pub fn run_out(mut self) -> Result<(), String> {
+        let end = self.deadline() + ANSWER_GRACE;
+        self.pass_to(end.max(self.now()));
+        self.look();
+        if !self.closed {
+            self.breaks("no final answer in its time");
+        }
+        self.broken.take().map_or(Ok(()), Err)
+    }
+}
+
+fn member(id: u64, kind: usize, zone: usize, cell: u64) -> Member {
+    let (lifecycle, weight, started) = (Lifecycle::Ready, 10.0, 0);
+    Member { id: MemberId(id), lifecycle, zone, kind, cell, weight, started }
+}
+
+fn listed(member: Member) -> Listed {
+    Listed { member, address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)) }
+}
+
+/// A panic of the program's own is told with what led to it.
+impl Drop for Play {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("{:?}\n{}", self.case, self.story.join("\n"));
+        }
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -210,6 +210,8 @@
     keep: Keep,
     attempts: Vec<Attempt>,
     answered: bool,
+    /// The own copy is to answer it, if it is still there.
+    own_wanted: bool,
     look: Look,
     /// Members at fault for this request; of them, those that answered it with an error of their own.
     bad: Vec<MemberId>,
@@ -508,7 +510,9 @@
         }
         let (id, own_first) = (request.id, self.own_first(now, &request, key));
         let (attempts, bad, erred, look) = (Vec::new(), Vec::new(), Vec::new(), Look::default());
-        self.open.insert(id, Open { request, key, keep, attempts, answered: false, look, bad, erred });
+        let (answered, own_wanted) = (false, own_first);
+        let open = Open { request, key, keep, attempts, answered, own_wanted, look, bad, erred };
+        self.open.insert(id, open);
         if own_first {
             return out.push(Action::Own { id });
         }
@@ -518,7 +522,7 @@
     /// The own copy can't answer the request after all: it is decided anew without one.
     fn own_lost(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        open.request.own = None;
+        (open.request.own, open.own_wanted) = (None, false);
         self.step(now, id, out);
     }
 
@@ -853,11 +857,11 @@
         if !open.answered && !running && open.erred.len() > 1 {
             self.give_up(now, &mut open, out);
         }
-        let (id, answered) = (o.id, open.answered);
+        let (id, answered, own_wanted) = (o.id, open.answered, open.own_wanted);
         if !answered || running {
             self.open.insert(id, open);
         }
-        if !answered && !running {
+        if !answered && !running && !own_wanted {
             self.step(now, id, out);
         }
     }
@@ -901,7 +905,7 @@
         let due = open.attempts.first().map_or(now, |a| a.at) + self.aim(&open.request);
         let soon = open.request.own.is_some_and(|own| now + own.wait < due.min(open.request.valid_until));
         if soon && self.own_holds(now, &open.request, open.key, limit) {
-            // Not answered before the director says that the copy was still there.
+            open.own_wanted = true;
             return out.push(Action::Own { id });
         }
         open.answered = true;
