--- a/standins/src/codec.rs
+++ b/standins/src/codec.rs
@@ -167,6 +167,8 @@
     pub state: u8,
     /// 0 box, 1 parent, 2 head office; boxes stand in zone 1, others in 0.
     pub kind: u8,
+    /// Its cell.
+    pub cell: u16,
     /// Its weight.
     pub weight: u32,
     /// Unix milliseconds of its start; 0: long ago.
@@ -184,7 +186,8 @@
         let mut r = self.id.to_be_bytes().to_vec();
         r.extend(ip);
         r.extend(self.address.port().to_be_bytes());
-        r.extend([self.state, u8::from(self.kind == 0), self.kind, 0, 0]);
+        r.extend([self.state, u8::from(self.kind == 0), self.kind]);
+        r.extend(self.cell.to_be_bytes());
         r.extend((self.weight * 1000).to_be_bytes());
         r.extend(self.started_ms.to_be_bytes());
         r
@@ -197,7 +200,7 @@
         serde_json::json!({
             "id": format!("s-{:08x}", self.id), "host_port": self.address.to_string(),
             "locality": if self.kind == 0 { "edge" } else { "hub" },
-            "flavor": kind, "cell": 0,
+            "flavor": kind, "cell": self.cell,
             "phase": phase, "size": self.weight,
             "up_since_ms": self.started_ms,
         })
@@ -231,3 +234,20 @@
     out.extend(payload);
     out
 }
+
+/// A body that says what it is of: the object, the time of the copy in microseconds, and how many bytes follow.
+pub fn marked_body(object: u64, stamp: u64, bytes: usize) -> Vec<u8> {
+    let mut body = format!("{object:016x} {stamp} {bytes} ").into_bytes();
+    body.resize(body.len() + bytes, b'x');
+    body
+}
+
+/// What a marked body says, and whether all that it says follows; none: it is no such body.
+pub fn read_marked_body(body: &[u8]) -> Option<(u64, u64, bool)> {
+    let mut parts = body.splitn(4, |byte| *byte == b' ');
+    let mut text = || std::str::from_utf8(parts.next()?).ok();
+    let object = u64::from_str_radix(text()?, 16).ok()?;
+    let (stamp, bytes): (u64, usize) = (text()?.parse().ok()?, text()?.parse().ok()?);
+    let rest = parts.next()?;
+    Some((object, stamp, rest.len() == bytes && rest.iter().all(|byte| *byte == b'x')))
+}
--- a/standins/src/office.rs
+++ b/standins/src/office.rs
@@ -264,8 +264,15 @@
     /// Every member as the coordinator lists it at the start.
     pub fn members(&self) -> Vec<codec::Member> {
         let nobody = ([127, 0, 0, 1], 1).into();
-        let member =
-            |id, kind, weight, address| codec::Member { id, state: 0, kind, weight, started_ms: 0, address };
+        let member = |id, kind, weight, address| codec::Member {
+            id,
+            state: 0,
+            kind,
+            cell: 0,
+            weight,
+            started_ms: 0,
+            address,
+        };
         let boxes = self.boxes.iter().map(|(b, address)| member(b.id, 0, 16, *address));
         let parents = self.parents.iter().map(|p| member(p.id, 1, 32, nobody));
         boxes.chain(parents).chain([member(HEAD, 2, 8, nobody)]).collect()
--- a/standins/src/passing.rs
+++ b/standins/src/passing.rs
@@ -183,7 +183,8 @@
     coordinator: SocketAddr,
 ) -> io::Result<(Start, SocketAddr)> {
     let nobody = ([127, 0, 0, 1], 1).into();
-    let member = |id, kind, address| Member { id, state: 0, kind, weight: 200, started_ms: 0, address };
+    let member =
+        |id, kind, address| Member { id, state: 0, kind, cell: 0, weight: 200, started_ms: 0, address };
     let listed = (1..).zip(caches).map(|(id, address)| member(id, 0, *address));
     let members: Vec<Value> = listed.chain([member(HEAD, 2, nobody)]).map(|member| member.json()).collect();
     let trial = trial::Options {
--- a/standins/src/soak/caches.rs
+++ b/standins/src/soak/caches.rs
@@ -1,4 +1,4 @@
-//! Caches that answer from nothing, as their fault lets them, and record each attempt.
+//! Caches that answer from nothing, as their fault and the seed let them, and record each attempt and how it ended.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -9,26 +9,36 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::AsyncWriteExt;
+use futures_lite::{AsyncWriteExt, future};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
+use silverspindle_wire::clock::{self, Stamp};
 use silverspindle_wire::framing::Messages;
-use silverspindle_wire::{clock, resp};
+use silverspindle_wire::resp;
 use socket2::SockRef;
 
-use super::record::{Attempt, Class, Records};
+use super::record::{Attempt, AttemptEnd, Purged, Records};
+use super::terms::CLEARED;
+use crate::Micros;
 use crate::codec;
 
 const CHUNK: usize = 16 * 1024;
+const MS: Micros = 1000;
 /// Milliseconds that an answer takes, at most, where nothing is wrong; and where the cache is slow.
 const USUAL_MS: u64 = 300;
 const SLOW_MS: u64 = 1500;
 /// Bytes of an answer, at most; and of one in so many, which is large.
 const MOST_BYTES: usize = 20_000;
-const LARGE_BYTES: usize = 240_000;
+const LARGE_BYTES: usize = 200_000;
 const LARGE_EVERY: u32 = 4;
-/// A copy that is fresh whenever it is asked for.
-const YOUNG_MS: u64 = 10;
+/// Where nothing is wrong one answer in so many is another word, or spoilt.
+const ODD_EVERY: u32 = 8;
+/// A second answer comes so long after the first.
+const SECOND_ANSWER: Duration = Duration::from_millis(4);
+/// Caches drop purged copies so much sooner than they have to.
+const SOONER: Micros = 100 * MS;
+/// So often a connection looks whether its cache has crashed or it has rested for too long.
+const LOOK: Duration = Duration::from_millis(20);
 
 /// What is wrong with a cache.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,6 +51,70 @@
     Reset,
     /// It answers late or never, half and half.
     Late,
+    /// It answers all with an error.
+    Errors,
+    /// Half of its answers are spoilt.
+    Spoils,
+}
+
+/// How an attempt is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reply {
+    Hit,
+    None,
+    Shed,
+    Fault,
+    Late,
+    Half,
+    Stalled,
+    Garbage,
+    OddWord,
+    Twice,
+}
+
+const SPOILT: [Reply; 4] = [Reply::Half, Reply::Stalled, Reply::Garbage, Reply::OddWord];
+const ODD: [Reply; 9] = [
+    Reply::None,
+    Reply::Shed,
+    Reply::Fault,
+    Reply::Late,
+    Reply::Half,
+    Reply::Stalled,
+    Reply::Garbage,
+    Reply::OddWord,
+    Reply::Twice,
+];
+
+impl Reply {
+    fn name(self) -> &'static str {
+        match self {
+            Reply::Hit => "HIT",
+            Reply::None => "NONE",
+            Reply::Shed => "SHED",
+            Reply::Fault => "FAULT",
+            Reply::Late => "LATE",
+            Reply::Half => "half an answer and a close",
+            Reply::Stalled => "half an answer and silence",
+            Reply::Garbage => "garbage",
+            Reply::OddWord => "an odd word",
+            Reply::Twice => "HIT twice",
+        }
+    }
+
+    /// The protocol's page: these three never ran.
+    fn end(self) -> AttemptEnd {
+        match self {
+            Reply::None | Reply::Shed | Reply::Late => AttemptEnd::NeverRan,
+            _ => AttemptEnd::MayHaveRun,
+        }
+    }
+}
+
+/// A copy as a cache holds it.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    stamp: Micros,
+    bytes: usize,
 }
 
 /// One of them.
@@ -52,10 +126,29 @@
     pub address: SocketAddr,
     /// What is wrong with it.
     pub fault: Cell<Option<Fault>>,
+    /// How often it has crashed: connections of an earlier life are reset.
+    life: Cell<u64>,
+    /// It is down: nobody listens.
+    is_down: Cell<bool>,
     records: Rc<Records>,
     /// Requests by id, to their places.
     places: Rc<RefCell<HashMap<String, usize>>>,
     random: RefCell<Pcg64Mcg>,
+    held: RefCell<HashMap<(u64, usize), Held>>,
+}
+
+/// The attempts that are open on a connection, by id, to their places.
+type Open = Rc<RefCell<HashMap<String, usize>>>;
+
+/// A command, as far as the answer goes by it.
+struct Want {
+    id: String,
+    place: usize,
+    reply: Reply,
+    wait: Duration,
+    write: bool,
+    held: Held,
+    object: u64,
 }
 
 impl Cache {
@@ -66,87 +159,231 @@
         records: &Rc<Records>,
         places: &Rc<RefCell<HashMap<String, usize>>>,
         random: Pcg64Mcg,
+        listener: TcpListener,
     ) -> io::Result<Rc<Self>> {
-        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
-        let address = listener.get_ref().local_addr()?;
-        let (records, places, random) = (records.clone(), places.clone(), RefCell::new(random));
-        let cache = Rc::new(Self { number, address, fault: Cell::new(None), records, places, random });
-        let (own, all) = (cache.clone(), tasks.clone());
-        let accept = async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (own, more) = (own.clone(), all.clone());
-                all.spawn(async move { drop(own.serve(Rc::new(stream), more).await) }).detach();
-            }
-        };
-        tasks.spawn(accept).detach();
+        let address = listener.local_addr()?;
+        let cache = Rc::new(Self {
+            number,
+            address,
+            fault: Cell::new(None),
+            life: Cell::new(0),
+            is_down: Cell::new(false),
+            records: records.clone(),
+            places: places.clone(),
+            random: RefCell::new(random),
+            held: RefCell::default(),
+        });
+        tasks.spawn(cache.clone().accept(Async::new(listener)?, tasks.clone())).detach();
         Ok(cache)
     }
 
+    /// Its process dies, its connections are reset, and for so long nobody takes new ones; then it is back without a copy.
+    pub async fn crash(&self, lasts: Duration) {
+        self.is_down.set(true);
+        self.life.set(self.life.get() + 1);
+        self.held.borrow_mut().clear();
+        Timer::after(lasts).await;
+        self.is_down.set(false);
+    }
+
+    async fn accept(self: Rc<Self>, listener: Async<TcpListener>, tasks: Rc<LocalExecutor<'static>>) {
+        while let Ok((stream, _)) = listener.accept().await {
+            if self.is_down.get() {
+                let _ = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
+                continue;
+            }
+            let (own, more) = (self.clone(), tasks.clone());
+            let serve = async move {
+                let (stream, open) = (Rc::new(stream), Open::default());
+                let _ = own.serve(&stream, &open, &more).await;
+                // What was out on it is over with it.
+                let now = clock::now();
+                let left: Vec<usize> = open.borrow_mut().drain().map(|(_, place)| place).collect();
+                left.into_iter()
+                    .for_each(|place| own.records.attempt_ended(place, now, AttemptEnd::MayHaveRun));
+            };
+            tasks.spawn(serve).detach();
+        }
+    }
+
     async fn serve(
-        self: Rc<Self>,
-        stream: Rc<Async<TcpStream>>,
-        tasks: Rc<LocalExecutor<'static>>,
+        self: &Rc<Self>,
+        stream: &Rc<Async<TcpStream>>,
+        open: &Open,
+        tasks: &Rc<LocalExecutor<'static>>,
     ) -> io::Result<()> {
-        let mut commands = Messages::new(&*stream, codec::measure_command, CHUNK);
-        while let Some(frame) = commands.next().await? {
-            let arrived = clock::now();
-            let strings = codec::command(&frame)?;
-            let [b"want", id, fields, _] = strings[..] else { continue };
-            let (id, fields) = (String::from_utf8_lossy(id).into_owned(), String::from_utf8_lossy(fields));
-            let request = self.places.borrow().get(&id).copied();
-            let request = request.ok_or_else(|| io::Error::other("a request that nobody sent"))?;
-            let ttl = codec::field(&fields, "ttl").and_then(|ttl| ttl.parse().ok()).unwrap_or(0u64) * 1000;
-            self.records.attempts.borrow_mut().push(Attempt { request, cache: self.number, arrived, ttl });
-            let class = self.records.requests.borrow()[request].class;
-            let Some(wait) = self.wait() else {
-                if self.fault.get() == Some(Fault::Reset) {
-                    SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
+        let life = self.life.get();
+        let mut commands = Messages::new(&**stream, codec::measure_command, CHUNK);
+        let mut used = clock::now();
+        loop {
+            let look = async {
+                Timer::after(LOOK).await;
+                Ok::<_, io::Error>(None)
+            };
+            let next = async {
+                let frame = commands.next().await?;
+                Ok(Some(frame.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?))
+            };
+            let frame = future::or(next, look).await?;
+            if self.life.get() != life {
+                SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
+                return Ok(());
+            }
+            let Some(frame) = frame else {
+                let idle = clock::now().saturating_sub(used) >= self.records.terms.idle_close;
+                if open.borrow().is_empty() && idle {
                     return Ok(());
                 }
                 continue;
             };
-            let bytes = self.bytes();
-            let stream = stream.clone();
-            tasks.spawn(async move { drop(answer(&stream, &id, class, wait, bytes).await) }).detach();
+            used = clock::now();
+            match codec::command(&frame)?[..] {
+                [b"want", id, fields, _] => {
+                    let want =
+                        self.want(&String::from_utf8_lossy(id), &String::from_utf8_lossy(fields), used)?;
+                    open.borrow_mut().insert(want.id.clone(), want.place);
+                    if self.fault.get() == Some(Fault::Reset) {
+                        SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
+                        return Ok(());
+                    }
+                    if !self.answers() {
+                        continue;
+                    }
+                    let (own, stream, open) = (self.clone(), stream.clone(), open.clone());
+                    tasks.spawn(async move { drop(own.answer(&stream, &open, want).await) }).detach();
+                }
+                [b"never_mind", id] => {
+                    if let Some(place) = open.borrow_mut().remove(&*String::from_utf8_lossy(id)) {
+                        self.records.attempt_ended(place, used, AttemptEnd::MayHaveRun);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Notes an attempt and draws how it is answered.
+    fn want(&self, id: &str, fields: &str, arrived: Micros) -> io::Result<Want> {
+        let request = self.places.borrow().get(id).copied();
+        let request = request.ok_or_else(|| io::Error::other("a request that nobody sent"))?;
+        let number = |name| codec::field(fields, name).and_then(|text| text.parse::<u64>().ok());
+        let (ttl, newer) = (number("ttl").unwrap_or(0) * MS, number("newer").map(|ms| ms * MS));
+        let (class, object, group) = {
+            let request = &self.records.requests.borrow()[request];
+            (request.class, request.object, request.group)
+        };
+        let terms = self.records.terms.classes[class];
+        let limit = newer.or((terms.fresh > 0).then_some(terms.fresh));
+        let held = match codec::field(fields, "fetch") {
+            _ if terms.write => Some(self.fill(0, 0)),
+            Some(_) => Some(
+                self.copy(object, class, group, limit)
+                    .unwrap_or_else(|| self.fill(limit.unwrap_or(0), self.cleared(object, group))),
+            ),
+            None => self.copy(object, class, group, limit),
+        };
+        let reply = if held.is_none() { Reply::None } else { self.reply() };
+        let held = held.unwrap_or(Held { stamp: 0, bytes: 0 });
+        if reply != Reply::None {
+            self.held.borrow_mut().insert((object, class), held);
         }
-        Ok(())
+        let place = {
+            let mut attempts = self.records.attempts.borrow_mut();
+            let (cache, answer, ended) = (self.number, reply.name(), None);
+            attempts.push(Attempt { request, cache, arrived, ttl, newer, answer, ended });
+            attempts.len() - 1
+        };
+        Ok(Want { id: id.to_owned(), place, reply, wait: self.wait(), write: terms.write, held, object })
+    }
+
+    /// Caches and sources have no copy from before then: they drop purged ones as late as the pages allow.
+    fn cleared(&self, object: u64, group: u16) -> Micros {
+        let now = Stamp::now().as_micros();
+        let purges = self.records.purges.borrow();
+        let own = purges.iter().filter(|purge| match purge.what {
+            Purged::Object(key) => key == object,
+            Purged::Group(key) => key == group,
+        });
+        own.map(|purge| purge.at).filter(|at| now > at + CLEARED - SOONER).max().unwrap_or(0)
+    }
+
+    /// The copy that it holds, if it is young enough.
+    fn copy(&self, object: u64, class: usize, group: u16, limit: Option<Micros>) -> Option<Held> {
+        let held = *self.held.borrow().get(&(object, class))?;
+        let now = Stamp::now().as_micros();
+        let young = limit.is_none_or(|limit| now.saturating_sub(held.stamp) < limit);
+        (young && held.stamp > self.cleared(object, group)).then_some(held)
     }
 
-    fn bytes(&self) -> usize {
+    /// A copy from the source, which may have held it for a while, but not from before this time.
+    fn fill(&self, limit: Micros, after: Micros) -> Held {
         let mut random = self.random.borrow_mut();
-        match random.random_ratio(1, LARGE_EVERY) {
+        let age = if limit > 0 { random.random_range(0..limit) } else { 0 };
+        let bytes = match random.random_ratio(1, LARGE_EVERY) {
             true => random.random_range(MOST_BYTES..LARGE_BYTES),
             false => random.random_range(1..MOST_BYTES),
-        }
+        };
+        // On the wire a stamp has milliseconds.
+        let stamp = (Stamp::now().as_micros() - age).max(after + MS);
+        Held { stamp: stamp / MS * MS, bytes }
     }
 
-    /// How long an answer takes; none: it never comes.
-    fn wait(&self) -> Option<Duration> {
+    fn reply(&self) -> Reply {
         let mut random = self.random.borrow_mut();
+        match self.fault.get() {
+            Some(Fault::Errors) => Reply::Fault,
+            Some(Fault::Spoils) if random.random_bool(0.5) => SPOILT[random.random_range(0..SPOILT.len())],
+            _ if random.random_ratio(1, ODD_EVERY) => ODD[random.random_range(0..ODD.len())],
+            _ => Reply::Hit,
+        }
+    }
+
+    /// Whether an answer comes at all.
+    fn answers(&self) -> bool {
+        match self.fault.get() {
+            Some(Fault::Hang) => false,
+            Some(Fault::Late) => self.random.borrow_mut().random_bool(0.5),
+            _ => true,
+        }
+    }
+
+    /// How long an answer takes.
+    fn wait(&self) -> Duration {
         let most = match self.fault.get() {
-            Some(Fault::Hang | Fault::Reset) => return None,
-            Some(Fault::Late) if random.random_bool(0.5) => return None,
             Some(Fault::Slow | Fault::Late) => SLOW_MS,
-            None => USUAL_MS,
+            _ => USUAL_MS,
         };
-        Some(Duration::from_millis(random.random_range(1..most)))
+        Duration::from_millis(self.random.borrow_mut().random_range(1..most))
     }
-}
 
-async fn answer(
-    mut stream: &Async<TcpStream>,
-    id: &str,
-    class: Class,
-    wait: Duration,
-    bytes: usize,
-) -> io::Result<()> {
-    Timer::after(wait).await;
-    let stamp = clock::Stamp::now().as_micros() / 1000 - YOUNG_MS;
-    let fields = match class {
-        Class::Page => format!("version=4be0c1927d55a6f3,stamp={stamp},why=warm"),
-        Class::Scan | Class::Order => "why=deep_fill".to_owned(),
-    };
-    let body = vec![b'x'; bytes];
-    let strings: [&[u8]; 4] = [id.as_bytes(), b"HIT", fields.as_bytes(), &body];
-    stream.write_all(&resp::command(&strings)).await
+    async fn answer(&self, mut stream: &Async<TcpStream>, open: &Open, want: Want) -> io::Result<()> {
+        Timer::after(want.wait).await;
+        // Given up meanwhile.
+        let Some(place) = open.borrow_mut().remove(&want.id) else { return Ok(()) };
+        self.records.attempt_ended(place, clock::now(), want.reply.end());
+        let Held { stamp, bytes } = want.held;
+        let body = codec::marked_body(want.object, stamp, bytes);
+        let fields = match want.write {
+            true => "why=deep_fill".to_owned(),
+            false => format!("version={stamp:016x},stamp={},why=warm", stamp / MS),
+        };
+        let id = want.id.as_bytes();
+        let hit = resp::command(&[id, b"HIT", fields.as_bytes(), &body]);
+        match want.reply {
+            Reply::Hit => stream.write_all(&hit).await,
+            Reply::Twice => {
+                stream.write_all(&hit).await?;
+                Timer::after(SECOND_ANSWER).await;
+                stream.write_all(&hit).await
+            }
+            Reply::Half => {
+                stream.write_all(&hit[..hit.len() / 2]).await?;
+                stream.get_ref().shutdown(std::net::Shutdown::Both)
+            }
+            Reply::Stalled => stream.write_all(&hit[..hit.len() / 2]).await,
+            Reply::Garbage => stream.write_all(b"\x00\xff not an answer\r\n").await,
+            Reply::OddWord => stream.write_all(&resp::command(&[id, b"PERHAPS", b"-", b""])).await,
+            word => stream.write_all(&resp::command(&[id, word.name().as_bytes(), b"-", b""])).await,
+        }
+    }
 }
--- a/standins/src/soak/checker.rs
+++ b/standins/src/soak/checker.rs
@@ -1,8 +1,9 @@
 //! The rules of the protocol, held against a soak's records. It knows nothing of the router.
 
-use std::collections::BTreeMap;
+mod copies;
+mod repeats;
 
-use super::record::{Attempt, Class, Connection, EndKind, Process, Records, Request};
+use super::record::{Attempt, Connection, EndKind, Process, Records, Request};
 use crate::{Micros, SECOND};
 
 const MS: Micros = 1000;
@@ -21,8 +22,8 @@
 /// The terms of a drain.
 const TERM: Micros = 4 * SECOND;
 const RECENT: Micros = 2 * SECOND;
-/// Repeats of a keyed request are dropped for so long.
-pub(super) const WINDOW: Micros = 2 * SECOND;
+/// What the list tells binds a process so long after its start at the latest.
+const AFTER_START: Micros = 2 * SECOND;
 /// Each limit of time is so much longer on sockets.
 const SLACK: Micros = 50 * MS;
 
@@ -43,31 +44,60 @@
     let mut broken = Vec::new();
     answers(records, ended, slack, &mut broken);
     attempts(records, slack, &mut broken);
-    repeats(records, slack, &mut broken);
+    repeats::check(records, slack, &mut broken);
+    copies::check(records, slack, &mut broken);
     drains(records, slack, &mut broken);
     ends(records, &mut broken);
     broken.sort_by_key(|broken| broken.at);
     broken
 }
 
+/// A request's whole story: what it asked for, its attempts and their ends, its answers.
+fn story(records: &Records, place: usize) -> String {
+    let request = &records.requests.borrow()[place];
+    let class = records.terms.classes.get(request.class);
+    let attempts: Vec<String> = records
+        .attempts
+        .borrow()
+        .iter()
+        .filter(|attempt| attempt.request == place)
+        .map(|attempt| format!("{attempt:?}"))
+        .collect();
+    format!("request {place} {request:?} of {class:?}; attempts: [{}]", attempts.join(", "))
+}
+
+/// Since when all that was told then binds whoever handles this request: a process that started later has it some time later.
+fn binds_since(records: &Records, told: Micros, request: &Request) -> Micros {
+    let processes = records.processes.borrow();
+    let Some(process) = processes.get(records.connections.borrow()[request.connection].process) else {
+        return told;
+    };
+    let of_router = processes.iter().filter(|other| other.router == process.router);
+    // An upgrade's younger process may have taken the connection.
+    let later = of_router.map(|other| other.started + AFTER_START).filter(|since| *since > told);
+    later.filter(|since| *since <= request.sent + AFTER_START).max().unwrap_or(told)
+}
+
 /// Each request has one final answer in its time.
 fn answers(records: &Records, ended: Micros, slack: Micros, broken: &mut Vec<Broken>) {
     let (connections, processes) = (records.connections.borrow(), records.processes.borrow());
     for (place, request) in records.requests.borrow().iter().enumerate() {
         let connection = &connections[request.connection];
         let by = request.sent + request.budget + LATE + slack;
-        let seen = || format!("request {place} ({}) {request:?} on {connection:?}", request.class.name());
+        let seen = || format!("{} on {connection:?}", story(records, place));
         match &request.answers[..] {
             [] => {
                 if by < ended && is_lost(request, connection, &processes[connection.process], slack) {
                     broken.push(Broken { at: by, rule: "lost: no answer", seen: seen() });
                 }
             }
-            [at] if *at > by && !connection.slow => {
+            [(at, _)] if *at > by && !connection.slow => {
                 broken.push(Broken { at: *at, rule: "lost: answered too late", seen: seen() });
             }
             [_] => {}
-            [_, second, ..] => broken.push(Broken { at: *second, rule: "a second answer", seen: seen() }),
+            [_, (second, _), ..] => {
+                broken.push(Broken { at: *second, rule: "a second answer", seen: seen() })
+            }
         }
     }
 }
@@ -124,27 +154,6 @@
     }
 }
 
-/// A request runs again only as its class allows.
-fn repeats(records: &Records, slack: Micros, broken: &mut Vec<Broken>) {
-    let requests = records.requests.borrow();
-    let mut first: BTreeMap<usize, Micros> = BTreeMap::new();
-    for attempt in records.attempts.borrow().iter() {
-        let Some(before) = first.get(&attempt.request) else {
-            first.insert(attempt.request, attempt.arrived);
-            continue;
-        };
-        let allowed = match requests[attempt.request].class {
-            Class::Page => true,
-            Class::Scan => attempt.arrived <= before + WINDOW + slack,
-            Class::Order => false,
-        };
-        if !allowed {
-            let seen = format!("{attempt:?}, first at {before}, of {:?}", requests[attempt.request]);
-            broken.push(Broken { at: attempt.arrived, rule: "run more than its class allows", seen });
-        }
-    }
-}
-
 /// 4 s after a drain no connection is idle or has a request of the last 2 s.
 fn drains(records: &Records, slack: Micros, broken: &mut Vec<Broken>) {
     let connections = records.connections.borrow();
@@ -162,7 +171,8 @@
             let own = || requests.iter().filter(|request| request.connection == place && request.sent <= at);
             let last = own().map(|request| request.sent).max();
             let is_open = |request: &&Request| {
-                let over = request.answers.first().copied().into_iter().chain(request.cancelled).min();
+                let answered = request.answers.first().map(|(at, _)| *at);
+                let over = answered.into_iter().chain(request.cancelled).min();
                 over.is_none_or(|over| over > at)
             };
             let rule = match last {
--- a/standins/src/soak/clients.rs
+++ b/standins/src/soak/clients.rs
@@ -13,9 +13,9 @@
 use rand_pcg::Pcg64Mcg;
 use silverspindle_wire::{clock, framing};
 
-use super::checker::WINDOW;
-use super::record::{Class, Connection, EndKind, Records, Request};
-use crate::codec;
+use super::record::{Connection, Copy, EndKind, Records, Request, Word};
+use super::terms::Effect;
+use crate::codec::{self, Answer};
 use crate::{Micros, SECOND};
 
 const MS: Micros = 1000;
@@ -30,6 +30,9 @@
 /// How long a client keeps a connection, and how often it asks, in milliseconds.
 const LIFE: std::ops::Range<Micros> = 2 * SECOND..20 * SECOND;
 const EVERY_MS: std::ops::Range<u64> = 10..150;
+/// Objects that are asked for, most of them the first ones, and groups that they belong to.
+const OBJECTS: u64 = 60;
+const GROUPS: u64 = 4;
 
 /// What a client does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -142,11 +145,11 @@
                 Err(_) => return self.end(EndKind::Reset),
             }
             while let Ok(Some(frame)) = framing::split(&mut buffer, codec::measure_answer) {
-                let Ok((seq, _)) = codec::answer(&frame) else { return self.end(EndKind::Reset) };
+                let Ok((seq, answer)) = codec::answer(&frame) else { return self.end(EndKind::Reset) };
                 let place = self.open.borrow_mut().remove(&seq).or_else(|| numbers.get(&seq).copied());
                 if let Some(place) = place {
                     numbers.insert(seq, place);
-                    self.town.records.requests.borrow_mut()[place].answers.push(clock::now());
+                    self.town.records.requests.borrow_mut()[place].answers.push((clock::now(), word(answer)));
                 }
             }
             if self.habit == Habit::SlowReader {
@@ -200,32 +203,46 @@
         seq: i32,
         random: &mut Pcg64Mcg,
     ) -> std::io::Result<()> {
-        let class =
-            [Class::Page, Class::Page, Class::Page, Class::Scan, Class::Order][random.random_range(0..5)];
+        let classes = &self.town.records.terms.classes;
+        let class = random.random_range(0..classes.len());
+        let terms = classes[class];
         let budget_ms = random.random_range(BUDGETS);
         let (rid, token) =
             (format!("{:016x}", random.random::<u64>()), format!("{:032x}", random.random::<u128>()));
-        let object = format!("{:016x}", random.random_range(0..100_000u64));
+        let number = random.random_range(0..OBJECTS).min(random.random_range(0..OBJECTS));
+        let group = (number % GROUPS) as u16;
+        let (object, family) = (format!("{number:016x}"), group.to_string());
         let budget = budget_ms.to_string();
         let mut fields = vec![
-            ("method", class.name()),
+            ("method", terms.name),
             ("rid", &rid),
             ("budget", &budget),
             ("obj", &object),
             ("block", "0"),
-            ("family", "17"),
+            ("family", &family),
             ("mem", "40"),
         ];
-        if class == Class::Scan {
+        if matches!(terms.effect, Effect::Deduplicated(..)) {
             fields.push(("token", &token));
         }
-        let body: &[u8] = if class == Class::Page { b"" } else { b"scanned" };
+        let body: &[u8] = if terms.write { b"scanned" } else { b"" };
         let bytes = codec::serve(seq, &fields, body);
         let place = {
             let mut requests = self.town.records.requests.borrow_mut();
             let (connection, sent, budget) = (self.place, clock::now(), budget_ms * MS);
             let (answers, cancelled, whole) = (Vec::new(), None, false);
-            requests.push(Request { connection, class, sent, budget, answers, cancelled, whole });
+            let object = number;
+            requests.push(Request {
+                connection,
+                class,
+                object,
+                group,
+                sent,
+                budget,
+                answers,
+                cancelled,
+                whole,
+            });
             requests.len() - 1
         };
         self.town.places.borrow_mut().insert(rid, place);
@@ -253,4 +270,14 @@
     }
 }
 
-const _: () = assert!(WINDOW >= 2 * SECOND, "a client's budget lies within the window of repeats");
+/// What an answer says.
+fn word(answer: Answer) -> Word {
+    match answer {
+        Answer::Served(body, _) => {
+            let copy = codec::read_marked_body(&body);
+            Word::Served(copy.map(|(object, stamp, whole)| Copy { object, stamp, whole }))
+        }
+        Answer::Refused(_) => Word::Refused,
+        Answer::Failed => Word::Failed,
+    }
+}
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -1,17 +1,19 @@
-//! A seeded soak: router processes between clients and caches, with signals, drains, upgrades, kills, steps of the wall
-//! clock and failing calls drawn from the seed, judged from records by the protocol's rules.
+//! A seeded soak: router processes between clients and caches. Settings, signals, drains, upgrades, kills, steps of the wall
+//! clock, failing calls, faulty caches, lists and purges are drawn from the seed; records of both sides are judged by the
+//! protocol's rules.
 
 mod caches;
 pub mod checker;
 mod clients;
 mod nodes;
 pub mod record;
+pub mod terms;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::io;
-use std::net::TcpStream;
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,8 +24,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustix::io::Errno;
-use serde_json::{Value, json};
-use silverspindle_wire::clock;
+use silverspindle_wire::clock::{self, Stamp};
 
 use crate::codec::{Member, News};
 use crate::coordinator::Coordinator;
@@ -33,13 +34,23 @@
 pub use checker::Broken;
 use clients::{Habit, Town};
 use nodes::{Node, call, is_ready};
-use record::{CacheDrain, Drain, Records};
+use record::{CacheDrain, Drain, Purge, Purged, Records};
+use terms::Terms;
 
-/// The longest deadline of the settings.
-const LONGEST: Micros = 2 * SECOND;
 const MS: Micros = 1000;
-/// Caches.
-const CACHES: usize = 4;
+/// Caches, the last of them the head office; the others stand in two cells.
+const CACHES: usize = 5;
+const CELLS: u16 = 2;
+/// Purges are told this often, at most and at least, and this late at most; after a silence of the list they count as told
+/// so much later.
+const PURGE_EVERY: std::ops::Range<Micros> = 100 * MS..1500 * MS;
+const PURGE_LATE: Micros = 400 * MS;
+const TOLD_AFTER_SILENCE: Micros = 7 * SECOND;
+/// Events reach routers within this where the list is not silent.
+const TOLD: Micros = 100 * MS;
+/// Objects and groups that are purged, of those that clients ask for.
+const PURGED_OBJECTS: u64 = 20;
+const PURGED_GROUPS: u16 = 4;
 /// Clients of each habit, for each router.
 const CLIENTS: usize = 1;
 /// A round of acts, each on a router or cache of its own, takes so long.
@@ -50,6 +61,8 @@
 const DRAINED: Micros = 6 * SECOND;
 const DRAIN_TERM: Micros = 4 * SECOND;
 const READY_AGAIN: Micros = 2 * SECOND;
+/// A cache that has crashed is down for so long.
+const CRASHED: Duration = Duration::from_millis(700);
 /// Idle connections of a crowd.
 const CROWD: usize = 120;
 /// So often it is looked whether the soak itself is late.
@@ -81,6 +94,8 @@
     pub began: Micros,
     /// Requests, attempts, connections and processes.
     pub counts: [usize; 4],
+    /// The settings that were drawn.
+    pub terms: Terms,
     /// How late the soak itself was at worst: all limits are longer by it.
     pub lateness: Micros,
 }
@@ -97,6 +112,9 @@
             self.broken.len()
         );
         let second = |at: Micros| (at as f64 - self.began as f64) / SECOND as f64;
+        if !self.broken.is_empty() {
+            let _ = writeln!(text, "  {:?}", self.terms);
+        }
         if let Some(first) = self.broken.first() {
             for (at, act) in self.acts.iter().filter(|(at, _)| *at <= first.at) {
                 let _ = writeln!(text, "  {:8.3} {act}", second(*at));
@@ -110,32 +128,6 @@
     }
 }
 
-/// The configuration of a router but for its addresses.
-fn config(members: &[Member], coordinator: &Coordinator, routers: usize, seed: u64) -> Value {
-    let class = |name: &str, kind: &str| {
-        json!({"name": name, "idempotency": kind, "group": "all", "slo_ms": 400.0,
-            "deadline_ms": LONGEST as f64 / 1e3, "window_ms": checker::WINDOW as f64 / 1e3, "worth": 1.0,
-            "late_worth": 0.2})
-    };
-    let settings = json!({
-        "balancers": routers, "index": 0, "my_zone": "edge", "failure_domains": ["hub", "edge"],
-        "kinds": ["box", "parent", "origin"], "weights": "rough", "membership_mode": "pushed",
-        "classes": [class("page", "idempotent"), class("scan", "deduplicated"), class("order", "at_most_once")],
-        "family_info": {"parent_kind": 1, "root_kind": 2, "flow_kb_per_s": 5000.0, "detail": "all",
-            "class_write": [false, true, true], "crew_by_zone": [0, routers], "hub_by_zone": [0, 0],
-            "heed_within_ms": 500.0, "cleared_within_ms": 6000.0, "neighbours": "any"},
-        "limits": {"try_limit": 6, "retry_after": true, "max_retry_after_ms": 2000.0, "cancelling": true,
-            "second_copies": true, "connect_timeout_ms": 400.0, "streams_per_conn": 32, "idle_close_ms": 30000.0},
-        "rules": {"drain_grace_ms": 1000.0, "cold_ms": 16000.0, "tip_after_ms": 1500.0}
-    });
-    let members: Vec<Value> = members.iter().map(Member::json).collect();
-    json!({"seed": format!("{seed:x}"), "coordinator": coordinator.address.to_string(),
-        "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 512},
-        "settings": settings,
-        "known": {"index": 1, "updates": [{"index": 1, "endpoints":
-            {"revision": 1, "complete": true, "members": members}}]}})
-}
-
 /// All that acts need.
 struct Soak {
     records: Rc<Records>,
@@ -156,20 +148,26 @@
 async fn play(options: &Options, tasks: Rc<LocalExecutor<'static>>) -> io::Result<Outcome> {
     let mut random = Pcg64Mcg::seed_from_u64(options.seed);
     let directory = tempfile::tempdir()?;
-    let (records, places) = (Rc::<Records>::default(), Rc::<RefCell<HashMap<String, usize>>>::default());
+    let terms = Terms::draw(&mut Pcg64Mcg::seed_from_u64(random.random()));
+    let cells = (0..CACHES as u16).map(|number| number % CELLS).collect();
+    let records = Rc::new(Records { terms: terms.clone(), cells, ..Records::default() });
+    let places = Rc::<RefCell<HashMap<String, usize>>>::default();
     let coordinator = Coordinator::start(&tasks)?;
     let mut fork = || Pcg64Mcg::seed_from_u64(random.random());
     let mut caches = Vec::new();
     for number in 0..CACHES {
-        caches.push(Cache::start(&tasks, number, &records, &places, fork())?);
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        caches.push(Cache::start(&tasks, number, &records, &places, fork(), listener)?);
     }
     let member = |cache: &Rc<Cache>| {
         let kind = if cache.number + 1 == CACHES { 2 } else { 0 };
         let id = cache.number as u32 + 1;
-        Member { id, state: 0, kind, weight: 10, started_ms: 0, address: cache.address }
+        let cell = cache.number as u16 % CELLS;
+        Member { id, state: 0, kind, cell, weight: 10, started_ms: 0, address: cache.address }
     };
     let members: Vec<Member> = caches.iter().map(member).collect();
-    let config = config(&members, &coordinator, options.routers, options.seed);
+    let address = coordinator.address.to_string();
+    let config = terms.config(&members, &address, options.routers, options.seed);
     let mut nodes = Vec::new();
     for number in 0..options.routers {
         let node = Node::new(number, &options.program, directory.path(), config.clone(), &records)?;
@@ -196,6 +194,7 @@
         coordinator,
         seen: RefCell::default(),
     });
+    let purging = tasks.spawn(soak.clone().purge(fork()));
     let rounds = (options.seconds * SECOND).div_ceil(ROUND).max(1);
     let mut acts = Vec::new();
     for _ in 0..rounds {
@@ -206,6 +205,7 @@
     for act in acts {
         act.await;
     }
+    drop(purging);
     town.is_over.set(true);
     for client in clients {
         client.await;
@@ -226,7 +226,7 @@
         records.processes.borrow().len(),
     ];
     let acts = records.acts.take();
-    Ok(Outcome { seed: options.seed, broken, acts, began, counts, lateness: lateness.get() })
+    Ok(Outcome { seed: options.seed, broken, acts, began, counts, terms, lateness: lateness.get() })
 }
 
 /// How late this process itself gets its turn.
@@ -279,14 +279,18 @@
         }
         for cache in self.caches.iter().take(CACHES - 1).cloned() {
             if random.random_bool(0.6) {
-                let faults = [Fault::Hang, Fault::Slow, Fault::Reset, Fault::Late];
+                let faults =
+                    [Fault::Hang, Fault::Slow, Fault::Reset, Fault::Late, Fault::Errors, Fault::Spoils];
                 let fault = faults[random.random_range(0..faults.len())];
                 let (wait, lasts) =
                     (random.random_range(0..5 * SECOND), random.random_range(SECOND..4 * SECOND));
-                all.push(tasks.spawn(self.clone().on_cache(cache, fault, wait, lasts)));
+                match random.random_ratio(1, 5) {
+                    true => all.push(tasks.spawn(self.clone().crash(cache, wait))),
+                    false => all.push(tasks.spawn(self.clone().on_cache(cache, fault, wait, lasts))),
+                }
             }
         }
-        let listed = random.random_range(0..3);
+        let listed = random.random_range(0..4);
         let wait = random.random_range(0..3 * SECOND);
         all.push(tasks.spawn(self.clone().on_list(listed, wait, random.random_range(0..CACHES - 1))));
         all
@@ -317,6 +321,9 @@
 
     async fn on_clock(self: Rc<Self>, node: Rc<Node>, offset: i64, wait: Micros) {
         rest(wait).await;
+        if node.is_starting.get() {
+            return;
+        }
         self.act(format!("n{}: its wall clock is off by {offset} s", node.number));
         let _ = node.clock.step_to(offset * SECOND as i64);
     }
@@ -420,6 +427,40 @@
         cache.fault.set(None);
     }
 
+    /// A cache's process dies and is back, cold, a little later; the list tells its new start.
+    async fn crash(self: Rc<Self>, cache: Rc<Cache>, wait: Micros) {
+        rest(wait).await;
+        self.act(format!("cache {}: crashes", cache.number));
+        cache.crash(CRASHED).await;
+        let started_ms = Stamp::now().as_micros() / MS;
+        // The list says that it is ready, also where it was told to drain before.
+        let mut drains = self.records.cache_drains.borrow_mut();
+        let own = drains.iter_mut().filter(|drain| drain.cache == cache.number && drain.until.is_none());
+        own.for_each(|drain| drain.until = Some(clock::now()));
+        self.coordinator.tell(News::Changes(vec![Member { started_ms, ..self.members[cache.number] }]));
+        self.act(format!("cache {}: is back, cold", cache.number));
+    }
+
+    /// Purges objects and groups, on and on.
+    async fn purge(self: Rc<Self>, mut random: Pcg64Mcg) {
+        loop {
+            rest(random.random_range(PURGE_EVERY)).await;
+            let at = Stamp::now().as_micros() / MS * MS;
+            let what = match random.random_bool(0.7) {
+                true => Purged::Object(random.random_range(0..PURGED_OBJECTS)),
+                false => Purged::Group(random.random_range(0..PURGED_GROUPS)),
+            };
+            rest(random.random_range(0..PURGE_LATE)).await;
+            let late = if self.coordinator.stalled.get() { TOLD_AFTER_SILENCE } else { TOLD };
+            let told = clock::now() + late;
+            self.records.purges.borrow_mut().push(Purge { what, at, told });
+            self.coordinator.tell(match what {
+                Purged::Object(object) => News::PurgeObject(object, at / MS),
+                Purged::Group(group) => News::Purge(group, at / MS),
+            });
+        }
+    }
+
     /// The list: a cache drains and comes back, or the feed is silent for a while, or nothing happens.
     async fn on_list(self: Rc<Self>, kind: u32, wait: Micros, cache: usize) {
         rest(wait).await;
@@ -434,15 +475,27 @@
                 };
                 rest(3 * SECOND).await;
                 self.act(format!("list: cache {cache} is ready"));
-                self.records.cache_drains.borrow_mut()[drain].until = Some(clock::now());
+                let until = &mut self.records.cache_drains.borrow_mut()[drain].until;
+                *until = until.or(Some(clock::now()));
                 self.coordinator.tell(News::Changes(vec![self.members[cache]]));
             }
             1 => {
                 self.act("list: silent for 2.5 s".to_owned());
                 self.coordinator.stalled.set(true);
+                let now = clock::now();
+                for purge in self.records.purges.borrow_mut().iter_mut().filter(|purge| purge.told > now) {
+                    purge.told += TOLD_AFTER_SILENCE;
+                }
                 rest(2500 * MS).await;
                 self.coordinator.stalled.set(false);
             }
+            2 => {
+                self.act(format!("list: cache {cache} drains and is ready in quick succession"));
+                for state in [1, 0, 1, 0] {
+                    self.coordinator.tell(News::Changes(vec![Member { state, ..self.members[cache] }]));
+                    rest(30 * MS).await;
+                }
+            }
             _ => {}
         }
     }
--- a/standins/src/soak/nodes.rs
+++ b/standins/src/soak/nodes.rs
@@ -27,7 +27,7 @@
 /// A process is ready by then: the pages allow 10 s after a restart.
 pub const READY: Micros = 10 * SECOND;
 /// SIGKILL comes so long after SIGTERM: the longest deadline of the settings and 0.7 s.
-pub const KILL: Micros = super::LONGEST + 700_000;
+pub const KILL: Micros = super::terms::LONGEST + 700_000;
 
 /// A process that runs.
 #[derive(Debug)]
@@ -69,6 +69,8 @@
     pub running: RefCell<Option<Rc<Running>>>,
     /// Something is being done with it.
     pub is_busy: Cell<bool>,
+    /// A process of it starts: its wall clock is right until that is ready.
+    pub is_starting: Cell<bool>,
     /// Its wall clock.
     pub clock: ClockStep,
     /// Its system calls.
@@ -100,6 +102,7 @@
             door: Rc::new(door),
             running: RefCell::default(),
             is_busy: Cell::new(false),
+            is_starting: Cell::new(false),
             clock: ClockStep::new(&directory)?,
             calls: FailingCalls::new(&directory)?,
             records: records.clone(),
@@ -111,6 +114,9 @@
 
     /// Starts a process and waits until it is ready.
     pub async fn start(&self) -> io::Result<Rc<Running>> {
+        // Ages of copies go by the wall clock as it is at the start: a machine's clock is set before the router is started.
+        self.is_starting.set(true);
+        self.clock.step_to(0)?;
         let port = Port::hold([127, 0, 3, 10 + self.number as u8])?;
         let log = self.directory.join("log");
         let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
@@ -131,7 +137,8 @@
             .spawn()?;
         let place = {
             let mut processes = self.records.processes.borrow_mut();
-            processes.push(Process { router: self.number, told: None, killed: None, ended: None });
+            let (started, told, killed, ended) = (clock::now(), None, None, None);
+            processes.push(Process { router: self.number, started, told, killed, ended });
             processes.len() - 1
         };
         let running = Rc::new(Running { place, management: port.address, child: child.into(), _port: port });
@@ -142,6 +149,7 @@
             }
             Timer::after(LOOK_AGAIN).await;
         }
+        self.is_starting.set(false);
         Ok(running)
     }
 
--- a/standins/src/soak/record.rs
+++ b/standins/src/soak/record.rs
@@ -2,30 +2,9 @@
 
 use std::cell::RefCell;
 
+use super::terms::Terms;
 use crate::Micros;
 
-/// A class of the soak's settings.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Class {
-    /// Safe to repeat.
-    Page,
-    /// Carries a key; repeats within the window are dropped.
-    Scan,
-    /// Runs once at most.
-    Order,
-}
-
-impl Class {
-    /// As the settings name it.
-    pub fn name(self) -> &'static str {
-        match self {
-            Class::Page => "page",
-            Class::Scan => "scan",
-            Class::Order => "order",
-        }
-    }
-}
-
 /// How a connection ended, as its client saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndKind {
@@ -37,19 +16,45 @@
     Left,
 }
 
+/// A copy that an answer brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Copy {
+    /// The object that it says it is of.
+    pub object: u64,
+    /// When it was made, by the wall clock.
+    pub stamp: Micros,
+    /// Its bytes are those that a cache made.
+    pub whole: bool,
+}
+
+/// What a client was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Served; none: what came is no cache's answer.
+    Served(Option<Copy>),
+    /// Refused: trying again does no harm.
+    Refused,
+    /// Failed.
+    Failed,
+}
+
 /// A request.
 #[derive(Clone, Debug)]
 pub struct Request {
     /// Its connection.
     pub connection: usize,
-    /// Its class.
-    pub class: Class,
+    /// Place of its class in the terms.
+    pub class: usize,
+    /// What is asked for, and the group that it belongs to.
+    pub object: u64,
+    /// See `object`.
+    pub group: u16,
     /// When its last bytes were written.
     pub sent: Micros,
     /// How long the client waits.
     pub budget: Micros,
-    /// When answers came.
-    pub answers: Vec<Micros>,
+    /// When answers came, and what they said.
+    pub answers: Vec<(Micros, Word)>,
     /// When the client cancelled it.
     pub cancelled: Option<Micros>,
     /// It was written whole: nothing is owed to half a request.
@@ -69,6 +74,15 @@
     pub ended: Option<(Micros, EndKind)>,
 }
 
+/// How an attempt ended at its cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// Answered, in a way that proves that it never ran.
+    NeverRan,
+    /// Answered in another way, or given up by the router, or its connection ended.
+    MayHaveRun,
+}
+
 /// An attempt that a cache has read.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -80,6 +94,12 @@
     pub arrived: Micros,
     /// How long the router waits, as it says.
     pub ttl: Micros,
+    /// The oldest copy that will do; none: the class's fresh time.
+    pub newer: Option<Micros>,
+    /// The word that the cache meant to answer.
+    pub answer: &'static str,
+    /// When and how it ended; none: it is out.
+    pub ended: Option<(Micros, AttemptEnd)>,
 }
 
 /// A router's process.
@@ -87,6 +107,8 @@
 pub struct Process {
     /// Its router.
     pub router: usize,
+    /// When it was started.
+    pub started: Micros,
     /// When it was told to end.
     pub told: Option<Micros>,
     /// When it was killed, and whether that was before the pages allow it after SIGTERM: nothing is owed then.
@@ -117,9 +139,43 @@
     pub until: Option<Micros>,
 }
 
+/// What a purge is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purged {
+    /// An object.
+    Object(u64),
+    /// A group.
+    Group(u16),
+}
+
+/// A purge.
+#[derive(Clone, Copy, Debug)]
+pub struct Purge {
+    /// What it is of.
+    pub what: Purged,
+    /// Its own time, by the wall clock.
+    pub at: Micros,
+    /// When all routers counted as told.
+    pub told: Micros,
+}
+
+impl Purge {
+    /// Whether it is of what is asked for.
+    pub fn is_of(&self, request: &Request) -> bool {
+        match self.what {
+            Purged::Object(object) => object == request.object,
+            Purged::Group(group) => group == request.group,
+        }
+    }
+}
+
 /// All of it.
 #[derive(Debug, Default)]
 pub struct Records {
+    /// The settings.
+    pub terms: Terms,
+    /// The caches' cells, by number.
+    pub cells: Vec<u16>,
     /// Requests, by place.
     pub requests: RefCell<Vec<Request>>,
     /// Connections, by place.
@@ -132,6 +188,8 @@
     pub drains: RefCell<Vec<Drain>>,
     /// Drains of caches.
     pub cache_drains: RefCell<Vec<CacheDrain>>,
+    /// Purges.
+    pub purges: RefCell<Vec<Purge>>,
     /// What was done, for the timeline.
     pub acts: RefCell<Vec<(Micros, String)>>,
 }
@@ -141,4 +199,10 @@
     pub fn act(&self, at: Micros, what: String) {
         self.acts.borrow_mut().push((at, what));
     }
+
+    /// An attempt has ended, if it had not before.
+    pub fn attempt_ended(&self, place: usize, at: Micros, how: AttemptEnd) {
+        let attempt = &mut self.attempts.borrow_mut()[place];
+        attempt.ended = attempt.ended.or(Some((at, how)));
+    }
 }
