The director's answers, attempts and own copies are modules of their own

Change: moved only; answers.rs words final answers, attempts.rs sends and ends attempts, own_copies.rs keeps and serves copies. No behaviour changes.

--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -2,7 +2,10 @@
 //! requests, the attempts and the timers, and does what the simulator does by itself: it times attempts out,
 //! hands the first good answer on, and keeps events in order. It knows no wire format.
 
+mod answers;
+mod attempts;
 mod freshness;
+mod own_copies;
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -12,24 +15,22 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use bitternhold::{
-    Action, Effect, Event, FillMode, Keep, Lifecycle, ListKind, Member, MemberId, Micros, Outcome, Own,
-    Request, RequestId, Settings, Status,
+    Action, Event, FillMode, Keep, Lifecycle, ListKind, Member, MemberId, Micros, Own, Request, RequestId,
+    Settings, Status,
 };
 use futures_lite::future;
 use silverspindle_knowledge::Item;
 
-use crate::clock::Stamp;
+use crate::clock::{self, Stamp};
 use crate::copies::{Copies, Copy};
-use crate::counters::{CopyLoss, Counters, RefusalReason};
+use crate::counters::{Counters, RefusalReason};
 use crate::feed::{Listed, News, Purged};
-use crate::guards::OWN_COPY_LOSS;
 use crate::knowledge::Knowledge;
 use crate::traffic::{
-    Account, Attempt, Call, End, Message, Notice, Port, Refusal, SafeToRetry, Shared, Terms, Verdict,
+    Account, Attempt, Call, Message, Notice, Port, Refusal, SafeToRetry, Shared, Terms, Verdict,
 };
 use crate::upstream::{Order, Peer};
 use crate::withheld::Withheld;
-use crate::{clock, invariant};
 
 /// Messages that may wait for the director.
 pub const MAILBOX: usize = 256;
@@ -37,6 +38,7 @@
 const BATCH: usize = 64;
 /// The module's last word comes with the time-outs at the deadline; so much later one is given without it.
 const LAST_WORD: Micros = 5_000;
+
 struct Open {
     call: Rc<Call>,
     came: Micros,
@@ -67,9 +69,6 @@
     Request(RequestId),
 }
 
-/// What is booked on a cold member is written within this part of the time in which it falls over, or decided anew: what
-/// waits for a connection and arrives with what is decided later would be more than its budget.
-const COLD_WAIT: Micros = 10;
 /// What is refused by agreement may be allowed again: advice in milliseconds.
 const DENIED: u64 = 1000;
 
@@ -377,205 +376,11 @@
         }));
     }
 
-    /// Marks a request finished; false if it was already.
-    fn close(&mut self, id: RequestId) -> bool {
-        let Some(open) = self.requests.get_mut(&id).filter(|o| !o.closed) else { return false };
-        open.closed = true;
-        open.call.over.set(true);
-        open.own = None;
-        self.by_client.remove(&(open.port.id(), open.seq));
-        self.owed.set(self.owed.get() - 1);
-        if open.out.is_empty() {
-            self.requests.remove(&id);
-        }
-        true
-    }
-
-    fn answer(&mut self, id: RequestId, verdict: Verdict) {
-        let Some(open) = self.requests.get(&id) else { return };
-        let (port, seq) = (open.port.clone(), open.seq);
-        let Call { rid, class, .. } = &*open.call;
-        let spare = open.call.deadline.saturating_sub(self.now());
-        // Where rules are on, which versions of them it was answered on.
-        let rules = tracing::enabled!(tracing::Level::TRACE).then(|| self.shared.board.version()).flatten();
-        let attempts = open.account.attempts();
-        tracing::trace!(rid, class, attempts, spare, rules, "answer {}", verdict.name());
-        if matches!(verdict, Verdict::Refused(_) | Verdict::Failed) && !open.closed {
-            let may_have_run = open.account.may_have_run();
-            tracing::debug!(rid, class, may_have_run, "{}; attempts: {}", verdict.name(), open.account);
-        }
-        let took = self.now().saturating_sub(open.came);
-        let served = matches!(verdict, Verdict::Served(_) | Verdict::Holds);
-        self.shared.board.answered(served && took <= self.aim(&open.call));
-        if self.close(id) {
-            self.counters.answered(verdict.name());
-            port.answer(seq, verdict);
-        }
-    }
-
     /// Requests that are open on a client's connection.
     fn open_on(&self, port: u64) -> Vec<RequestId> {
         self.by_client.range((port, i32::MIN)..=(port, i32::MAX)).map(|(_, id)| *id).collect()
     }
 
-    /// Gives a request its final answer before its time: refused where its account proves that this does no harm, else failed.
-    fn give_up(&mut self, id: RequestId) {
-        let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return };
-        let verdict = match open.account.safe_to_retry() {
-            Some(proof) => Verdict::Refused(Refusal::new(proof, &self.settings, DENIED)),
-            None => Verdict::Failed,
-        };
-        tracing::debug!(rid = open.call.rid, "given up: {}", verdict.name());
-        self.counters.refused(RefusalReason::GivenUp);
-        self.answer(id, verdict);
-        self.event(Event::ClientGone { id });
-    }
-
-    /// Refuses a request as the module says, if its account proves that this does no harm; else it has failed.
-    fn refuse(&mut self, id: RequestId, wait: Micros) {
-        let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return };
-        let Some(proof) = open.account.safe_to_retry() else {
-            tracing::warn!(
-                rid = open.call.rid,
-                "a refusal without proof is withheld; attempts: {}",
-                open.account
-            );
-            self.counters.refused(RefusalReason::Unproven);
-            return self.answer(id, Verdict::Failed);
-        };
-        self.counters.refused(RefusalReason::Exhausted);
-        // Rounded up: the client is to stay away for so long at least.
-        let backoff = (wait > 0).then(|| wait.div_ceil(1000));
-        self.answer(id, Verdict::Refused(Refusal::advised(proof, backoff)));
-    }
-
-    /// The time in which an answer to this is worth all: the class's, and as many times as it says of the sending's.
-    fn aim(&self, call: &Call) -> Micros {
-        let Some(class) = self.settings.classes.get(call.class) else { return 0 };
-        let sending = call.size_kb.unwrap_or(0.0) / self.settings.flow_kb_per_s.max(1.0);
-        class.aim + (class.aim_stretch * sending * 1e6) as Micros
-    }
-
-    fn left(&mut self, id: RequestId) {
-        let port = self.requests.get(&id).map(|open| open.port.clone());
-        if self.close(id) {
-            port.iter().for_each(|port| port.drop_request());
-            self.event(Event::ClientGone { id });
-        }
-    }
-
-    fn ended(&mut self, end: End) {
-        let Some(out) = self.attempts.remove(&end.ticket) else { return };
-        self.shared.board.over(&out.attempt, end.status == Status::Ok, end.note);
-        let now = self.now();
-        if let Some(open) = self.requests.get_mut(&out.id) {
-            open.account.ended(now, end.ticket, end.status);
-        }
-        if end.status == Status::Moot {
-            // Perhaps the limit of its copy's age did not do: what is decided instead goes by a new one.
-            self.told_stale = None;
-        }
-        if end.status == Status::Moot && out.attempt.client.is_gone() {
-            // Found at the moment of writing, before the front told: there is nothing to decide any more.
-            self.left(out.id);
-        }
-        if end.status == Status::Ok {
-            self.copy(&out.attempt.call, &end);
-            let verdict = end.body.map_or(Verdict::Holds, Verdict::Served);
-            self.answer(out.id, verdict);
-        }
-        let End { status, note, waited, load, .. } = end;
-        let elapsed = self.now().saturating_sub(out.sent);
-        let rid = &out.attempt.call.rid;
-        tracing::trace!(rid, number = out.number, member = %spelt(out.member), elapsed, "end {status:?} {note:?}");
-        let closed = self.let_go(out.id, end.ticket);
-        self.event(Event::Outcome(Outcome {
-            id: out.id,
-            attempt: out.number,
-            member: out.member,
-            status,
-            elapsed,
-            closed,
-            note,
-            waited,
-            load,
-        }));
-    }
-
-    /// Keeps the copy that an answer brought, or notes that a cache still has it.
-    fn copy(&mut self, call: &Call, end: &End) {
-        let write = self.settings.classes.get(call.class).is_none_or(|c| c.write);
-        let Some((key, (tag, stamp))) = call.copy().zip(end.name.as_ref()).filter(|_| !write) else { return };
-        match &end.body {
-            Some(body) => self.copies.keep(self.now(), key, call.group, tag, *stamp, body),
-            None => self.copies.confirm(self.now(), key, tag),
-        }
-    }
-
-    /// The router's own copy of what is asked for, as far as the feed's lease vouches for it.
-    fn offered_copy(&self, now: Micros, call: &Call) -> Option<Rc<Copy>> {
-        let copy = self.copies.get(&call.copy()?)?;
-        self.is_young(now, copy.stamp).then(|| copy.clone())
-    }
-
-    /// Answers from the copy that the request was offered; false where it may not be served any more. Its age counts to when
-    /// the request came, so the time that passed since takes nothing from it; a purge and the feed's lease do.
-    fn serve_own_copy(&mut self, id: RequestId) -> bool {
-        let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return true };
-        let (call, now) = (open.call.clone(), self.now());
-        let terms = self.settings.classes.get(call.class).filter(|c| !c.write);
-        let unproven = SafeToRetry::unproven(OWN_COPY_LOSS);
-        let age = |copy: &Copy| copy.stamp.age(if unproven.is_some() { now } else { open.came });
-        let good = |copy: &Copy| terms.is_some_and(|c| c.fresh == 0 || age(copy) < c.fresh + c.stale);
-        let loss = match &open.own {
-            None => CopyLoss::Purged,
-            Some(copy) if !good(copy) => CopyLoss::Aged,
-            Some(copy) if !self.is_young(now, copy.stamp) => CopyLoss::Unconfirmed,
-            Some(copy) => {
-                let (copy, holds) = (copy.clone(), call.holds(&copy.tag));
-                self.copies.send(now, copy.bytes(holds));
-                call.copy().iter().for_each(|key| self.copies.touch(key));
-                let verdict = if holds { Verdict::Holds } else { Verdict::Served(copy.body.clone()) };
-                self.answer(id, verdict);
-                return true;
-            }
-        };
-        let waited_ms = now.saturating_sub(open.came) / 1000;
-        let may_have_run = open.account.may_have_run();
-        tracing::debug!(rid = call.rid, waited_ms, may_have_run, "own copy lost: {}", loss.name());
-        self.counters.copy_lost(loss);
-        let Some(unproven) = unproven else { return false };
-        self.answer(id, Verdict::Refused(Refusal::advised(unproven, None)));
-        true
-    }
-
-    /// Requests let go of the own copies that a purge is of.
-    fn drop_offered(&mut self, what: Purged, at: Stamp) {
-        for open in self.requests.values_mut() {
-            let (call, own) = (&open.call, &mut open.own);
-            *own = own.take().filter(|copy| !call.key().is_some_and(|key| copy.falls_to(key, what, at)));
-        }
-    }
-
-    /// An attempt is out no more; whether its request is finished.
-    fn let_go(&mut self, id: RequestId, ticket: u64) -> bool {
-        let Some(open) = self.requests.get_mut(&id) else { return true };
-        open.out.retain(|t| *t != ticket);
-        let closed = open.closed;
-        if closed && open.out.is_empty() {
-            self.requests.remove(&id);
-        }
-        closed
-    }
-
-    /// Ends an attempt from this side: nobody waits for it any more.
-    fn drop_attempt(&mut self, ticket: u64, status: Status) {
-        let Some(out) = self.attempts.get(&ticket) else { return };
-        out.attempt.dropped.set(true);
-        self.post(&out.peer, Order::GiveUp(out.attempt.clone(), status == Status::Timeout));
-        self.ended(End::bare(ticket, status));
-    }
-
     fn wake(&mut self, at: Micros, due: Due) {
         self.next += 1;
         self.due.insert((at, self.next), due);
@@ -653,98 +458,6 @@
             Action::Log(words) => tracing::info!("module: {words}"),
         }
     }
-
-    /// Whether a member has started so lately that only so much may be sent to it.
-    fn is_cold(&self, now: Micros, id: MemberId) -> bool {
-        let Some(noted) = self.shared.board.noted(id).filter(|noted| noted.started > 0) else { return false };
-        let time = match Some(noted.kind) {
-            kind if kind == self.settings.origin_kind => 0,
-            kind if kind == self.settings.parent_kind => self.settings.parent_cold_time,
-            _ => self.settings.cold_time,
-        };
-        now < noted.started.saturating_add(time)
-    }
-
-    fn send(&mut self, id: RequestId, member: MemberId, until: Micros, terms: Terms) {
-        let now = self.now();
-        let most = self.settings.max_attempts;
-        let peer = self.peers.get(&member).cloned();
-        let cold = [Some(member), terms.source].into_iter().flatten().any(|id| self.is_cold(now, id));
-        let Some(open) = self.requests.get_mut(&id) else {
-            invariant!(false, "an attempt for a request that is not open");
-            return;
-        };
-        let number = open.account.attempts();
-        let until = if until == 0 { open.call.deadline } else { until.min(open.call.deadline) };
-        let class = self.settings.classes.get(open.call.class);
-        let window = class.filter(|c| c.effect == Effect::Deduplicated).map(|c| c.window);
-        let repeat_by =
-            window.zip(open.account.repeat_from()).map(|(window, first)| first.saturating_add(window));
-        let window = self.settings.fall_window;
-        let cold_by = (cold && window > 0).then(|| now + window / COLD_WAIT);
-        let write_by = [repeat_by, cold_by].into_iter().flatten().fold(until, Micros::min);
-        self.next += 1;
-        let ticket = self.next;
-        let attempt = Rc::new(Attempt {
-            ticket,
-            call: open.call.clone(),
-            terms,
-            client: open.port.clone(),
-            until,
-            write_by,
-            line: Cell::new(0),
-            decided: self.shared.board.moment(),
-            written: Cell::new(false),
-            dropped: Cell::new(false),
-            first: number == 0,
-            bare: Cell::new(false),
-            tokens: Cell::new(0),
-        });
-        // In simulation, too, what may not or can't be sent any more ends as never sent.
-        let may = !open.closed && until > now && (most == 0 || number < most);
-        self.shared.board.begun(&attempt, member);
-        let peer = peer.filter(|p| may && p.try_send(Order::Send(attempt.clone())).is_ok());
-        let Some(peer) = peer else {
-            self.shared.board.over(&attempt, false, None);
-            open.account.unsent(now, member);
-            let closed = open.closed;
-            self.backlog.push_back(Event::Outcome(Outcome {
-                id,
-                attempt: number,
-                member,
-                status: Status::Moot,
-                elapsed: 0,
-                closed,
-                note: None,
-                waited: None,
-                load: None,
-            }));
-            return;
-        };
-        let (source, held) =
-            (attempt.terms.source.map_or_else(String::new, spelt), attempt.terms.mode.held_only);
-        let Call { rid, class, object, part, size_kb, .. } = &*attempt.call;
-        let member_name = spelt(member);
-        if number > 0 {
-            self.counters.retried(open.account.last_end().filter(|_| open.out.is_empty()));
-        }
-        tracing::trace!(
-            rid,
-            class,
-            object,
-            part,
-            size_kb,
-            number,
-            member = member_name,
-            source,
-            held,
-            "attempt"
-        );
-        open.out.push(ticket);
-        open.account.sent(now, member, &attempt);
-        self.attempts.insert(ticket, Out { id, number, member, peer, sent: now, attempt });
-        self.wake(until, Due::Attempt(ticket));
-    }
 }
 
 /// A member's id as the coordinator and the caches spell it.
--- /dev/null
+++ b/silverspindle/src/director/answers.rs
@@ -0,0 +1,91 @@
+//! Final answers: each request gets one, and a refusal only on the proof of its account.
+
+use bitternhold::{Event, Micros, RequestId};
+
+use super::{DENIED, Director};
+use crate::counters::RefusalReason;
+use crate::traffic::{Call, Refusal, Verdict};
+
+impl Director {
+    /// Marks a request finished; false if it was already.
+    pub(super) fn close(&mut self, id: RequestId) -> bool {
+        let Some(open) = self.requests.get_mut(&id).filter(|o| !o.closed) else { return false };
+        open.closed = true;
+        open.call.over.set(true);
+        open.own = None;
+        self.by_client.remove(&(open.port.id(), open.seq));
+        self.owed.set(self.owed.get() - 1);
+        if open.out.is_empty() {
+            self.requests.remove(&id);
+        }
+        true
+    }
+
+    pub(super) fn answer(&mut self, id: RequestId, verdict: Verdict) {
+        let Some(open) = self.requests.get(&id) else { return };
+        let (port, seq) = (open.port.clone(), open.seq);
+        let Call { rid, class, .. } = &*open.call;
+        let spare = open.call.deadline.saturating_sub(self.now());
+        // Where rules are on, which versions of them it was answered on.
+        let rules = tracing::enabled!(tracing::Level::TRACE).then(|| self.shared.board.version()).flatten();
+        let attempts = open.account.attempts();
+        tracing::trace!(rid, class, attempts, spare, rules, "answer {}", verdict.name());
+        if matches!(verdict, Verdict::Refused(_) | Verdict::Failed) && !open.closed {
+            let may_have_run = open.account.may_have_run();
+            tracing::debug!(rid, class, may_have_run, "{}; attempts: {}", verdict.name(), open.account);
+        }
+        let took = self.now().saturating_sub(open.came);
+        let served = matches!(verdict, Verdict::Served(_) | Verdict::Holds);
+        self.shared.board.answered(served && took <= self.aim(&open.call));
+        if self.close(id) {
+            self.counters.answered(verdict.name());
+            port.answer(seq, verdict);
+        }
+    }
+
+    /// Gives a request its final answer before its time: refused where its account proves that this does no harm, else failed.
+    pub(super) fn give_up(&mut self, id: RequestId) {
+        let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return };
+        let verdict = match open.account.safe_to_retry() {
+            Some(proof) => Verdict::Refused(Refusal::new(proof, &self.settings, DENIED)),
+            None => Verdict::Failed,
+        };
+        tracing::debug!(rid = open.call.rid, "given up: {}", verdict.name());
+        self.counters.refused(RefusalReason::GivenUp);
+        self.answer(id, verdict);
+        self.event(Event::ClientGone { id });
+    }
+
+    /// Refuses a request as the module says, if its account proves that this does no harm; else it has failed.
+    pub(super) fn refuse(&mut self, id: RequestId, wait: Micros) {
+        let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return };
+        let Some(proof) = open.account.safe_to_retry() else {
+            tracing::warn!(
+                rid = open.call.rid,
+                "a refusal without proof is withheld; attempts: {}",
+                open.account
+            );
+            self.counters.refused(RefusalReason::Unproven);
+            return self.answer(id, Verdict::Failed);
+        };
+        self.counters.refused(RefusalReason::Exhausted);
+        // Rounded up: the client is to stay away for so long at least.
+        let backoff = (wait > 0).then(|| wait.div_ceil(1000));
+        self.answer(id, Verdict::Refused(Refusal::advised(proof, backoff)));
+    }
+
+    /// The time in which an answer to this is worth all: the class's, and as many times as it says of the sending's.
+    pub(super) fn aim(&self, call: &Call) -> Micros {
+        let Some(class) = self.settings.classes.get(call.class) else { return 0 };
+        let sending = call.size_kb.unwrap_or(0.0) / self.settings.flow_kb_per_s.max(1.0);
+        class.aim + (class.aim_stretch * sending * 1e6) as Micros
+    }
+
+    pub(super) fn left(&mut self, id: RequestId) {
+        let port = self.requests.get(&id).map(|open| open.port.clone());
+        if self.close(id) {
+            port.iter().for_each(|port| port.drop_request());
+            self.event(Event::ClientGone { id });
+        }
+    }
+}
--- /dev/null
+++ b/silverspindle/src/director/attempts.rs
@@ -0,0 +1,166 @@
+//! Attempts: sent as the module decides, ended by peers or from this side.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bitternhold::{Effect, Event, MemberId, Micros, Outcome, RequestId, Status};
+
+use super::{Director, Due, Out, spelt};
+use crate::invariant;
+use crate::traffic::{Attempt, Call, End, Terms, Verdict};
+use crate::upstream::Order;
+
+/// What is booked on a cold member is written within this part of the time in which it falls over, or decided anew: what
+/// waits for a connection and arrives with what is decided later would be more than its budget.
+const COLD_WAIT: Micros = 10;
+
+impl Director {
+    pub(super) fn ended(&mut self, end: End) {
+        let Some(out) = self.attempts.remove(&end.ticket) else { return };
+        self.shared.board.over(&out.attempt, end.status == Status::Ok, end.note);
+        let now = self.now();
+        if let Some(open) = self.requests.get_mut(&out.id) {
+            open.account.ended(now, end.ticket, end.status);
+        }
+        if end.status == Status::Moot {
+            // Perhaps the limit of its copy's age did not do: what is decided instead goes by a new one.
+            self.told_stale = None;
+        }
+        if end.status == Status::Moot && out.attempt.client.is_gone() {
+            // Found at the moment of writing, before the front told: there is nothing to decide any more.
+            self.left(out.id);
+        }
+        if end.status == Status::Ok {
+            self.copy(&out.attempt.call, &end);
+            let verdict = end.body.map_or(Verdict::Holds, Verdict::Served);
+            self.answer(out.id, verdict);
+        }
+        let End { status, note, waited, load, .. } = end;
+        let elapsed = self.now().saturating_sub(out.sent);
+        let rid = &out.attempt.call.rid;
+        tracing::trace!(rid, number = out.number, member = %spelt(out.member), elapsed, "end {status:?} {note:?}");
+        let closed = self.let_go(out.id, end.ticket);
+        self.event(Event::Outcome(Outcome {
+            id: out.id,
+            attempt: out.number,
+            member: out.member,
+            status,
+            elapsed,
+            closed,
+            note,
+            waited,
+            load,
+        }));
+    }
+
+    /// An attempt is out no more; whether its request is finished.
+    pub(super) fn let_go(&mut self, id: RequestId, ticket: u64) -> bool {
+        let Some(open) = self.requests.get_mut(&id) else { return true };
+        open.out.retain(|t| *t != ticket);
+        let closed = open.closed;
+        if closed && open.out.is_empty() {
+            self.requests.remove(&id);
+        }
+        closed
+    }
+
+    /// Ends an attempt from this side: nobody waits for it any more.
+    pub(super) fn drop_attempt(&mut self, ticket: u64, status: Status) {
+        let Some(out) = self.attempts.get(&ticket) else { return };
+        out.attempt.dropped.set(true);
+        self.post(&out.peer, Order::GiveUp(out.attempt.clone(), status == Status::Timeout));
+        self.ended(End::bare(ticket, status));
+    }
+
+    /// Whether a member has started so lately that only so much may be sent to it.
+    pub(super) fn is_cold(&self, now: Micros, id: MemberId) -> bool {
+        let Some(noted) = self.shared.board.noted(id).filter(|noted| noted.started > 0) else { return false };
+        let time = match Some(noted.kind) {
+            kind if kind == self.settings.origin_kind => 0,
+            kind if kind == self.settings.parent_kind => self.settings.parent_cold_time,
+            _ => self.settings.cold_time,
+        };
+        now < noted.started.saturating_add(time)
+    }
+
+    pub(super) fn send(&mut self, id: RequestId, member: MemberId, until: Micros, terms: Terms) {
+        let now = self.now();
+        let most = self.settings.max_attempts;
+        let peer = self.peers.get(&member).cloned();
+        let cold = [Some(member), terms.source].into_iter().flatten().any(|id| self.is_cold(now, id));
+        let Some(open) = self.requests.get_mut(&id) else {
+            invariant!(false, "an attempt for a request that is not open");
+            return;
+        };
+        let number = open.account.attempts();
+        let until = if until == 0 { open.call.deadline } else { until.min(open.call.deadline) };
+        let class = self.settings.classes.get(open.call.class);
+        let window = class.filter(|c| c.effect == Effect::Deduplicated).map(|c| c.window);
+        let repeat_by =
+            window.zip(open.account.repeat_from()).map(|(window, first)| first.saturating_add(window));
+        let window = self.settings.fall_window;
+        let cold_by = (cold && window > 0).then(|| now + window / COLD_WAIT);
+        let write_by = [repeat_by, cold_by].into_iter().flatten().fold(until, Micros::min);
+        self.next += 1;
+        let ticket = self.next;
+        let attempt = Rc::new(Attempt {
+            ticket,
+            call: open.call.clone(),
+            terms,
+            client: open.port.clone(),
+            until,
+            write_by,
+            line: Cell::new(0),
+            decided: self.shared.board.moment(),
+            written: Cell::new(false),
+            dropped: Cell::new(false),
+            first: number == 0,
+            bare: Cell::new(false),
+            tokens: Cell::new(0),
+        });
+        // In simulation, too, what may not or can't be sent any more ends as never sent.
+        let may = !open.closed && until > now && (most == 0 || number < most);
+        self.shared.board.begun(&attempt, member);
+        let peer = peer.filter(|p| may && p.try_send(Order::Send(attempt.clone())).is_ok());
+        let Some(peer) = peer else {
+            self.shared.board.over(&attempt, false, None);
+            open.account.unsent(now, member);
+            let closed = open.closed;
+            self.backlog.push_back(Event::Outcome(Outcome {
+                id,
+                attempt: number,
+                member,
+                status: Status::Moot,
+                elapsed: 0,
+                closed,
+                note: None,
+                waited: None,
+                load: None,
+            }));
+            return;
+        };
+        let (source, held) =
+            (attempt.terms.source.map_or_else(String::new, spelt), attempt.terms.mode.held_only);
+        let Call { rid, class, object, part, size_kb, .. } = &*attempt.call;
+        let member_name = spelt(member);
+        if number > 0 {
+            self.counters.retried(open.account.last_end().filter(|_| open.out.is_empty()));
+        }
+        tracing::trace!(
+            rid,
+            class,
+            object,
+            part,
+            size_kb,
+            number,
+            member = member_name,
+            source,
+            held,
+            "attempt"
+        );
+        open.out.push(ticket);
+        open.account.sent(now, member, &attempt);
+        self.attempts.insert(ticket, Out { id, number, member, peer, sent: now, attempt });
+        self.wake(until, Due::Attempt(ticket));
+    }
+}
--- /dev/null
+++ b/silverspindle/src/director/own_copies.rs
@@ -0,0 +1,71 @@
+//! The router's own copies as requests meet them: kept from answers, offered to the module when a request comes, served when
+//! it says so, let go when they are purged.
+
+use std::rc::Rc;
+
+use bitternhold::{Micros, RequestId};
+
+use super::Director;
+use crate::clock::Stamp;
+use crate::copies::Copy;
+use crate::counters::CopyLoss;
+use crate::feed::Purged;
+use crate::guards::OWN_COPY_LOSS;
+use crate::traffic::{Call, End, Refusal, SafeToRetry, Verdict};
+
+impl Director {
+    /// Keeps the copy that an answer brought, or notes that a cache still has it.
+    pub(super) fn copy(&mut self, call: &Call, end: &End) {
+        let write = self.settings.classes.get(call.class).is_none_or(|c| c.write);
+        let Some((key, (tag, stamp))) = call.copy().zip(end.name.as_ref()).filter(|_| !write) else { return };
+        match &end.body {
+            Some(body) => self.copies.keep(self.now(), key, call.group, tag, *stamp, body),
+            None => self.copies.confirm(self.now(), key, tag),
+        }
+    }
+
+    /// The router's own copy of what is asked for, as far as the feed's lease vouches for it.
+    pub(super) fn offered_copy(&self, now: Micros, call: &Call) -> Option<Rc<Copy>> {
+        let copy = self.copies.get(&call.copy()?)?;
+        self.is_young(now, copy.stamp).then(|| copy.clone())
+    }
+
+    /// Answers from the copy that the request was offered; false where it may not be served any more. Its age counts to when
+    /// the request came, so the time that passed since takes nothing from it; a purge and the feed's lease do.
+    pub(super) fn serve_own_copy(&mut self, id: RequestId) -> bool {
+        let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return true };
+        let (call, now) = (open.call.clone(), self.now());
+        let terms = self.settings.classes.get(call.class).filter(|c| !c.write);
+        let unproven = SafeToRetry::unproven(OWN_COPY_LOSS);
+        let age = |copy: &Copy| copy.stamp.age(if unproven.is_some() { now } else { open.came });
+        let good = |copy: &Copy| terms.is_some_and(|c| c.fresh == 0 || age(copy) < c.fresh + c.stale);
+        let loss = match &open.own {
+            None => CopyLoss::Purged,
+            Some(copy) if !good(copy) => CopyLoss::Aged,
+            Some(copy) if !self.is_young(now, copy.stamp) => CopyLoss::Unconfirmed,
+            Some(copy) => {
+                let (copy, holds) = (copy.clone(), call.holds(&copy.tag));
+                self.copies.send(now, copy.bytes(holds));
+                call.copy().iter().for_each(|key| self.copies.touch(key));
+                let verdict = if holds { Verdict::Holds } else { Verdict::Served(copy.body.clone()) };
+                self.answer(id, verdict);
+                return true;
+            }
+        };
+        let waited_ms = now.saturating_sub(open.came) / 1000;
+        let may_have_run = open.account.may_have_run();
+        tracing::debug!(rid = call.rid, waited_ms, may_have_run, "own copy lost: {}", loss.name());
+        self.counters.copy_lost(loss);
+        let Some(unproven) = unproven else { return false };
+        self.answer(id, Verdict::Refused(Refusal::advised(unproven, None)));
+        true
+    }
+
+    /// Requests let go of the own copies that a purge is of.
+    pub(super) fn drop_offered(&mut self, what: Purged, at: Stamp) {
+        for open in self.requests.values_mut() {
+            let (call, own) = (&open.call, &mut open.own);
+            *own = own.take().filter(|copy| !call.key().is_some_and(|key| copy.falls_to(key, what, at)));
+        }
+    }
+}
