Soak: clients name copies, caches call wrong ones current, parents are sources that drain

Cause: rules on clients' copies and on draining sources were neither provoked nor checked in the soak. The exhaustive test also holds that the module never asks for a refusal that the director's account does not prove.

--- a/silverspindle/tests/common/orders.rs
+++ b/silverspindle/tests/common/orders.rs
@@ -14,6 +14,7 @@
 use serde_json::{Value, json};
 use silverspindle::clock::{Clock, Stamp};
 use silverspindle::copies::Copies;
+use silverspindle::counters::{Counters, RefusalReason};
 use silverspindle::director::Director;
 use silverspindle::feed::{Listed, News, Purged};
 use silverspindle::traffic::{
@@ -212,6 +213,7 @@
     members: BTreeMap<MemberId, Member>,
     not_ready_since: BTreeMap<MemberId, Micros>,
     client: Rc<Client>,
+    counters: Rc<Counters>,
     came: Micros,
     copy_stamp: Micros,
     sent: Vec<Sent>,
@@ -239,6 +241,8 @@
             tasks: Rc::default(),
         });
         let mut director = Director::new(7, shared, Rc::default(), Copies::new(1_000_000, 1e6, 4e6));
+        let counters = Rc::<Counters>::default();
+        director.count_in(counters.clone());
         let mailboxes = Mailboxes::default();
         let all = mailboxes.clone();
         director.start_peers_by(move |id, _| {
@@ -259,6 +263,7 @@
             members: members.map(|m| (m.id, m)).collect(),
             not_ready_since: BTreeMap::new(),
             client: Rc::new(Client { id: 2, ..Client::default() }),
+            counters,
             came: 0,
             copy_stamp: 0,
             sent: Vec::new(),
@@ -580,6 +585,10 @@
         if !self.closed {
             self.breaks("no final answer in its time");
         }
+        // The module keeps an account of its own: the two must come to the same.
+        if self.counters.refusals(RefusalReason::Unproven) > 0 {
+            self.breaks("the module would have refused what may have run");
+        }
         self.broken.take().map_or(Ok(()), Err)
     }
 }
--- a/standins/src/codec.rs
+++ b/standins/src/codec.rs
@@ -242,6 +242,11 @@
     body
 }
 
+/// The tag of a copy of this time.
+pub fn tag(stamp: u64) -> String {
+    format!("{stamp:016x}")
+}
+
 /// What a marked body says, and whether all that it says follows; none: it is no such body.
 pub fn read_marked_body(body: &[u8]) -> Option<(u64, u64, bool)> {
     let mut parts = body.splitn(4, |byte| *byte == b' ');
--- a/standins/src/soak/caches.rs
+++ b/standins/src/soak/caches.rs
@@ -70,10 +70,12 @@
     Garbage,
     OddWord,
     Twice,
+    /// It calls a copy current that the client does not hold.
+    WrongCopy,
 }
 
-const SPOILT: [Reply; 4] = [Reply::Half, Reply::Stalled, Reply::Garbage, Reply::OddWord];
-const ODD: [Reply; 9] = [
+const SPOILT: [Reply; 5] = [Reply::Half, Reply::Stalled, Reply::Garbage, Reply::OddWord, Reply::WrongCopy];
+const ODD: [Reply; 10] = [
     Reply::None,
     Reply::Shed,
     Reply::Fault,
@@ -83,6 +85,7 @@
     Reply::Garbage,
     Reply::OddWord,
     Reply::Twice,
+    Reply::WrongCopy,
 ];
 
 impl Reply {
@@ -98,6 +101,7 @@
             Reply::Garbage => "garbage",
             Reply::OddWord => "an odd word",
             Reply::Twice => "HIT twice",
+            Reply::WrongCopy => "VALID of another copy",
         }
     }
 
@@ -147,6 +151,8 @@
     reply: Reply,
     wait: Duration,
     write: bool,
+    /// The client holds this very copy, and it is passed on.
+    is_current: bool,
     held: Held,
     object: u64,
 }
@@ -266,6 +272,8 @@
     fn want(&self, id: &str, fields: &str, arrived: Micros) -> io::Result<Want> {
         let request = self.places.borrow().get(id).copied();
         let request = request.ok_or_else(|| io::Error::other("a request that nobody sent"))?;
+        let source =
+            codec::field(fields, "fetch").and_then(|id| u32::from_str_radix(id.strip_prefix("s-")?, 16).ok());
         let number = |name| codec::field(fields, name).and_then(|text| text.parse::<u64>().ok());
         let (ttl, newer) = (number("ttl").unwrap_or(0) * MS, number("newer").map(|ms| ms * MS));
         let (class, object, group) = {
@@ -290,10 +298,12 @@
         let place = {
             let mut attempts = self.records.attempts.borrow_mut();
             let (cache, answer, ended) = (self.number, reply.name(), None);
-            attempts.push(Attempt { request, cache, arrived, ttl, newer, answer, ended });
+            attempts.push(Attempt { request, cache, arrived, ttl, source, newer, answer, ended });
             attempts.len() - 1
         };
-        Ok(Want { id: id.to_owned(), place, reply, wait: self.wait(), write: terms.write, held, object })
+        let is_current = codec::field(fields, "holds").is_some_and(|tag| tag == codec::tag(held.stamp));
+        let (id, wait, write) = (id.to_owned(), self.wait(), terms.write);
+        Ok(Want { id, place, reply, wait, write, is_current, held, object })
     }
 
     /// Caches and sources have no copy from before then: they drop purged ones as late as the pages allow.
@@ -365,10 +375,13 @@
         let body = codec::marked_body(want.object, stamp, bytes);
         let fields = match want.write {
             true => "why=deep_fill".to_owned(),
-            false => format!("version={stamp:016x},stamp={},why=warm", stamp / MS),
+            false => format!("version={},stamp={},why=warm", codec::tag(stamp), stamp / MS),
         };
         let id = want.id.as_bytes();
-        let hit = resp::command(&[id, b"HIT", fields.as_bytes(), &body]);
+        let hit = match want.is_current {
+            true => resp::command(&[id, b"VALID", fields.as_bytes(), b""]),
+            false => resp::command(&[id, b"HIT", fields.as_bytes(), &body]),
+        };
         match want.reply {
             Reply::Hit => stream.write_all(&hit).await,
             Reply::Twice => {
@@ -381,6 +394,10 @@
                 stream.get_ref().shutdown(std::net::Shutdown::Both)
             }
             Reply::Stalled => stream.write_all(&hit[..hit.len() / 2]).await,
+            Reply::WrongCopy => {
+                let fields = format!("version={},stamp={}", codec::tag(stamp + 1), stamp / MS);
+                stream.write_all(&resp::command(&[id, b"VALID", fields.as_bytes(), b""])).await
+            }
             Reply::Garbage => stream.write_all(b"\x00\xff not an answer\r\n").await,
             Reply::OddWord => stream.write_all(&resp::command(&[id, b"PERHAPS", b"-", b""])).await,
             word => stream.write_all(&resp::command(&[id, word.name().as_bytes(), b"-", b""])).await,
--- a/standins/src/soak/checker.rs
+++ b/standins/src/soak/checker.rs
@@ -130,7 +130,7 @@
     let cache_drains = records.cache_drains.borrow();
     for attempt in records.attempts.borrow().iter() {
         let request = &requests[attempt.request];
-        let Attempt { arrived, ttl, cache, .. } = *attempt;
+        let Attempt { arrived, ttl, cache, source, .. } = *attempt;
         let left = match connections[request.connection].ended {
             Some((at, EndKind::Left)) => Some(at),
             _ => None,
@@ -145,7 +145,8 @@
         }
         let drained = |drain: &&super::record::CacheDrain| {
             let over = drain.until.is_some_and(|until| until <= arrived);
-            drain.cache == cache && arrived > drain.told + CACHE_GRACE + slack && !over
+            let named = drain.cache == cache || source.is_some_and(|id| id as usize == drain.cache + 1);
+            named && arrived > drain.told + CACHE_GRACE + slack && !over
         };
         if let Some(drain) = cache_drains.iter().find(drained) {
             let seen = format!("{} by {drain:?}", seen());
--- a/standins/src/soak/checker/copies.rs
+++ b/standins/src/soak/checker/copies.rs
@@ -12,6 +12,11 @@
     for (place, request) in records.requests.borrow().iter().enumerate() {
         let served = request.answers.iter().find_map(|(at, word)| match word {
             Word::Served(copy) => Some((*at, *copy)),
+            // Called current: as if it had been served.
+            Word::Current => {
+                let copy = |stamp| Copy { object: request.object, stamp, whole: true };
+                Some((*at, request.cached.map(copy)))
+            }
             _ => None,
         });
         if let Some((at, copy)) = served
--- a/standins/src/soak/clients.rs
+++ b/standins/src/soak/clients.rs
@@ -30,6 +30,8 @@
 /// How long a client keeps a connection, and how often it asks, in milliseconds.
 const LIFE: std::ops::Range<Micros> = 2 * SECOND..20 * SECOND;
 const EVERY_MS: std::ops::Range<u64> = 10..150;
+/// Part of the requests for an object that clients hold a copy of that name it.
+const CACHED: f64 = 0.4;
 /// Objects that are asked for, most of them the first ones, and groups that they belong to.
 const OBJECTS: u64 = 60;
 const GROUPS: u64 = 4;
@@ -84,6 +86,8 @@
     pub records: Rc<Records>,
     /// Requests by id, to their places.
     pub places: Rc<RefCell<HashMap<String, usize>>>,
+    /// Copies that clients were served last, by object and class.
+    pub copies: RefCell<HashMap<(u64, usize), Micros>>,
     /// The routers.
     pub doors: Vec<Rc<Door>>,
     /// Clients come to their ends.
@@ -150,6 +154,7 @@
                 if let Some(place) = place {
                     numbers.insert(seq, place);
                     self.town.records.requests.borrow_mut()[place].answers.push((clock::now(), word(answer)));
+                    self.note_copy(place);
                 }
             }
             if self.habit == Habit::SlowReader {
@@ -158,6 +163,14 @@
         }
     }
 
+    /// Clients keep what they are served.
+    fn note_copy(&self, place: usize) {
+        let request = &self.town.records.requests.borrow()[place];
+        if let Some((_, Word::Served(Some(copy)))) = request.answers.last() {
+            self.town.copies.borrow_mut().insert((copy.object, request.class), copy.stamp);
+        }
+    }
+
     async fn write(&self, stream: &Async<TcpStream>, random: &mut Pcg64Mcg) {
         let mut seq = 0;
         while clock::now() < self.until && !self.town.is_over.get() {
@@ -226,6 +239,12 @@
             fields.push(("token", &token));
         }
         let body: &[u8] = if terms.write { b"scanned" } else { b"" };
+        let held = self.town.copies.borrow().get(&(number, class)).copied();
+        let cached = held.filter(|_| !terms.write && random.random_bool(CACHED));
+        let tag = cached.map(codec::tag).unwrap_or_default();
+        if cached.is_some() {
+            fields.push(("cached", &tag));
+        }
         let bytes = codec::serve(seq, &fields, body);
         let place = {
             let mut requests = self.town.records.requests.borrow_mut();
@@ -237,6 +256,7 @@
                 class,
                 object,
                 group,
+                cached,
                 sent,
                 budget,
                 answers,
@@ -273,6 +293,7 @@
 /// What an answer says.
 fn word(answer: Answer) -> Word {
     match answer {
+        Answer::Served(body, _) if body.is_empty() => Word::Current,
         Answer::Served(body, _) => {
             let copy = codec::read_marked_body(&body);
             Word::Served(copy.map(|(object, stamp, whole)| Copy { object, stamp, whole }))
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -41,6 +41,8 @@
 /// Caches, the last of them the head office; the others stand in two cells.
 const CACHES: usize = 5;
 const CELLS: u16 = 2;
+/// Parents, which caches fill from.
+const PARENTS: usize = 2;
 /// Purges are told this often, at most and at least, and this late at most; after a silence of the list they count as told
 /// so much later.
 const PURGE_EVERY: std::ops::Range<Micros> = 100 * MS..1500 * MS;
@@ -165,7 +167,12 @@
         let cell = cache.number as u16 % CELLS;
         Member { id, state: 0, kind, cell, weight: 10, started_ms: 0, address: cache.address }
     };
-    let members: Vec<Member> = caches.iter().map(member).collect();
+    let mut members: Vec<Member> = caches.iter().map(member).collect();
+    for _ in 0..PARENTS {
+        // Nothing is sent to a parent but through a cache: its address is the head office's.
+        let last = members[CACHES - 1];
+        members.push(Member { id: members.len() as u32 + 1, kind: 1, cell: 0, ..last });
+    }
     let address = coordinator.address.to_string();
     let config = terms.config(&members, &address, options.routers, options.seed);
     let mut nodes = Vec::new();
@@ -177,7 +184,8 @@
     }
     let began = clock::now();
     let doors = nodes.iter().map(|node| node.door.clone()).collect();
-    let town = Rc::new(Town { records: records.clone(), places, doors, is_over: Cell::new(false) });
+    let (copies, is_over) = (RefCell::default(), Cell::new(false));
+    let town = Rc::new(Town { records: records.clone(), places, copies, doors, is_over });
     let mut clients = Vec::new();
     for _ in 0..CLIENTS * options.routers {
         for habit in Habit::ALL {
@@ -292,7 +300,10 @@
         }
         let listed = random.random_range(0..4);
         let wait = random.random_range(0..3 * SECOND);
-        all.push(tasks.spawn(self.clone().on_list(listed, wait, random.random_range(0..CACHES - 1))));
+        let number = random.random_range(0..self.members.len() - 1);
+        // The head office is always there.
+        let number = if number >= CACHES - 1 { number + 1 } else { number };
+        all.push(tasks.spawn(self.clone().on_list(listed, wait, number)));
         all
     }
 
@@ -466,7 +477,7 @@
         rest(wait).await;
         match kind {
             0 => {
-                self.act(format!("list: cache {cache} drains"));
+                self.act(format!("list: member {cache} drains"));
                 self.coordinator.tell(News::Changes(vec![Member { state: 1, ..self.members[cache] }]));
                 let drain = {
                     let mut drains = self.records.cache_drains.borrow_mut();
@@ -474,7 +485,7 @@
                     drains.len() - 1
                 };
                 rest(3 * SECOND).await;
-                self.act(format!("list: cache {cache} is ready"));
+                self.act(format!("list: member {cache} is ready"));
                 let until = &mut self.records.cache_drains.borrow_mut()[drain].until;
                 *until = until.or(Some(clock::now()));
                 self.coordinator.tell(News::Changes(vec![self.members[cache]]));
@@ -490,7 +501,7 @@
                 self.coordinator.stalled.set(false);
             }
             2 => {
-                self.act(format!("list: cache {cache} drains and is ready in quick succession"));
+                self.act(format!("list: member {cache} drains and is ready in quick succession"));
                 for state in [1, 0, 1, 0] {
                     self.coordinator.tell(News::Changes(vec![Member { state, ..self.members[cache] }]));
                     rest(30 * MS).await;
--- a/standins/src/soak/record.rs
+++ b/standins/src/soak/record.rs
@@ -32,6 +32,8 @@
 pub enum Word {
     /// Served; none: what came is no cache's answer.
     Served(Option<Copy>),
+    /// The copy that the client holds is the one that would be served.
+    Current,
     /// Refused: trying again does no harm.
     Refused,
     /// Failed.
@@ -49,6 +51,8 @@
     pub object: u64,
     /// See `object`.
     pub group: u16,
+    /// The copy that its client holds, by its time.
+    pub cached: Option<Micros>,
     /// When its last bytes were written.
     pub sent: Micros,
     /// How long the client waits.
@@ -94,6 +98,8 @@
     pub arrived: Micros,
     /// How long the router waits, as it says.
     pub ttl: Micros,
+    /// Where a miss is filled from, by id.
+    pub source: Option<u32>,
     /// The oldest copy that will do; none: the class's fresh time.
     pub newer: Option<Micros>,
     /// The word that the cache meant to answer.
@@ -128,10 +134,10 @@
     pub until: Option<Micros>,
 }
 
-/// A cache that takes no new work.
+/// A member that takes no new work, directly or as a source.
 #[derive(Clone, Debug)]
 pub struct CacheDrain {
-    /// The cache.
+    /// The member's number: its id less one.
     pub cache: usize,
     /// When all routers counted as told, and until when.
     pub told: Micros,
--- a/standins/tests/soak_checker.rs
+++ b/standins/tests/soak_checker.rs
@@ -37,12 +37,13 @@
 fn good() -> Records {
     let records = Records { terms: terms(), cells: vec![0, 0, 1], ..Records::default() };
     let (answers, cancelled, whole) = (vec![(10 * S + S / 10, copy(9 * S))], None, true);
-    let (class, object, group, sent, budget) = (ORDER, 7, 3, 10 * S, S);
+    let (class, object, group, cached, sent, budget) = (ORDER, 7, 3, None, 10 * S, S);
     records.requests.borrow_mut().push(Request {
         connection: 0,
         class,
         object,
         group,
+        cached,
         sent,
         budget,
         answers,
@@ -60,7 +61,7 @@
 /// An attempt at a cache that is answered after 0.05 s.
 fn attempt(cache: usize, arrived: u64) -> Attempt {
     let ended = Some((arrived + S / 20, AttemptEnd::MayHaveRun));
-    Attempt { request: 0, cache, arrived, ttl: S, newer: None, answer: "HIT", ended }
+    Attempt { request: 0, cache, arrived, ttl: S, source: Some(6), newer: None, answer: "HIT", ended }
 }
 
 /// The rules that are broken once the records are changed like this.
@@ -132,6 +133,10 @@
     };
     assert_eq!(drained(8 * S), ["new work for a draining cache"]);
     assert!(drained(9 * S + S / 2).is_empty(), "within its second");
+    let source = |records: &Records| {
+        records.cache_drains.borrow_mut().push(CacheDrain { cache: 5, told: 8 * S, until: None });
+    };
+    assert_eq!(broken(source), ["new work for a draining cache"], "as a source");
 }
 
 #[test]
@@ -217,6 +222,17 @@
     assert_eq!(served(PAGE, copy(2 * S)), ["served a copy that is too old"]);
     let made_up = "served what no cache made for it";
     assert_eq!(served(PAGE, Word::Served(None)), [made_up]);
+    assert_eq!(served(PAGE, Word::Current), [made_up], "its client holds none");
+    let current = |stamp| {
+        broken(move |records| {
+            request(records, |request| {
+                (request.class, request.cached) = (PAGE, Some(stamp));
+                request.answers = vec![(10 * S + S / 10, Word::Current)];
+            });
+        })
+    };
+    assert!(current(4 * S).is_empty());
+    assert_eq!(current(2 * S), ["served a copy that is too old"]);
     let other = Copy { object: 8, stamp: 9 * S, whole: true };
     assert_eq!(served(PAGE, Word::Served(Some(other))), [made_up]);
     assert_eq!(served(PAGE, Word::Served(Some(Copy { object: 7, whole: false, ..other }))), [made_up]);
