A drain waits until a slow client can have read all before it closes, and refuses more until then

Change: a client for whose room a write waited 10 ms counts as slow; its connection is held for twice the time that 1 MB/s takes for what was written, 512 KiB at most, within 3.4 s and 150 ms before SIGKILL can come; what comes meanwhile is refused. Tests of the front's times moved into a test file.

--- a/silverspindle/src/drain.rs
+++ b/silverspindle/src/drain.rs
@@ -70,6 +70,8 @@
     pub unwritten: usize,
     /// When a request last came.
     pub last_request: Option<Micros>,
+    /// Its client reads slowly and has not read all before then; none: it may have.
+    pub reads_until: Option<Micros>,
     /// Any request came on it.
     pub asked: bool,
     /// When it came, or last had something to do.
@@ -83,6 +85,8 @@
     Grace,
     /// Requests on it are open.
     OpenRequests,
+    /// Its client reads slowly and can't have read all: the end of the stream would cross what it sends.
+    UnreadAnswers,
     /// It came late and has its time for a first message.
     FirstMessage,
 }
@@ -93,6 +97,7 @@
         match self {
             Hold::Grace => "grace",
             Hold::OpenRequests => "open_requests",
+            Hold::UnreadAnswers => "unread_answers",
             Hold::FirstMessage => "first_message",
         }
     }
@@ -232,12 +237,12 @@
     /// Whether a connection is to be closed now: after the grace, once it owes no answer. One that came later
     /// and said nothing yet gets [`FIRST_WORD`] for its request.
     pub fn close(&self, now: Micros, seen: Seen) -> bool {
-        self.since().is_some_and(|since| hold(since, now, seen).is_none())
+        self.since().is_some() && self.hold(now, seen).is_none()
     }
 
     /// Why a connection is kept for now, under a drain or an end.
     pub fn hold(&self, now: Micros, seen: Seen) -> Option<Hold> {
-        hold(self.since()?, now, seen)
+        hold(self.since()?, self.reads_by(), now, seen)
     }
 
     /// Why a request that came now on this connection and is due by `deadline` is refused, as never run; none: it is
@@ -250,7 +255,8 @@
             return Some(RefusalReason::Withdrawn);
         }
         let since = self.since()?;
-        let backlog = seen.unwritten > 0 && now >= since.saturating_add(GRACE);
+        let unread = seen.reads_until.is_some() && now < self.reads_by();
+        let backlog = (seen.unwritten > 0 || unread) && now >= since.saturating_add(GRACE);
         let busy = seen.open > 0 && now >= since.saturating_add(TAKES);
         let spent = backlog || busy || now >= since.saturating_add(TERM - RECENT);
         match self.phase {
@@ -263,6 +269,15 @@
         }
     }
 
+    /// Until then clients that read slowly are waited for: the terms, and the kill, are near.
+    fn reads_by(&self) -> Micros {
+        let gives_up = self.since().unwrap_or(0).saturating_add(GIVE_UP);
+        match self.phase {
+            Phase::Ending(_) => gives_up.min(self.kill().saturating_sub(BEFORE_KILL)),
+            _ => gives_up,
+        }
+    }
+
     /// When SIGKILL may come at the soonest, after SIGTERM.
     fn kill(&self) -> Micros {
         self.told.saturating_add(self.kill_after)
@@ -322,13 +337,16 @@
     }
 }
 
-fn hold(since: Micros, now: Micros, seen: Seen) -> Option<Hold> {
+fn hold(since: Micros, reads_by: Micros, now: Micros, seen: Seen) -> Option<Hold> {
     if now < since.saturating_add(GRACE) {
         return Some(Hold::Grace);
     }
     if seen.open > 0 {
         return Some(Hold::OpenRequests);
     }
+    if seen.reads_until.is_some_and(|until| now < until.min(reads_by)) {
+        return Some(Hold::UnreadAnswers);
+    }
     let said_nothing = !seen.asked && seen.used >= since;
     let in_time = now < seen.used.saturating_add(FIRST_WORD);
     let looked_at = (since.saturating_add(GIVE_UP)..since.saturating_add(TERM)).contains(&now);
@@ -342,7 +360,7 @@
     const S: Micros = 1_000_000;
 
     fn idle(used: Micros) -> Seen {
-        Seen { open: 0, unwritten: 0, last_request: None, asked: true, used }
+        Seen { open: 0, unwritten: 0, last_request: None, reads_until: None, asked: true, used }
     }
 
     #[test]
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -24,7 +24,8 @@
 mod closing;
 mod connection;
 mod drain_log;
-mod queue;
+pub mod queue;
+pub mod reading;
 mod request;
 
 use closing::ClosingConnections;
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -16,6 +16,7 @@
 use socket2::SockRef;
 
 use super::closing::{LINGER, UNSENT, throw_away};
+use super::reading::Reading;
 use super::{Front, MOST_ANSWERS, MOST_OPEN};
 use crate::counters::{CloseReason, RefusalReason};
 use crate::drain::{Hold, Seen};
@@ -64,6 +65,8 @@
     half: Cell<bool>,
     /// When the client last took bytes of an answer.
     taken: Cell<Micros>,
+    /// What it has still to read.
+    reading: Reading,
     /// Ends it at once.
     pub cut: Sender<CloseReason>,
     /// Asks it to close once it owes nothing.
@@ -141,6 +144,7 @@
             last_request: Cell::new(None),
             half: Cell::new(false),
             taken: Cell::new(0),
+            reading: Reading::default(),
             cut,
             close,
             held: Cell::new(0),
@@ -159,6 +163,7 @@
             open: self.open.get() + self.replies.get(),
             unwritten: self.owed.get() + self.replies.get(),
             last_request: self.last_request.get(),
+            reads_until: self.reading.reads_until(clock::now()),
             asked: self.asked.get(),
             used: self.used.get(),
         }
@@ -435,11 +440,14 @@
                 Timer::after(STALLED).await;
                 Err(ErrorKind::TimedOut.into())
             };
+            let began = clock::now();
             let written = future::or(stream.write(bytes), stalled).await?;
             if written == 0 {
                 return Err(ErrorKind::WriteZero.into());
             }
-            self.taken.set(clock::now());
+            let now = clock::now();
+            self.taken.set(now);
+            self.reading.wrote(now, written, now.saturating_sub(began));
             bytes = &bytes[written..];
         }
         Ok(())
--- a/silverspindle/src/front/queue.rs
+++ b/silverspindle/src/front/queue.rs
@@ -10,7 +10,7 @@
 
 /// What is known of the queue.
 #[derive(Debug)]
-pub(super) struct AcceptQueue {
+pub struct AcceptQueue {
     /// So many connections may wait in it.
     length: usize,
     /// When it was last seen empty.
@@ -40,24 +40,3 @@
         self.empty_at
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_connection_can_have_come_since_the_queue_was_last_empty() {
-        let mut queue = AcceptQueue::new(3, 100);
-        assert_eq!(queue.take(500), 100);
-        assert_eq!(queue.take(501), 100);
-        queue.seen_empty(600);
-        assert_eq!(queue.take(700), 600);
-    }
-
-    #[test]
-    fn a_connection_can_have_come_since_there_was_room_for_it() {
-        let mut queue = AcceptQueue::new(3, 100);
-        let bounds: Vec<Micros> = (1..=6).map(|n| queue.take(1000 * n)).collect();
-        assert_eq!(bounds, [100, 100, 100, 1000, 2000, 3000]);
-    }
-}
--- a/silverspindle/tests/drain_terms.rs
+++ b/silverspindle/tests/drain_terms.rs
@@ -73,3 +73,10 @@
     let habit = Habit { every: 150 * MS, halves: true, ..USUAL };
     drains_in_time(habit, Cached::After(20 * MS, 1000));
 }
+
+/// It reads 1 MB/s and asks for more, in smaller answers: what it sends while it reads what came before is not lost.
+#[test]
+fn a_client_that_asks_more_than_it_reads_is_let_go_with_all_its_answers() {
+    let habit = Habit { every: 20 * MS, reads: 1000, ..USUAL };
+    drains_in_time(habit, Cached::After(5 * MS, 60_000));
+}
--- /dev/null
+++ b/silverspindle/tests/front_times.rs
@@ -0,0 +1,73 @@
+//! What the front makes of times that it can't see: how long a connection waited to be accepted, and until when a client that reads
+//! slowly has read all; and what a drain makes of the latter.
+
+use bitternhold::Micros;
+use silverspindle::counters::RefusalReason;
+use silverspindle::drain::{BEFORE_KILL, Drain, GIVE_UP, GRACE, Hold, LINGER, Seen};
+use silverspindle::front::queue::AcceptQueue;
+use silverspindle::front::reading::{MOST_UNREAD, PER_BYTE, Reading, WAITED};
+
+const S: Micros = 1_000_000;
+
+#[test]
+fn a_connection_can_have_come_since_the_queue_was_last_empty() {
+    let mut queue = AcceptQueue::new(3, 100);
+    assert_eq!(queue.take(500), 100);
+    assert_eq!(queue.take(501), 100);
+    queue.seen_empty(600);
+    assert_eq!(queue.take(700), 600);
+}
+
+#[test]
+fn a_connection_can_have_come_since_there_was_room_for_it() {
+    let mut queue = AcceptQueue::new(3, 100);
+    let bounds: Vec<Micros> = (1..=6).map(|n| queue.take(1000 * n)).collect();
+    assert_eq!(bounds, [100, 100, 100, 1000, 2000, 3000]);
+}
+
+#[test]
+fn a_client_that_makes_no_write_wait_is_behind_with_nothing() {
+    let reading = Reading::default();
+    reading.wrote(1000, 200_000, WAITED - 1);
+    assert_eq!(reading.reads_until(1001), None);
+}
+
+#[test]
+fn a_slow_client_is_behind_with_all_that_was_written_up_to_a_bound() {
+    let reading = Reading::default();
+    reading.wrote(1000, 50_000, WAITED);
+    reading.wrote(1000, 50_000, 0);
+    assert_eq!(reading.reads_until(1001), Some(201_000));
+    assert_eq!(reading.reads_until(201_000), None);
+    reading.wrote(201_000, 10_000_000, 0);
+    assert_eq!(reading.reads_until(201_001), Some(201_000 + PER_BYTE * MOST_UNREAD));
+}
+
+/// A connection that owes nothing, of a client that can't have read all before then.
+fn behind(until: Micros) -> Seen {
+    let (open, unwritten, last_request) = (0, 0, Some(10 * S));
+    Seen { open, unwritten, last_request, reads_until: Some(until), asked: true, used: 10 * S }
+}
+
+#[test]
+fn a_drain_waits_for_a_slow_client_and_refuses_it_more_but_gives_up_in_time() {
+    let mut drain = Drain::new();
+    drain.started();
+    drain.drain(10 * S);
+    let by = 10 * S + 2 * S;
+    assert_eq!(drain.hold(10 * S + GRACE, behind(by)), Some(Hold::UnreadAnswers));
+    let refused = drain.refuses(10 * S + GRACE, 20 * S, behind(by));
+    assert_eq!(refused, Some(RefusalReason::Draining));
+    assert!(drain.close(by, behind(by)));
+    assert!(drain.close(10 * S + GIVE_UP, behind(60 * S)), "the terms go before");
+}
+
+#[test]
+fn an_end_waits_for_no_slow_client_into_the_kill() {
+    let mut drain = Drain::new().with_longest(2 * S);
+    drain.started();
+    drain.end(10 * S);
+    let kill = 10 * S + 2 * S + LINGER;
+    assert!(!drain.close(kill - BEFORE_KILL - 1, behind(60 * S)));
+    assert!(drain.close(kill - BEFORE_KILL, behind(60 * S)));
+}
