Closes under a drain allow for clients at 1 MB/s though no write waited; the soak holds it to 50 ms

Change: the end of the stream is held until a client at 1 MB/s is at most 50 ms behind, which clients send anew; where a write waited the buffers count as full and the time as twice as long. The soak's check allows slow readers no more than others (1.5 s before).

--- a/silverspindle/src/drain.rs
+++ b/silverspindle/src/drain.rs
@@ -70,8 +70,10 @@
     pub unwritten: usize,
     /// When a request last came.
     pub last_request: Option<Micros>,
-    /// Its client reads slowly and has not read all before then; none: it may have.
+    /// Before then its client can't have read all but a little; none: it can.
     pub reads_until: Option<Micros>,
+    /// Its client was seen to read slowly.
+    pub reads_slowly: bool,
     /// Any request came on it.
     pub asked: bool,
     /// When it came, or last had something to do.
@@ -85,7 +87,7 @@
     Grace,
     /// Requests on it are open.
     OpenRequests,
-    /// Its client reads slowly and can't have read all: the end of the stream would cross what it sends.
+    /// Its client can't have read all yet: the end of the stream would cross what it sends.
     UnreadAnswers,
     /// It came late and has its time for a first message.
     FirstMessage,
@@ -255,7 +257,7 @@
             return Some(RefusalReason::Withdrawn);
         }
         let since = self.since()?;
-        let unread = seen.reads_until.is_some() && now < self.reads_by();
+        let unread = seen.reads_slowly && seen.reads_until.is_some() && now < self.reads_by();
         let backlog = (seen.unwritten > 0 || unread) && now >= since.saturating_add(GRACE);
         let busy = seen.open > 0 && now >= since.saturating_add(TAKES);
         let spent = backlog || busy || now >= since.saturating_add(TERM - RECENT);
@@ -360,7 +362,15 @@
     const S: Micros = 1_000_000;
 
     fn idle(used: Micros) -> Seen {
-        Seen { open: 0, unwritten: 0, last_request: None, reads_until: None, asked: true, used }
+        Seen {
+            open: 0,
+            unwritten: 0,
+            last_request: None,
+            reads_until: None,
+            reads_slowly: false,
+            asked: true,
+            used,
+        }
     }
 
     #[test]
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -164,6 +164,7 @@
             unwritten: self.owed.get() + self.replies.get(),
             last_request: self.last_request.get(),
             reads_until: self.reading.reads_until(clock::now()),
+            reads_slowly: self.reading.is_slow(clock::now()),
             asked: self.asked.get(),
             used: self.used.get(),
         }
--- a/silverspindle/tests/front_times.rs
+++ b/silverspindle/tests/front_times.rs
@@ -5,7 +5,7 @@
 use silverspindle::counters::RefusalReason;
 use silverspindle::drain::{BEFORE_KILL, Drain, GIVE_UP, GRACE, Hold, LINGER, Seen};
 use silverspindle::front::queue::AcceptQueue;
-use silverspindle::front::reading::{MOST_UNREAD, PER_BYTE, Reading, WAITED};
+use silverspindle::front::reading::{CROSSES, FULL_BUFFERS, MARGIN, MOST_UNREAD, PER_BYTE, Reading, WAITED};
 
 const S: Micros = 1_000_000;
 
@@ -26,27 +26,33 @@
 }
 
 #[test]
-fn a_client_that_makes_no_write_wait_is_behind_with_nothing() {
+fn a_client_may_read_as_slowly_as_the_slowest_though_no_write_waited() {
     let reading = Reading::default();
-    reading.wrote(1000, 200_000, WAITED - 1);
-    assert_eq!(reading.reads_until(1001), None);
+    reading.wrote(1000, 50_000, WAITED - 1);
+    assert_eq!(reading.reads_until(1000), None, "what it sends meanwhile it sends again");
+    reading.wrote(1000, 100_000, WAITED - 1);
+    assert_eq!(reading.reads_until(1000), Some(1000 + 150_000 - CROSSES));
+    assert!(!reading.is_slow(1000));
 }
 
 #[test]
-fn a_slow_client_is_behind_with_all_that_was_written_up_to_a_bound() {
+fn a_slow_client_is_behind_with_full_buffers_and_what_is_written_then_up_to_a_bound() {
     let reading = Reading::default();
     reading.wrote(1000, 50_000, WAITED);
     reading.wrote(1000, 50_000, 0);
-    assert_eq!(reading.reads_until(1001), Some(201_000));
-    assert_eq!(reading.reads_until(201_000), None);
-    reading.wrote(201_000, 10_000_000, 0);
-    assert_eq!(reading.reads_until(201_001), Some(201_000 + PER_BYTE * MOST_UNREAD));
+    assert!(reading.is_slow(1000));
+    let unread = PER_BYTE * (FULL_BUFFERS + 50_000);
+    assert_eq!(reading.reads_until(1000), Some(1000 + MARGIN * unread - CROSSES));
+    assert_eq!(reading.reads_until(1000 + unread), None);
+    reading.wrote(S, 10_000_000, 0);
+    assert_eq!(reading.reads_until(S), Some(S + MARGIN * PER_BYTE * MOST_UNREAD - CROSSES));
 }
 
 /// A connection that owes nothing, of a client that can't have read all before then.
 fn behind(until: Micros) -> Seen {
     let (open, unwritten, last_request) = (0, 0, Some(10 * S));
-    Seen { open, unwritten, last_request, reads_until: Some(until), asked: true, used: 10 * S }
+    let (reads_until, reads_slowly) = (Some(until), true);
+    Seen { open, unwritten, last_request, reads_until, reads_slowly, asked: true, used: 10 * S }
 }
 
 #[test]
@@ -58,6 +64,8 @@
     assert_eq!(drain.hold(10 * S + GRACE, behind(by)), Some(Hold::UnreadAnswers));
     let refused = drain.refuses(10 * S + GRACE, 20 * S, behind(by));
     assert_eq!(refused, Some(RefusalReason::Draining));
+    let fast = Seen { reads_slowly: false, ..behind(by) };
+    assert_eq!(drain.refuses(10 * S + GRACE, 20 * S, fast), None, "held, and served meanwhile");
     assert!(drain.close(by, behind(by)));
     assert!(drain.close(10 * S + GIVE_UP, behind(60 * S)), "the terms go before");
 }
--- a/standins/src/soak/checker.rs
+++ b/standins/src/soak/checker.rs
@@ -11,8 +11,6 @@
 const LATE: Micros = 500 * MS;
 /// What crosses a close within this is sent again by its client.
 const CROSSES: Micros = 50 * MS;
-/// The end of the stream reaches a client that reads slowly behind all that it has to read before.
-const CROSSES_SLOWLY: Micros = 1500 * MS;
 /// An attempt may begin so long after its client has left.
 const AFTER_LEAVING: Micros = 100 * MS;
 /// The deadline passed on may exceed the client's by so much.
@@ -109,13 +107,8 @@
     }
     match connection.ended {
         Some((at, EndKind::Left)) => request.sent + request.budget + LATE + slack < at,
-        Some((at, EndKind::Closed)) => {
-            let crosses = if connection.slow { CROSSES_SLOWLY } else { CROSSES };
-            request.sent + crosses + slack < at
-        }
-        Some((_, EndKind::Reset)) => {
-            !connection.slow || request.sent + CROSSES_SLOWLY < connection_end(connection)
-        }
+        Some((at, EndKind::Closed)) => request.sent + CROSSES + slack < at,
+        Some((_, EndKind::Reset)) => !connection.slow || request.sent + CROSSES < connection_end(connection),
         None => true,
     }
 }
