--- a/silverspindle/src/director/attempts.rs
+++ b/silverspindle/src/director/attempts.rs
@@ -31,7 +31,7 @@
             self.left(out.id);
         }
         if end.status == Status::Ok {
-            self.copy(&out.attempt.call, &end);
+            self.keep_copy(&out.attempt.call, &end);
             let verdict = end.body.map_or(Verdict::Holds, Verdict::Served);
             self.answer(out.id, verdict);
         }
--- a/silverspindle/src/director/own_copies.rs
+++ b/silverspindle/src/director/own_copies.rs
@@ -15,7 +15,7 @@
 
 impl Director {
     /// Keeps the copy that an answer brought, or notes that a cache still has it.
-    pub(super) fn copy(&mut self, call: &Call, end: &End) {
+    pub(super) fn keep_copy(&mut self, call: &Call, end: &End) {
         let write = self.settings.classes.get(call.class).is_none_or(|c| c.write);
         let Some((key, (tag, stamp))) = call.copy().zip(end.name.as_ref()).filter(|_| !write) else { return };
         match &end.body {
