--- a/silverspindle/tests/clock_steps.rs
+++ b/silverspindle/tests/clock_steps.rs
@@ -12,6 +12,7 @@
 use common::process::{Router, put, start_with};
 use common::sender::{Cached, Habit, MS, Sender, USUAL, serve_from};
 use common::*;
+use futures_lite::AsyncWriteExt;
 use silverspindle_standins::shim::ClockStep;
 
 const SECOND: i64 = 1_000_000;
@@ -142,3 +143,78 @@
         });
     });
 }
+
+/// A router that starts while its wall clock is wrong, before a cache that the test answers for; the coordinator's connection.
+async fn start_wrong(tasks: &Tasks, offset: i64) -> (Router, Cache, Client, Stream, tempfile::TempDir) {
+    let (listener, nowhere) = listen();
+    let cache = Cache::start(tasks);
+    let mut file = configuration(&[entry(1, "box", cache.address), entry(99, "origin", nowhere)], nowhere);
+    // A copy of the router's own comes at once.
+    (file["flow_bytes_per_s"], file["link_bytes_per_s"]) = (1_000_000_000.into(), 1_000_000_000.into());
+    file["settings"]["family_info"]["fresh_for_ms"] = serde_json::json!([FRESH_MS, 0]);
+    let directory = tempfile::tempdir().unwrap();
+    let clock = ClockStep::new(directory.path()).unwrap();
+    clock.step_to(offset).unwrap();
+    let [preload, offset] = clock.variables().map(|(name, value)| (name, Path::new(value)));
+    let debug = ("LB_LOG", Path::new("debug"));
+    let router = start_with(&file, &format!("{}:0", ip()), directory.path(), &[preload, offset, debug]);
+    let (coordinator, _) = listener.accept().await.unwrap();
+    let client = Client::connect(tasks, router.clients).await;
+    (router, cache, client, Rc::new(coordinator), directory)
+}
+
+const FRESH_MS: u64 = 1000;
+
+/// Asks for the object of the usual page, as the request of this number.
+async fn ask(client: &Client, seq: i32) {
+    let rid = format!("{seq:016x}");
+    let mut fields: Vec<(&str, &str)> = page("");
+    fields[1].1 = &rid;
+    client.send(&serve(seq, &fields, b"")).await;
+}
+
+async fn hit(cache: &Cache) -> common::Command {
+    let (want, line) = cache.next().await;
+    let stamp = silverspindle::clock::Stamp::now().as_micros() / 1000;
+    let named = format!("version=4be0c1927d55a6f3,stamp={stamp},why=deep_fill");
+    reply(&line, &[&want[1], "HIT", &named, "bytes"]).await;
+    want
+}
+
+/// A wall clock that was behind at the start makes no copy younger than it is.
+#[test]
+fn a_copy_is_not_served_past_its_time_by_a_router_that_started_behind() {
+    for offset in [-5 * SECOND, -3600 * SECOND] {
+        run(async |tasks| {
+            let (_router, cache, client, _kept, _directory) = start_wrong(tasks, offset).await;
+            ask(&client, 1).await;
+            hit(&cache).await;
+            assert_eq!(client.next().await.unwrap(), served(1, b"bytes"));
+            Timer::after(Duration::from_millis(FRESH_MS + 200)).await;
+            ask(&client, 2).await;
+            let asked = async { Some(cache.next().await.0) };
+            let answered = async { client.next().await.and(None) };
+            let want = futures_lite::future::or(asked, answered).await;
+            assert!(want.is_some(), "{offset} us: served from a copy that is too old");
+        });
+    }
+}
+
+/// A wall clock that was ahead at the start makes no purge long past: caches are asked for younger copies.
+#[test]
+fn a_purge_is_heeded_by_a_router_that_started_ahead() {
+    run(async |tasks| {
+        let (mut router, cache, client, coordinator, _directory) = start_wrong(tasks, 3600 * SECOND).await;
+        let now = silverspindle::clock::Stamp::now().as_micros() / 1000;
+        let mut purge = 0x7f3a_9c21_e0b4_d655_u64.to_be_bytes().to_vec();
+        purge.extend(now.to_be_bytes());
+        (&*coordinator).write_all(&event(2, 3, &purge)).await.unwrap();
+        // News are taken in order: where the list behind it is in, the purge is.
+        (&*coordinator).write_all(&event(3, 2, &record(1, 0, cache.address))).await.unwrap();
+        assert!(router.lines.any(|line| line.contains("list: 1 entries")));
+        ask(&client, 1).await;
+        let want = hit(&cache).await;
+        let newer: u64 = field(&want, "newer").expect("a limit of age").parse().unwrap();
+        assert!(newer < FRESH_MS, "{newer} ms");
+    });
+}
