Ages of copies and purges are taken on the safe side where the wall clock was wrong at the start

Cause: the own clock begins with the wall clock's time, and other machines' stamps are held against it: behind, copies looked too young; ahead, purges long past. Change: skew.rs keeps how far stamps lie ahead and the least age seen; copies count as older by the first, purges as younger by the second.

--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -26,6 +26,7 @@
 use crate::counters::{Counters, RefusalReason};
 use crate::feed::{Listed, News, Purged};
 use crate::knowledge::Knowledge;
+use crate::skew::Skew;
 use crate::traffic::{
     Account, Attempt, Call, Message, Notice, Port, Refusal, SafeToRetry, Shared, Terms, Verdict,
 };
@@ -92,6 +93,8 @@
     actions: Vec<Action>,
     /// Copies of the router's own.
     copies: Copies,
+    /// How wrong the own clock is, as far as copies tell.
+    skew: Skew,
     /// What others can learn from this router, and it from them; none: off.
     knowledge: Option<Knowledge>,
     /// What the routers have agreed not to use.
@@ -125,6 +128,7 @@
             backlog: VecDeque::new(),
             actions: Vec::new(),
             copies,
+            skew: Skew::default(),
             knowledge: None,
             withheld: Withheld::default(),
             told_stale: None,
@@ -261,7 +265,7 @@
             Purged::Object(key) => (Some(format!("{key:016x}")), 0),
             Purged::Group(group) => (None, group),
         };
-        self.event(Event::Purged { object, group, age: at.age(now) });
+        self.event(Event::Purged { object, group, age: self.skew.purge_age(now, at) });
     }
 
     fn gone(&mut self, id: MemberId) {
@@ -353,7 +357,7 @@
         let now = self.now();
         let copy = self.offered_copy(now, &call);
         let own = copy.as_ref().map(|copy| Own {
-            age: copy.stamp.age(now),
+            age: self.skew.copy_age(now, copy.stamp),
             unseen: now.saturating_sub(copy.seen()),
             wait: self.copies.wait(now, copy.bytes(call.holds(&copy.tag))),
         });
--- a/silverspindle/src/director/freshness.rs
+++ b/silverspindle/src/director/freshness.rs
@@ -29,7 +29,7 @@
 
     /// Whether a copy that the origin gave out then is younger than the feed's lease, where that has run out.
     pub(super) fn is_young(&self, now: Micros, stamp: Stamp) -> bool {
-        self.shared.board.oldest().is_none_or(|oldest| stamp.age(now) < oldest)
+        self.shared.board.oldest().is_none_or(|oldest| self.skew.copy_age(now, stamp) < oldest)
     }
 
     /// Tells the module that copies as old as the feed's lease may be purged, while that has run out. Told again before
--- a/silverspindle/src/director/own_copies.rs
+++ b/silverspindle/src/director/own_copies.rs
@@ -18,6 +18,7 @@
     pub(super) fn keep_copy(&mut self, call: &Call, end: &End) {
         let write = self.settings.classes.get(call.class).is_none_or(|c| c.write);
         let Some((key, (tag, stamp))) = call.copy().zip(end.name.as_ref()).filter(|_| !write) else { return };
+        self.skew.note(self.now(), *stamp);
         match &end.body {
             Some(body) => self.copies.keep(self.now(), key, call.group, tag, *stamp, body),
             None => self.copies.confirm(self.now(), key, tag),
@@ -37,7 +38,8 @@
         let (call, now) = (open.call.clone(), self.now());
         let terms = self.settings.classes.get(call.class).filter(|c| !c.write);
         let unproven = SafeToRetry::unproven(OWN_COPY_LOSS);
-        let age = |copy: &Copy| copy.stamp.age(if unproven.is_some() { now } else { open.came });
+        let counts_to = if unproven.is_some() { now } else { open.came };
+        let age = |copy: &Copy| self.skew.copy_age(counts_to, copy.stamp);
         let good = |copy: &Copy| terms.is_some_and(|c| c.fresh == 0 || age(copy) < c.fresh + c.stale);
         let loss = match &open.own {
             None => CopyLoss::Purged,
--- a/silverspindle/src/lib.rs
+++ b/silverspindle/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod logging;
 pub mod management;
 pub mod serve;
+pub mod skew;
 pub mod steady;
 pub mod traffic;
 pub mod upgrade;
