--- a/silverspindle/tests/crossing_clients.rs
+++ b/silverspindle/tests/crossing_clients.rs
@@ -429,3 +429,23 @@
         assert!(held <= silverspindle::front::most_clients(64), "{held} connections of clients");
     });
 }
+
+/// An answer that comes late in a drain, and the look at who does not read, in one moment: the client has had no time to take
+/// it, however long ago it last took anything.
+#[test]
+fn an_answer_that_has_just_come_is_not_cut_off_for_want_of_a_reader() {
+    run(async |tasks| {
+        let (world, drain) = (World::new(tasks, 9), drain());
+        let (front, address) = world.front(tasks, &drain).await;
+        let client = Async::<TcpStream>::connect(address).await.unwrap();
+        let mut read = answers(&client);
+        (&client).write_all(&serve(1, &page(RID), b"")).await.unwrap();
+        let (port, seq, _) = world.request().await;
+        drain_long_ago(&drain);
+        port.answer(seq, Verdict::Served(Bytes::from_static(b"late")));
+        // Before the writer has had its turn.
+        front.let_go();
+        assert_eq!(read.next().await.unwrap().expect("an answer"), served(1, b"late"));
+        assert_eq!(read.next().await.unwrap(), None, "then it closes");
+    });
+}
