Who does not read is cut off by how long answers have waited, not by when it last took any

Change: a connection knows since when answers wait on it, and the look counts from the later of that and the last bytes taken.

--- a/silverspindle/src/drain.rs
+++ b/silverspindle/src/drain.rs
@@ -298,10 +298,10 @@
         dying || (in_use && looked_at && now >= since.saturating_add(GIVE_UP))
     }
 
-    /// Whether a connection is cut off whose answers wait, and whose client last took any of them at `taken`.
-    pub fn cuts(&self, now: Micros, taken: Micros) -> bool {
+    /// Whether a connection is cut off whose answers wait, and whose client has taken nothing of them since then.
+    pub fn cuts(&self, now: Micros, waits_since: Micros) -> bool {
         let Some(since) = self.since() else { return false };
-        now >= since.saturating_add(GIVE_UP) && now >= taken.max(since).saturating_add(NOT_READING)
+        now >= since.saturating_add(GIVE_UP) && now >= waits_since.max(since).saturating_add(NOT_READING)
     }
 
     /// Whether a message that has begun to come is waited for before its connection is closed: no more once a request
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -65,6 +65,8 @@
     half: Cell<bool>,
     /// When the client last took bytes of an answer.
     taken: Cell<Micros>,
+    /// Since when answers wait to be written; 0: none did yet.
+    waits_since: Cell<Micros>,
     /// What it has still to read.
     reading: Reading,
     /// Ends it at once.
@@ -98,6 +100,9 @@
     fn answer(&self, seq: i32, verdict: Verdict) {
         let bytes = verdict.bytes();
         if self.out.try_send(Reply::Verdict(seq, verdict)).is_ok() {
+            if self.owed.get() == 0 {
+                self.waits_since.set(clock::now());
+            }
             self.owe(1, bytes as isize);
             self.front.relieve();
         }
@@ -144,6 +149,7 @@
             last_request: Cell::new(None),
             half: Cell::new(false),
             taken: Cell::new(0),
+            waits_since: Cell::new(0),
             reading: Reading::default(),
             cut,
             close,
@@ -185,9 +191,9 @@
         self.open.get() > self.owed.get()
     }
 
-    /// When the client last took bytes of an answer; 0: never.
-    pub fn last_taken(&self) -> Micros {
-        self.taken.get()
+    /// Since when the client has taken nothing of the answers that wait: it had nothing to take before they came.
+    pub fn takes_nothing_since(&self) -> Micros {
+        self.taken.get().max(self.waits_since.get())
     }
 
     /// For log lines: how many answers wait to be written, and how long ago a request last came.
