--- a/review/standin/mod.rs
+++ b/review/standin/mod.rs
@@ -638,6 +638,15 @@
     pub listen: SocketAddr,
 }
 
+/// Processes that the case started, to be ended also where it gives up.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn end_started() {
+    for pid in STARTED.lock().unwrap_or_else(|e| e.into_inner()).drain(..) {
+        let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).stderr(Stdio::null()).status();
+    }
+}
+
 /// A free port of a loopback address.
 pub fn free_address() -> io::Result<SocketAddr> {
     TcpListener::bind("127.0.0.1:0")?.local_addr()
@@ -688,6 +697,7 @@
             command.env(key, value);
         }
         let child = command.spawn()?;
+        STARTED.lock().unwrap().push(child.id());
         record.line(&format!("router {name}: `{run}` as process {} on {listen}", child.id()));
         let own = Self { child, listen };
         let until = now_ms() + 10_000;
@@ -720,6 +730,7 @@
 
 impl Drop for Router {
     fn drop(&mut self) {
+        STARTED.lock().unwrap_or_else(|e| e.into_inner()).retain(|pid| *pid != self.child.id());
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -804,13 +815,21 @@
         record.say(if broken { "RULE BROKEN" } else { "the rule held" });
         Ok(broken)
     };
-    let code = match run() {
-        Ok(broken) => i32::from(broken),
-        Err(e) => {
+    thread::spawn(|| {
+        sleep_ms(110_000);
+        println!("the case couldn't run: not done after 110 s");
+        end_started();
+        std::process::exit(2);
+    });
+    let code = match std::panic::catch_unwind(std::panic::AssertUnwindSafe(run)) {
+        Ok(Ok(broken)) => i32::from(broken),
+        Ok(Err(e)) => {
             println!("the case couldn't run: {e}");
             2
         }
+        Err(_) => 2,
     };
+    end_started();
     if env::var("KEEP").is_err() {
         let _ = fs::remove_dir_all(&temp);
     } else {
