--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -107,8 +107,10 @@
                             Ok(_) => other += 1,
                             Err(e) => {
                                 record.line(&format!("client {id}: {rid}: no answer, {:?}", e.kind()));
+                                // The request that was open. The client ends here: what it would send to a process
+                                // that is dying is not counted.
                                 lost += 1;
-                                client = None;
+                                break;
                             }
                         }
                     }
