Own copies are withheld where an unsent purge may apply to them

Told counts 7 s after at the latest, and 0.5 s later no purged copy may be served.

Cause: nothing bounds the use of own copies by how long the coordinator has been silent. The bound exists (RoutingState::max_copy_age), but only the feed over relays sets it.

The coordinator's word that it has told everything confirms the feed, in order with the events, as of the last moment in which the socket was empty. Without one for 4 s, own copies issued 7 s ago or earlier are neither offered nor served. Any unsent purge that binds by then is 7 s old or older, so the copies that it applies to are older still. Requests go to the caches instead. On related paths: events that the coordinator has lost discard the own copies; an empty frame numbered ahead of the last event confirms nothing.

--- a/silverspindle/src/coordinator.rs
+++ b/silverspindle/src/coordinator.rs
@@ -16,6 +16,9 @@
 use crate::feed::{self, Event, Update};
 use crate::framing::MessageReader;
 use crate::steady::steady_now;
+use crate::traffic::Notification;
+
+pub mod lease;
 
 /// An empty frame comes each second: without any for so long the coordinator has stopped. All counts as told 7 s after,
 /// heard or not: that leaves time for three connections in a row that fall silent at once.
@@ -52,6 +55,11 @@
     fn is_closed(&self) -> bool;
     /// Takes an event; false where nobody does.
     fn tell(&self, told: Told) -> impl Future<Output = bool>;
+    /// Called before the next event where the coordinator no longer has some events in between; false where nobody
+    /// takes events.
+    fn missed(&self) -> impl Future<Output = bool> {
+        async { true }
+    }
 }
 
 impl<N: From<Update>> Sink for Sender<N> {
@@ -64,6 +72,31 @@
     }
 }
 
+/// The director, as the receiver of the events: it is also told up to which time it has received all of them.
+#[derive(Debug)]
+pub struct DirectorSink(pub Sender<Notification>);
+
+impl Sink for DirectorSink {
+    const TIMED: bool = true;
+
+    fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+
+    async fn tell(&self, told: Told) -> bool {
+        let confirms = told.event.update == Update::UpToDate;
+        let sent = self.0.send(told.event.update.into()).await.is_ok();
+        if sent && confirms {
+            return self.0.send(Notification::Confirmed { at: told.after }).await.is_ok();
+        }
+        sent
+    }
+
+    async fn missed(&self) -> bool {
+        self.0.send(Notification::EventsMissed).await.is_ok()
+    }
+}
+
 /// What the actor needs.
 #[derive(Debug)]
 pub struct Coordinator<S> {
@@ -146,6 +179,11 @@
             if index <= self.last && !current {
                 continue;
             }
+            // Numbered ahead of the last event here: some are still to come, so this does not confirm the feed.
+            if index > self.last && current {
+                tracing::debug!(event = self.last, "coordinator: says that it has told all up to {index}");
+                continue;
+            }
             if index > self.last + 1 && !current {
                 let missing = format!("events {} to {} are missing", self.last + 1, index - 1);
                 // What is missing may be a drain or a purge: it is asked for again, by connecting from the last event
@@ -154,6 +192,9 @@
                     return Err(io::Error::new(io::ErrorKind::InvalidData, missing));
                 }
                 tracing::warn!(event = index, "coordinator: {missing}, also when asked again");
+                if !self.notices.missed().await {
+                    return Ok(());
+                }
             }
             if !self.notices.tell(Told { event, frame, after: empty }).await {
                 return Ok(());
--- a/silverspindle/src/director/freshness.rs
+++ b/silverspindle/src/director/freshness.rs
@@ -18,6 +18,8 @@
     pub fn handle_notification(&mut self, notification: Notification) {
         match notification {
             Notification::Update(update) => self.handle_update(update, ListKind::Full),
+            Notification::Confirmed { at } => self.shared.state.feed_confirmed(at),
+            Notification::EventsMissed => self.discard_own_copies(),
             Notification::PurgedBefore(at) => {
                 let what = PurgeTarget::Group(ALL_GROUPS);
                 self.knowledge.iter_mut().for_each(|k| k.purged(what, at));
@@ -28,6 +30,16 @@
         }
     }
 
+    /// Discards all own copies, as a purge that was never received may apply to them. Copies issued before now are
+    /// not kept for a while either: caches may still answer with them, as they have dropped purged copies only some
+    /// time after the purge.
+    fn discard_own_copies(&mut self) {
+        let (now, any) = (self.now(), PurgeTarget::Group(ALL_GROUPS));
+        let issued_before = Stamp::from_micros(now);
+        self.copies.purge(now, any, issued_before);
+        self.release_purged_copies(any, issued_before);
+    }
+
     /// Whether a copy that the origin issued at this time may be served as far as the feed's lease goes:
     /// always while the lease holds, and only if the copy is younger than the lease once it has run out.
     pub(super) fn is_covered_by_lease(&self, now: Micros, stamp: Stamp) -> bool {
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -18,7 +18,8 @@
 use crate::agreement;
 use crate::clock::Stamp;
 use crate::config::Config;
-use crate::coordinator::Coordinator;
+use crate::coordinator::lease::CoordinatorLease;
+use crate::coordinator::{Coordinator, DirectorSink};
 use crate::copies::Copies;
 use crate::director::{self, Director, PendingAnswers};
 use crate::distribution;
@@ -28,6 +29,7 @@
 use crate::knowledge::{Knowledge, keys::Tls, snapshots};
 use crate::links::Connector;
 use crate::management::Management;
+use crate::steady::steady_now;
 use crate::traffic::{Descriptors, Message, RoutingState, Shared};
 use crate::upgrade::{ProcessFile, remaining_limit};
 use crate::{clock, invariant};
@@ -218,10 +220,13 @@
         let (coordinator_moves, new_addresses) = async_channel::bounded(COORDINATOR_MOVES_CAPACITY);
         match conf.relay.clone().zip(known_for_relay) {
             None => {
+                // The known events are those of the start.
+                let confirmed_at = (last_event > 0).then(steady_now);
+                state.set_lease(Rc::new(CoordinatorLease::new(confirmed_at)), purge_cleared_after);
                 let coordinator = Coordinator {
                     address: config.coordinator,
                     last: last_event,
-                    notices: notice_sender,
+                    notices: DirectorSink(notice_sender),
                     moves: new_addresses,
                     gap: None,
                 };
--- a/silverspindle/src/traffic/board.rs
+++ b/silverspindle/src/traffic/board.rs
@@ -60,6 +60,9 @@
 pub trait FeedLease: Debug {
     /// How fresh the feed is now.
     fn freshness(&self) -> FeedFreshness;
+    /// Called when the director has applied everything that the coordinator had at this time of the steady clock. A
+    /// feed that has its confirmations from elsewhere ignores it.
+    fn confirmed(&self, _at: Micros) {}
     /// Called when the director has applied a batch: the numbers after `after`, up to and including `number`.
     fn applied(&self, after: u64, number: u64);
     /// Called when the director has applied a state that replaces all numbers up to and including this one.
@@ -73,6 +76,13 @@
 pub enum Notification {
     /// An event of the coordinator.
     Update(Update),
+    /// The updates so far are all that the coordinator had at this time of the steady clock.
+    Confirmed {
+        /// That time.
+        at: Micros,
+    },
+    /// Events between the updates so far and the next one are lost; purges may be among them.
+    EventsMissed,
     /// All copies issued before this time may have been purged.
     PurgedBefore(Stamp),
     /// The updates since the last `Batch` or `Reset` are the complete batch of these numbers.
@@ -160,6 +170,13 @@
         (max_copy_age <= self.purge_complete_within.get()).then_some(max_copy_age)
     }
 
+    /// Reports that the director has applied everything that the coordinator had at this time of the steady clock.
+    pub fn feed_confirmed(&self, at: Micros) {
+        if let Some(lease) = self.lease.borrow().as_ref() {
+            lease.confirmed(at);
+        }
+    }
+
     /// Reports that the director has applied a batch, or, without `after`, a state that replaces all numbers
     /// up to this one.
     pub fn applied(&self, after: Option<u64>, number: u64) {
--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod office;
 pub mod orders;
+pub mod own_copies;
 pub mod process;
 pub mod relays;
 pub mod sender;
--- a/silverspindle/tests/crossing_lists.rs
+++ b/silverspindle/tests/crossing_lists.rs
@@ -7,9 +7,10 @@
 use async_io::Async;
 use common::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use silverspindle::coordinator::{Coordinator, Sink, Told};
+use silverspindle::coordinator::{Coordinator, DirectorSink, Sink, Told};
 use silverspindle::feed::Update;
 use silverspindle::steady::steady_now;
+use silverspindle::traffic::Notification;
 
 struct FollowerHarness {
     listener: Async<std::net::TcpListener>,
@@ -183,3 +184,32 @@
         assert!(received.recv().await.unwrap().after <= came);
     });
 }
+
+/// The director is told that the feed is confirmed only behind everything that was sent before, never by an event and
+/// never by a frame that is numbered ahead; events that are lost for good are reported before what follows them. Guards
+/// against a lease that is renewed while purges are missing.
+#[test]
+fn only_a_complete_feed_is_confirmed_and_lost_events_are_reported() {
+    run(async |tasks| {
+        let (listener, address) = listen();
+        let (sender, received) = async_channel::bounded(64);
+        let (_, moves) = async_channel::bounded(1);
+        let actor = Coordinator { address, last: 1, notices: DirectorSink(sender), moves, gap: None };
+        tasks.spawn(actor.run()).detach();
+        let began = steady_now();
+        let (mut stream, _) = accept_follower(&listener).await;
+        let numbered_ahead = event(3, 0, b"");
+        stream.write_all(&[purge_event(2), numbered_ahead, event(2, 0, b"")].concat()).await.unwrap();
+        assert!(matches!(received.recv().await.unwrap(), Notification::Update(Update::Purged { .. })));
+        assert!(matches!(received.recv().await.unwrap(), Notification::Update(Update::UpToDate)));
+        let Notification::Confirmed { at } = received.recv().await.unwrap() else { panic!("not confirmed") };
+        assert!((began..=steady_now()).contains(&at));
+        stream.write_all(&purge_event(4)).await.unwrap();
+        let (mut stream, last) = accept_follower(&listener).await;
+        assert_eq!(last, 2);
+        stream.write_all(&purge_event(4)).await.unwrap();
+        assert!(matches!(received.recv().await.unwrap(), Notification::EventsMissed));
+        assert!(matches!(received.recv().await.unwrap(), Notification::Update(Update::Purged { .. })));
+        assert!(received.is_empty());
+    });
+}
