The refusals tests' coordinator confirms its feed each second, as the protocol says

a_copy_evicted_or_expired_while_an_attempt_is_in_flight_still_answers failed after the commit before: its scripted coordinator never wrote the empty frame that comes each second, so after 4 s the router withheld the own copy (right for a silent coordinator) before the copy could age. The stand-in now sends that frame; what the tests assert is unchanged, and both pass.

--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -272,6 +272,18 @@
     out
 }
 
+/// Lets the coordinator of a test confirm each second that it has told everything, as the protocol says, until the
+/// connection ends.
+pub fn confirm_each_second(tasks: &Tasks, feed: &Stream) {
+    let feed = feed.clone();
+    let confirm = async move {
+        while (&*feed).write_all(&event(1, 0, b"")).await.is_ok() {
+            Timer::after(Duration::from_secs(1)).await;
+        }
+    };
+    tasks.spawn(confirm).detach();
+}
+
 /// Encodes a member's record in a whole or partial list of the coordinator.
 pub fn record(id: u32, state: u8, address: SocketAddr) -> Vec<u8> {
     let kind = if id == 99 { 2 } else { 0 };
--- a/silverspindle/tests/refusals.rs
+++ b/silverspindle/tests/refusals.rs
@@ -95,9 +95,10 @@
         settings["family_info"]["cleared_within_ms"] = PURGE_COMPLETE_MS.into();
         let debug = ("LB_LOG", Path::new("debug"));
         let router = start_with(&file, &format!("{}:0", ip()), &std::env::temp_dir(), &[debug]);
-        let (coordinator, _) = listener.accept().await.unwrap();
+        let coordinator = std::rc::Rc::new(listener.accept().await.unwrap().0);
+        confirm_each_second(tasks, &coordinator);
         let client = Client::connect(tasks, router.clients).await;
-        Self { router, cache, coordinator: std::rc::Rc::new(coordinator), client, sequence: 0 }
+        Self { router, cache, coordinator, client, sequence: 0 }
     }
 
     /// Sends a request for an object and returns its sequence number.
