Messages are read within a budget of the memory limit; half-written ones no longer kill

Cause: half-read messages count in no limit.

A message over 4 KiB is read on when there is memory for all of it, otherwise it stays in the kernel. A request that has arrived as a whole is read without waiting, so usual writes don't starve behind halves; answers count until they are written. silverspindle/src/memory.rs divides the limit. Nothing is refused or closed for it.

--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -7,6 +7,7 @@
 use std::net::TcpStream;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
@@ -15,11 +16,13 @@
 use bitternhold::settings::SiteSettings;
 use bitternhold::{AgeingFilter, Micros};
 use futures_lite::future;
+use silverspindle_wire::memory::MemoryBudget;
 
 use crate::clock;
 use crate::counters::{CloseReason, Counters, RefusalReason};
 use crate::drain::Drain;
 use crate::limited::LimitedLine;
+use crate::memory::MemoryLimits;
 use crate::traffic::{Call, Message, Refusal, SafeToRetry, Verdict};
 
 mod closing;
@@ -89,6 +92,8 @@
     write_bytes: Rc<Cell<usize>>,
     /// Limit of `write_bytes`.
     max_write_bytes: Cell<usize>,
+    /// Budget of memory for requests that clients have sent in part.
+    incomplete_requests: Arc<MemoryBudget>,
     max_connections: usize,
     connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
     /// Ids of recent requests.
@@ -97,6 +102,8 @@
     closing: ClosingConnections,
     /// Id of the connection that is to close to make room.
     to_evict: Cell<Option<u64>>,
+    /// Limits the log line about requests that wait for memory.
+    memory_log: RefCell<LimitedLine>,
     /// The listener is open.
     accepting: Cell<bool>,
     /// Signals that a connection ended.
@@ -109,8 +116,7 @@
 }
 
 impl Front {
-    /// Creates a front that passes its requests to the director. Answers that slow clients have not read yet may take a
-    /// third of the memory, bodies of writes an eighth.
+    /// Creates a front that passes its requests to the director and keeps to its part of the memory limit.
     pub fn new(
         site: Rc<SiteSettings>,
         director: Sender<Message>,
@@ -118,6 +124,7 @@
         sockets: usize,
         drain: Rc<RefCell<Drain>>,
     ) -> Rc<Self> {
+        let memory = MemoryLimits::divide(memory);
         Rc::new(Self {
             site,
             director,
@@ -125,14 +132,16 @@
             counters: Rc::default(),
             unwritten_answers: Cell::new(0),
             unwritten_bytes: Cell::new(0),
-            max_unwritten_bytes: Cell::new(memory / 3),
+            max_unwritten_bytes: Cell::new(memory.unwritten_answers),
             write_bytes: Rc::default(),
-            max_write_bytes: Cell::new(memory / 8),
+            max_write_bytes: Cell::new(memory.write_bodies),
+            incomplete_requests: MemoryBudget::new(memory.incomplete_requests),
             max_connections: max_client_connections(sockets),
             connections: RefCell::default(),
             recent_ids: RefCell::new(AgeingFilter::new(REQUEST_IDS, REQUEST_IDS_IDLE)),
             closing: ClosingConnections::default(),
             to_evict: Cell::new(None),
+            memory_log: RefCell::default(),
             accepting: Cell::new(true),
             connection_ended: async_channel::bounded(1),
             stop: async_channel::bounded(1),
@@ -215,10 +224,11 @@
         self.unwritten_answers.get() == 0
     }
 
-    /// Sets the memory limits anew, as shares of this much memory.
-    pub fn set_memory_limit(&self, memory: usize) {
-        self.max_unwritten_bytes.set(memory / 3);
-        self.max_write_bytes.set(memory / 8);
+    /// Sets the memory limits anew.
+    pub fn set_memory_limits(&self, memory: &MemoryLimits) {
+        self.max_unwritten_bytes.set(memory.unwritten_answers);
+        self.max_write_bytes.set(memory.write_bodies);
+        self.incomplete_requests.set_limit(memory.incomplete_requests);
     }
 
     /// Limits the memory taken by slow readers: over the limit, the connection with the most unwritten bytes is cut off.
@@ -236,6 +246,15 @@
         }
     }
 
+    /// Logs that requests sent in part wait for memory, if they do.
+    fn log_waiting_requests(&self) {
+        let waiting = self.incomplete_requests.waiting();
+        if waiting > 0 && self.memory_log.borrow_mut().is_due() {
+            let used = self.incomplete_requests.used();
+            tracing::warn!("{waiting} requests sent in part wait for memory, {used} bytes are in use");
+        }
+    }
+
     /// Counts a request that is refused before the module sees it, and returns its answer.
     fn refuse(&self, call: Call, reason: RefusalReason) -> Verdict {
         self.counters.refused(reason);
@@ -366,6 +385,7 @@
         arrived_after: Micros,
         tasks: &LocalExecutor<'static>,
     ) {
+        self.log_waiting_requests();
         let id = self.next_id.get();
         self.next_id.set(id + 1);
         let stream = Rc::new(stream);
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -20,12 +20,12 @@
 use super::{EXPECTED_OPEN_REQUESTS, Front, MAX_QUEUED_ANSWERS};
 use crate::counters::{CloseReason, RefusalReason};
 use crate::drain::{ConnectionState, HoldReason};
-use crate::framing::{Malformed, MessageReader};
+use crate::framing::{ChargedUntil, Malformed, MessageReader};
 use crate::traffic::{ClientHandle, Message, Verdict};
 use crate::{clock, invariant, thrift};
 
-/// Maximum number of bytes per read, and so of the buffer of an idle connection.
-const READ_CHUNK: usize = 8 * 1024;
+/// Maximum number of bytes that are read of a request before there is memory for all of it.
+const READ_CHUNK: usize = 4 * 1024;
 /// Bodies up to this number of bytes are copied behind their head, so that one write sends both.
 const MAX_COPIED_BODY: usize = 4096;
 /// Bytes of unwritten answers from which on a client's further requests are refused. A client that reads 1 MB/s, the
@@ -314,7 +314,16 @@
         closes: &Receiver<()>,
     ) -> io::Result<End> {
         let front = &*self.front;
-        let mut frames = MessageReader::new(stream, thrift::measure, READ_CHUNK).unread_since(arrived_after);
+        let socket = self.stream.clone();
+        let unread_bytes = move || {
+            let socket = socket.upgrade();
+            let unread = socket.and_then(|socket| rustix::io::ioctl_fionread(socket.get_ref()).ok());
+            unread.map_or(0, |bytes| bytes as usize)
+        };
+        let mut frames = MessageReader::new(stream, thrift::measure, READ_CHUNK)
+            .unread_since(arrived_after)
+            .with_budget(&front.incomplete_requests, ChargedUntil::Complete)
+            .with_available(unread_bytes);
         let mut last_seq = 0;
         loop {
             let partial_since = frames.partial_since();
@@ -334,8 +343,8 @@
                 // The client has closed. If requests are open, nobody waits for their answers.
                 Ok(None) => return Ok(End::Left),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => match self.may_close(frames.partial_since()) {
-                    Some(reason) => return Ok(End::Closing(reason)),
-                    None => continue,
+                    Some(reason) if !frames.has_arrived() => return Ok(End::Closing(reason)),
+                    _ => continue,
                 },
                 Err(e) => return Err(e),
             };
--- a/silverspindle/src/lib.rs
+++ b/silverspindle/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod links;
 pub mod logging;
 pub mod management;
+pub mod memory;
 pub mod serve;
 pub mod skew;
 pub mod steady;
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Sender;
@@ -14,6 +15,7 @@
 use futures_lite::future;
 use silverspindle_conf::{Conf, Files};
 use silverspindle_knowledge::{InstanceId, Source};
+use silverspindle_wire::memory::MemoryBudget;
 
 use crate::agreement;
 use crate::clock::Stamp;
@@ -29,6 +31,7 @@
 use crate::knowledge::{Knowledge, keys::Tls, snapshots};
 use crate::links::Connector;
 use crate::management::Management;
+use crate::memory::MemoryLimits;
 use crate::steady::steady_now;
 use crate::traffic::{Descriptors, Message, RoutingState, Shared};
 use crate::upgrade::{ProcessFile, remaining_limit};
@@ -37,11 +40,6 @@
 /// File descriptors reserved for everything but clients and peers: the listener, the coordinator, signals,
 /// the reactor.
 const OTHER_DESCRIPTORS: usize = 24;
-/// Own copies use at most this fraction (one in N) of the memory limit, and never more than
-/// [`MAX_COPIES_BYTES`] bytes.
-const COPIES_MEMORY_DIVISOR: usize = 8;
-/// Upper limit of the memory for own copies, in bytes.
-const MAX_COPIES_BYTES: usize = 12_000_000;
 /// Capacity of the queue of new coordinator addresses.
 const COORDINATOR_MOVES_CAPACITY: usize = 4;
 /// Minimum number of file descriptors for caches: a relay that has clients doesn't start with fewer.
@@ -117,19 +115,18 @@
             return Err(io::Error::new(io::ErrorKind::InvalidInput, problem));
         }
         let descriptors = Descriptors::new(peer_descriptors);
+        let memory = MemoryLimits::divide(config.memory);
+        let answer_memory = MemoryBudget::new(memory.answers);
         let shared = Rc::new(Shared {
             site: site.clone(),
             state: state.clone(),
             descriptors: descriptors.clone(),
+            answer_memory: answer_memory.clone(),
             director: mailbox.clone(),
             tasks: tasks.clone(),
         });
         let pending_answers = Rc::new(PendingAnswers::default());
-        let copies = Copies::new(
-            (config.memory / COPIES_MEMORY_DIVISOR).min(MAX_COPIES_BYTES),
-            config.flow_bytes_per_s,
-            config.link_bytes_per_s,
-        );
+        let copies = Copies::new(memory.own_copies, config.flow_bytes_per_s, config.link_bytes_per_s);
         let uses_knowledge = conf.exchange.is_some() || conf.snapshot.is_some();
         let knowledge = uses_knowledge.then(|| Knowledge::new(&config.name, conf.half_lives, &site.settings));
         let identity = knowledge.as_ref().map(|k| (k.me, k.steady));
@@ -260,7 +257,7 @@
             .map(Rc::new);
         if let Some(process_file) = process_file.clone().filter(|file| file.older_usage().is_some()) {
             let limits = (config.sockets, config.memory);
-            let limited = (descriptors, front.clone(), mailbox.clone());
+            let limited = (descriptors, answer_memory, front.clone(), mailbox.clone());
             tasks.spawn(share_limits(process_file, limits, limited)).detach();
         }
         tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
@@ -384,7 +381,12 @@
 async fn share_limits(
     process_file: Rc<ProcessFile>,
     (sockets, memory): (usize, usize),
-    (descriptors, front, director): (Rc<Descriptors>, Rc<Front>, Sender<Message>),
+    (descriptors, answer_memory, front, director): (
+        Rc<Descriptors>,
+        Arc<MemoryBudget>,
+        Rc<Front>,
+        Sender<Message>,
+    ),
 ) {
     let all_descriptors = descriptors.all();
     let apply_limits = |sockets_left: usize, memory_left: usize| {
@@ -392,9 +394,10 @@
         // The reduction therefore applies to the peers' descriptors.
         descriptors
             .set_limit(all_descriptors.saturating_sub(sockets - sockets_left).max(all_descriptors / 4));
-        front.set_memory_limit(memory_left);
-        let _ = director
-            .try_send(Message::CopyMemory((memory_left / COPIES_MEMORY_DIVISOR).min(MAX_COPIES_BYTES)));
+        let memory = MemoryLimits::divide(memory_left);
+        answer_memory.set_limit(memory.answers);
+        front.set_memory_limits(&memory);
+        let _ = director.try_send(Message::CopyMemory(memory.own_copies));
     };
     tracing::info!("an older process serves beside this one: both keep to one limit");
     while let Some((used_descriptors, used_memory)) = process_file.older_usage() {
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Debug;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -17,6 +18,7 @@
 use bytes::Bytes;
 use silverspindle_conf::HalfLives;
 use silverspindle_knowledge::Item;
+use silverspindle_wire::memory::MemoryBudget;
 
 use crate::clock::Stamp;
 use crate::copies;
@@ -388,6 +390,8 @@
     pub state: Rc<RoutingState>,
     /// Budget of file descriptors for connections to peers.
     pub descriptors: Rc<Descriptors>,
+    /// Budget of memory for answers, from when they are read until they are written.
+    pub answer_memory: Arc<MemoryBudget>,
     /// The director's mailbox.
     pub director: Sender<Message>,
     /// The executor that runs all tasks.
--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -15,7 +15,8 @@
 use rustix::io::Errno;
 
 use crate::clock;
-use crate::framing::MessageReader;
+use crate::framing::{ChargedUntil, MessageReader};
+use crate::limited::LimitedLine;
 use crate::resp::{self, AnswerCode};
 use crate::traffic::{Attempt, AttemptEnd, Descriptor, Message, Shared};
 
@@ -29,8 +30,8 @@
 const ABANDONED_ID_LIFETIME: Micros = 10_000_000;
 /// Timeout of a probe, in microseconds.
 const PROBE_TIMEOUT: Micros = 2_000_000;
-/// Maximum number of bytes per read.
-const READ_CHUNK: usize = 32 * 1024;
+/// Maximum number of bytes that are read of an answer before there is memory for all of it.
+const READ_CHUNK: usize = 4 * 1024;
 /// Timeout between two reads of an answer that has begun; the connection is closed when it expires. An answer is
 /// usually complete within a few milliseconds.
 const STALL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -128,6 +129,8 @@
     /// Moving average: share of connection breaks among answers and breaks.
     break_share: f64,
     retired: bool,
+    /// Limits the log line about answers that wait for memory.
+    memory_log: LimitedLine,
 }
 
 impl Peer {
@@ -147,6 +150,7 @@
             last_received: 0,
             break_share: 0.0,
             retired: false,
+            memory_log: LimitedLine::default(),
         };
         shared.tasks.spawn(peer.run()).detach();
         own_mailbox
@@ -523,6 +527,11 @@
     /// Fails probes past their timeout and closes connections without streams that are idle, silent or closing.
     fn sweep(&mut self) {
         let (now, idle) = (clock::now(), self.idle_timeout());
+        let memory = &self.shared.answer_memory;
+        if memory.waiting() > 0 && self.memory_log.is_due() {
+            let (waiting, used) = (memory.waiting(), memory.used());
+            tracing::warn!("{waiting} answers of caches wait for memory, {used} bytes are in use");
+        }
         self.connections.retain(|_, connection| {
             connection.streams.retain(|_, stream| match stream {
                 Stream::Probe(since) if now.saturating_sub(*since) >= PROBE_TIMEOUT => {
@@ -579,6 +588,7 @@
         let read = async {
             // No client waits longer than the longest deadline, so an answer that trickles on is cut off then.
             let mut answers = MessageReader::new(stream, resp::measure, READ_CHUNK)
+                .with_budget(&self.shared.answer_memory, ChargedUntil::Dropped)
                 .with_stall_timeout(STALL_TIMEOUT)
                 .with_message_timeout(longest_deadline);
             while let Some(frame) = answers.next().await? {
--- a/silverspindle/tests/common/orders.rs
+++ b/silverspindle/tests/common/orders.rs
@@ -23,6 +23,7 @@
     Notification, RoutingState, Shared, Verdict,
 };
 use silverspindle::upstream::PeerMessage;
+use silverspindle_wire::memory::MemoryBudget;
 
 pub const MS: Micros = 1000;
 pub const S: Micros = 1_000_000;
@@ -255,6 +256,7 @@
             site: settings.clone(),
             state: state.clone(),
             descriptors: Descriptors::new(64),
+            answer_memory: MemoryBudget::new(64_000_000),
             director: to_director,
             tasks: Rc::default(),
         });
--- a/silverspindle/tests/common/world.rs
+++ b/silverspindle/tests/common/world.rs
@@ -15,6 +15,7 @@
     Verdict,
 };
 use silverspindle::upstream::{Peer, PeerMessage};
+use silverspindle_wire::memory::MemoryBudget;
 
 use super::*;
 
@@ -62,7 +63,9 @@
         let state = Rc::new(RoutingState::default());
         [PEER, SOURCE].into_iter().for_each(|id| state.set_ready(id, true));
         let descriptors = Descriptors::new(descriptors);
-        let shared = Rc::new(Shared { site, state, descriptors, director, tasks: tasks.clone() });
+        let answer_memory = MemoryBudget::new(64_000_000);
+        let shared =
+            Rc::new(Shared { site, state, descriptors, answer_memory, director, tasks: tasks.clone() });
         Self { shared, messages, cache: Cache::start(tasks), client: Rc::default() }
     }
 
--- /dev/null
+++ b/silverspindle/tests/memory_limits.rs
@@ -0,0 +1,154 @@
+//! The memory limit under requests that clients send in part and answers that caches send faster than they are written.
+
+mod common;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use bitternhold::Status;
+use common::process::start;
+use common::world::ActorHarness;
+use common::*;
+use futures_lite::future;
+use silverspindle::memory::MemoryLimits;
+use silverspindle::traffic::Message;
+use silverspindle::upstream::PeerMessage;
+
+const MB: usize = 1_000_000;
+/// Bytes of each message in part, of [`MESSAGE_BYTES`].
+const SENT_BYTES: usize = 64_000;
+const MESSAGE_BYTES: usize = 64_200;
+/// Largest object.
+const LARGEST_OBJECT: usize = 240_000;
+
+/// The first bytes of a message that never ends.
+fn incomplete_message() -> Vec<u8> {
+    let mut message = serve(1, &page("00000000000000ff"), &vec![b'x'; MESSAGE_BYTES]);
+    message.truncate(SENT_BYTES);
+    message
+}
+
+/// Connects and writes an incomplete message, as far as the kernel takes it.
+fn send_incomplete(address: std::net::SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_nonblocking(true).unwrap();
+    let _ = stream.write(&incomplete_message());
+    stream
+}
+
+/// Anonymous memory of a process, in bytes.
+fn anonymous_memory(process: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).unwrap();
+    line.split_whitespace().next().unwrap().parse::<usize>().unwrap() * 1024
+}
+
+/// Guards against a router that is killed for memory: as many half-written messages as it has connections for, each of
+/// the largest size. Its memory is looked at until it has closed all of them; a request beside them is served.
+#[test]
+fn half_written_messages_stay_within_the_memory_limit() {
+    const LIMIT_MB: usize = 16;
+    const CROWD: usize = 340;
+    run(async |tasks| {
+        let cache = Cache::start(tasks);
+        let (_coordinator, address) = listen();
+        let mut file =
+            configuration(&[entry(1, "box", cache.address), entry(99, "origin", address)], address);
+        file["limits"]["memory_mb"] = LIMIT_MB.into();
+        let router = start(&file, &format!("{}:0", ip()));
+        let client = Client::connect(tasks, router.clients).await;
+        let crowd: Vec<TcpStream> = (0..CROWD).map(|_| send_incomplete(router.clients)).collect();
+        client.send(&serve(1, &page("00000000000000a1"), b"")).await;
+        let (wanted, connection) = cache.next().await;
+        reply(&connection, &[&wanted[1], "HIT", NAMED, "x"]).await;
+        assert_eq!(client.next().await.unwrap(), served_answer(1, b"x"));
+        let is_open = |stream: &TcpStream| {
+            stream.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+        };
+        while crowd.iter().any(is_open) {
+            let memory = anonymous_memory(router.child.id());
+            assert!(memory <= LIMIT_MB * MB, "{memory} bytes with {CROWD} messages in part");
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    });
+}
+
+/// Guards usual writes beside a crowd of half-written messages that has used up the memory for those: a write that has
+/// arrived as a whole goes on at once, and small requests as well.
+#[test]
+fn a_whole_write_is_served_beside_half_written_messages() {
+    run(async |tasks| {
+        let harness = ActorHarness::new(tasks, 9);
+        let (listener, address) = listen();
+        let front = silverspindle::front::Front::new(
+            harness.shared.site.clone(),
+            harness.shared.director.clone(),
+            16 * MB,
+            1024,
+            Rc::default(),
+        );
+        tasks.spawn(front.accept(listener, tasks.clone())).detach();
+        let _crowd: Vec<TcpStream> = (0..40).map(|_| send_incomplete(address)).collect();
+        let client = Client::connect(tasks, address).await;
+        let body = vec![b'w'; 48_000];
+        for seq in 1..=3 {
+            let rid = format!("{seq:016x}");
+            let mut fields: Vec<(&str, &str)> = page("");
+            (fields[0].1, fields[1].1) = ("scan", &rid);
+            fields.push(("token", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
+            client.send(&serve(seq, &fields, &body)).await;
+            let Message::Request { call, .. } = harness.messages.recv().await.unwrap() else { panic!() };
+            assert_eq!(call.body.len(), body.len());
+        }
+    });
+}
+
+/// Guards against answers that pile up between caches and clients: an answer for which there is no memory is read once
+/// an earlier one is written and dropped.
+#[test]
+fn an_answer_waits_until_an_earlier_one_has_left() {
+    run(async |tasks| {
+        let harness = ActorHarness::new(tasks, 9);
+        let memory = harness.shared.answer_memory.clone();
+        memory.set_limit(LARGEST_OBJECT + LARGEST_OBJECT / 2);
+        let peer = harness.peer();
+        let body = "x".repeat(LARGEST_OBJECT);
+        let rids = ["00000000000000a1", "00000000000000a2"];
+        for (ticket, rid) in (1..).zip(rids) {
+            peer.send(PeerMessage::Send(harness.attempt(ticket, rid))).await.unwrap();
+        }
+        for _ in rids {
+            let (wanted, connection) = harness.cache.next().await;
+            let body = body.clone();
+            tasks.spawn(async move { reply(&connection, &[&wanted[1], "HIT", NAMED, &body]).await }).detach();
+        }
+        let Message::Ended(first) = harness.messages.recv().await.unwrap() else { panic!() };
+        assert_eq!(
+            (first.status, first.body.as_ref().map(|body| body.len())),
+            (Status::Ok, Some(LARGEST_OBJECT))
+        );
+        while memory.waiting() == 0 {
+            future::yield_now().await;
+        }
+        assert!(memory.used() < 2 * LARGEST_OBJECT && harness.messages.is_empty());
+        drop(first);
+        let Message::Ended(second) = harness.messages.recv().await.unwrap() else { panic!() };
+        assert_eq!((second.status, second.body.map(|body| body.len())), (Status::Ok, Some(LARGEST_OBJECT)));
+    });
+}
+
+/// The parts of the limit leave room for the program itself, at each limit that the operators name.
+#[test]
+fn the_parts_of_the_memory_limit_leave_room_for_the_program() {
+    const ROOM_FOR_THE_PROGRAM: usize = 8 * MB;
+    for memory in (32..=192).map(|mb| mb * MB) {
+        let MemoryLimits { unwritten_answers, answers, write_bodies, incomplete_requests, own_copies } =
+            MemoryLimits::divide(memory);
+        let parts = answers + write_bodies + incomplete_requests + own_copies;
+        assert!(parts + ROOM_FOR_THE_PROGRAM <= memory, "{parts} of {memory}");
+        assert!(answers >= unwritten_answers + 4 * LARGEST_OBJECT, "{memory}");
+    }
+}
--- /dev/null
+++ b/wire/src/reader.rs
@@ -0,0 +1,302 @@
+//! Reads whole messages from a stream, with as little memory as is received, and within a budget where one is set.
+
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
+
+use async_io::Timer;
+use bitternhold::Micros;
+use bytes::Bytes;
+use futures_lite::{AsyncRead, future};
+
+use crate::clock;
+use crate::framing::Measure;
+use crate::memory::{MemoryBudget, Reservation};
+
+/// Largest read, in bytes, of a message whose length is known.
+const MAX_READ: usize = 64 * 1024;
+/// First interval at which a reader that waits for memory checks whether its message has arrived as a whole; it doubles
+/// with each check.
+const MIN_ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Maximum of that interval.
+const MAX_ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+thread_local! {
+    /// Where bytes are read to before a reader keeps them, so that a reader without any takes no memory.
+    static READ_BUFFER: RefCell<Vec<u8>> = const { RefCell::new(Vec::new()) };
+}
+
+/// How long the memory of a message counts against the reader's budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChargedUntil {
+    /// Until the message is complete: whoever takes it accounts for it.
+    Complete,
+    /// Until the message and all slices of it are dropped.
+    Dropped,
+}
+
+/// Tells how many bytes can be read from a stream at once.
+type Available = Box<dyn Fn() -> usize>;
+
+/// A reader's part in a budget.
+struct Charge {
+    budget: Arc<MemoryBudget>,
+    until: ChargedUntil,
+    /// Memory of the message that is being read.
+    reservation: Reservation,
+    /// Number of bytes that can be read from the stream at once, where that can be told.
+    available: Option<Available>,
+}
+
+/// A complete message together with the memory that it is charged for.
+struct ChargedMessage {
+    bytes: Vec<u8>,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for ChargedMessage {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads whole messages from a stream.
+pub struct MessageReader<R> {
+    stream: R,
+    /// Received bytes, from the first one that belongs to a message not returned yet.
+    buffer: Vec<u8>,
+    /// Number of bytes at the start of the buffer that belong to returned messages.
+    returned: usize,
+    /// When the first bytes of an incomplete message were read.
+    partial_since: Option<Micros>,
+    /// Lower bound of the arrival time of every byte not read yet: the last time the stream was known to be empty.
+    empty_at: Micros,
+    /// Lower bound of the arrival time of the bytes of the last read.
+    received_at: Micros,
+    measure: Measure,
+    /// Largest read, in bytes, while no message longer than that is known to be on its way. A shorter message needs no
+    /// reservation.
+    chunk: usize,
+    /// Timeout for the next bytes of an incomplete message.
+    stall_timeout: Option<Duration>,
+    /// Timeout for a whole message, from its first byte.
+    message_timeout: Option<Duration>,
+    /// The budget that messages are read within; `None`: without one.
+    charge: Option<Charge>,
+}
+
+impl<R: AsyncRead + Unpin> MessageReader<R> {
+    /// Reads at most `chunk` bytes at a time of messages that are not longer.
+    pub fn new(stream: R, measure: Measure, chunk: usize) -> Self {
+        Self {
+            stream,
+            buffer: Vec::new(),
+            returned: 0,
+            partial_since: None,
+            empty_at: clock::now(),
+            received_at: 0,
+            measure,
+            chunk,
+            stall_timeout: None,
+            message_timeout: None,
+            charge: None,
+        }
+    }
+
+    /// Sets the time since when unread bytes may lie on the stream; without it, the time of [`Self::new`].
+    pub fn unread_since(self, at: Micros) -> Self {
+        Self { empty_at: at, ..self }
+    }
+
+    /// Makes reading fail if an incomplete message receives no byte for this long.
+    pub fn with_stall_timeout(self, timeout: Duration) -> Self {
+        Self { stall_timeout: Some(timeout), ..self }
+    }
+
+    /// Makes reading fail if a message is not complete this long after its first byte, even if bytes keep trickling in.
+    pub fn with_message_timeout(self, timeout: Duration) -> Self {
+        Self { message_timeout: Some(timeout), ..self }
+    }
+
+    /// Reads messages longer than a chunk only within this budget; until there is memory for one, the rest of it stays
+    /// unread.
+    pub fn with_budget(self, budget: &Arc<MemoryBudget>, until: ChargedUntil) -> Self {
+        let (budget, reservation) = (budget.clone(), Reservation::new(budget));
+        Self { charge: Some(Charge { budget, until, reservation, available: None }), ..self }
+    }
+
+    /// Sets how many bytes can be read from the stream at once. A message that has arrived as a whole is then read without
+    /// waiting for memory, as it takes it only until it is handled.
+    pub fn with_available(mut self, available: impl Fn() -> usize + 'static) -> Self {
+        if let Some(charge) = &mut self.charge {
+            charge.available = Some(Box::new(available));
+        }
+        self
+    }
+
+    /// When the first bytes of an incomplete message were read; none if the buffer holds no such bytes.
+    pub fn partial_since(&self) -> Option<Micros> {
+        self.partial_since
+    }
+
+    /// Whether the message that waits for memory has arrived as a whole: the next call of [`Self::next`] returns it.
+    pub fn has_arrived(&self) -> bool {
+        let Ok(needed) = (self.measure)(&self.buffer[self.returned..]) else { return false };
+        let missing = needed.saturating_sub(self.buffer.len() - self.returned);
+        let waits = self.charge.as_ref().is_some_and(|charge| !charge.reservation.covers(needed));
+        waits && needed > self.chunk && self.unread_bytes().is_some_and(|unread| unread >= missing)
+    }
+
+    /// Number of bytes that can be read from the stream at once; `None` if that is unknown.
+    fn unread_bytes(&self) -> Option<usize> {
+        Some(self.charge.as_ref()?.available.as_ref()?())
+    }
+
+    /// The earliest time at which the last byte of the last message can have arrived. It may be well before the read:
+    /// bytes lie unread while the reading task is busy elsewhere.
+    pub fn received_at(&self) -> Micros {
+        self.received_at
+    }
+
+    /// The next message; none at the end of the stream. Cancel-safe: the future may be dropped and `next` called again.
+    pub async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        loop {
+            let received = self.buffer.len() - self.returned;
+            let needed = (self.measure)(&self.buffer[self.returned..])?;
+            if needed <= received {
+                return Ok(Some(self.take_message(needed)));
+            }
+            self.discard_returned();
+            let room = if needed > self.chunk {
+                self.reserve(needed).await?;
+                self.buffer.reserve_exact(needed - received);
+                (needed - received).min(MAX_READ)
+            } else {
+                self.chunk
+            };
+            if self.read(room).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Takes the first message, of `length` bytes, from the buffer.
+    fn take_message(&mut self, length: usize) -> Bytes {
+        let end = self.returned + length;
+        let message = if self.returned == 0 && end == self.buffer.len() {
+            std::mem::take(&mut self.buffer)
+        } else {
+            let message = self.buffer[self.returned..end].to_vec();
+            self.returned = end;
+            message
+        };
+        if self.returned == self.buffer.len() {
+            (self.buffer, self.returned) = (Vec::new(), 0);
+        }
+        self.partial_since = (!self.buffer.is_empty()).then(clock::now);
+        let Some(charge) = &mut self.charge else { return message.into() };
+        let mut reservation = std::mem::replace(&mut charge.reservation, Reservation::new(&charge.budget));
+        match charge.until {
+            ChargedUntil::Complete => message.into(),
+            ChargedUntil::Dropped => {
+                reservation.force(length);
+                Bytes::from_owner(ChargedMessage { bytes: message, _reservation: reservation })
+            }
+        }
+    }
+
+    /// Frees the memory of returned messages.
+    fn discard_returned(&mut self) {
+        if self.returned > 0 {
+            self.buffer = self.buffer[self.returned..].to_vec();
+            self.returned = 0;
+        }
+    }
+
+    /// Waits until the budget has memory for a message of this length.
+    async fn reserve(&mut self, length: usize) -> io::Result<()> {
+        let timeout = read_timeout(self.partial_since, self.message_timeout, None);
+        let missing = length - self.buffer.len();
+        let Some(Charge { reservation, available, .. }) = &mut self.charge else { return Ok(()) };
+        let granted = async {
+            poll_fn(|context| reservation.poll_grow(context, length)).await;
+            Ok(true)
+        };
+        let arrived = async {
+            let Some(available) = available else { return future::pending().await };
+            let mut interval = MIN_ARRIVAL_CHECK_INTERVAL;
+            while available() < missing {
+                Timer::after(interval).await;
+                interval = (interval * 2).min(MAX_ARRIVAL_CHECK_INTERVAL);
+            }
+            Ok(false)
+        };
+        let granted = future::or(granted, future::or(arrived, timed_out(timeout))).await?;
+        if !granted {
+            reservation.force(length);
+        }
+        Ok(())
+    }
+
+    /// Reads up to `room` bytes into the buffer; returns their number.
+    async fn read(&mut self, room: usize) -> io::Result<usize> {
+        let stall_timeout = self.stall_timeout.filter(|_| !self.buffer.is_empty());
+        let timeout = read_timeout(self.partial_since, self.message_timeout, stall_timeout);
+        let (stream, buffer) = (&mut self.stream, &mut self.buffer);
+        let (empty_at, mut waited) = (&mut self.empty_at, false);
+        let read = poll_fn(|context| {
+            READ_BUFFER.with_borrow_mut(|read_buffer| {
+                if read_buffer.len() < room {
+                    read_buffer.resize(room, 0);
+                }
+                match Pin::new(&mut *stream).poll_read(context, &mut read_buffer[..room]) {
+                    Poll::Ready(Ok(read)) => {
+                        buffer.extend_from_slice(&read_buffer[..read]);
+                        Poll::Ready(Ok(read))
+                    }
+                    Poll::Ready(Err(e)) => Poll::Ready(Err(e)),
+                    Poll::Pending => {
+                        (*empty_at, waited) = (clock::now(), true);
+                        Poll::Pending
+                    }
+                }
+            })
+        });
+        let read = future::or(read, timed_out(timeout)).await?;
+        let now = clock::now();
+        // After a wait the task was woken by the bytes, so they were read as they arrived.
+        self.received_at = if waited { now } else { self.empty_at };
+        if read < room {
+            self.empty_at = now;
+        }
+        if read > 0 {
+            self.partial_since = self.partial_since.or(Some(now));
+        }
+        Ok(read)
+    }
+}
+
+/// The time left until the first of two timeouts: of a whole message since its first byte, and of the next bytes.
+fn read_timeout(
+    partial_since: Option<Micros>,
+    message_timeout: Option<Duration>,
+    stall_timeout: Option<Duration>,
+) -> Option<Duration> {
+    let remaining = partial_since.zip(message_timeout).map(|(since, timeout)| {
+        timeout.saturating_sub(Duration::from_micros(clock::now().saturating_sub(since)))
+    });
+    stall_timeout.into_iter().chain(remaining).min()
+}
+
+/// Fails after this time; never without one.
+async fn timed_out<T>(timeout: Option<Duration>) -> io::Result<T> {
+    match timeout {
+        Some(timeout) => Timer::after(timeout).await,
+        None => Timer::never().await,
+    };
+    Err(io::Error::new(io::ErrorKind::TimedOut, "timed out in the middle of a message"))
+}
--- /dev/null
+++ b/wire/tests/reader.rs
@@ -0,0 +1,144 @@
+//! Reading messages from a stream: in pieces of any size, and within a budget of memory.
+
+use std::collections::VecDeque;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures_lite::{AsyncRead, future};
+use silverspindle_wire::framing::{ChargedUntil, MessageReader};
+use silverspindle_wire::memory::MemoryBudget;
+use silverspindle_wire::thrift;
+
+const CHUNK: usize = 4096;
+const LARGE: usize = 60_000;
+
+/// A stream that delivers these pieces, one each read at most, and then stays silent.
+struct Pieces(VecDeque<Vec<u8>>);
+
+impl Pieces {
+    fn of(bytes: &[u8], size: usize) -> Self {
+        Self(bytes.chunks(size).map(<[u8]>::to_vec).collect())
+    }
+}
+
+impl AsyncRead for Pieces {
+    fn poll_read(mut self: Pin<&mut Self>, _: &mut Context<'_>, into: &mut [u8]) -> Poll<io::Result<usize>> {
+        let Some(mut piece) = self.0.pop_front() else { return Poll::Pending };
+        let read = piece.len().min(into.len());
+        into[..read].copy_from_slice(&piece[..read]);
+        if read < piece.len() {
+            self.0.push_front(piece.split_off(read));
+        }
+        Poll::Ready(Ok(read))
+    }
+}
+
+/// A message of this many bytes behind its length.
+fn message(length: usize) -> Vec<u8> {
+    let mut message = (length as u32).to_be_bytes().to_vec();
+    message.extend((0..length).map(|i| i as u8));
+    message
+}
+
+fn reader(bytes: &[u8], size: usize) -> MessageReader<Pieces> {
+    MessageReader::new(Pieces::of(bytes, size), thrift::measure, CHUNK)
+}
+
+/// The next message if it can be read now.
+fn next(reader: &mut MessageReader<Pieces>) -> Option<Bytes> {
+    future::block_on(future::poll_once(reader.next())).map(|read| read.unwrap().unwrap())
+}
+
+/// A large message of which all but the last byte has come.
+fn half(budget: &Arc<MemoryBudget>) -> MessageReader<Pieces> {
+    reader(&message(LARGE)[..LARGE], CHUNK).with_budget(budget, ChargedUntil::Complete)
+}
+
+#[test]
+fn messages_come_out_whole_and_unchanged_whatever_the_pieces() {
+    let messages: Vec<Vec<u8>> =
+        [0, 1, 300, 4092, 4093, LARGE, 5, 9000, 65_536, 200, 200].map(message).into();
+    for size in [1, 3, 100, 4095, 4096, 4097, 50_000, 1_000_000] {
+        let budget = MemoryBudget::new(200_000);
+        let all = messages.concat();
+        let plain = reader(&all, size);
+        let complete = reader(&all, size).with_budget(&budget, ChargedUntil::Complete);
+        let dropped = reader(&all, size).with_budget(&budget, ChargedUntil::Dropped);
+        for mut reader in [plain, complete, dropped] {
+            for expected in &messages {
+                assert_eq!(next(&mut reader).as_deref(), Some(&expected[..]), "pieces of {size}");
+            }
+            assert_eq!(next(&mut reader), None);
+            assert_eq!(reader.partial_since(), None);
+        }
+        assert_eq!(budget.used(), 0, "all is given back");
+    }
+}
+
+/// Guards the budget: whoever takes a message may keep it, and as long as a slice of it is kept it takes its memory.
+#[test]
+fn a_large_message_waits_until_an_earlier_one_is_dropped() {
+    let budget = MemoryBudget::new(LARGE + LARGE / 2);
+    let all = [message(LARGE), message(LARGE)].concat();
+    let mut reader = reader(&all, CHUNK).with_budget(&budget, ChargedUntil::Dropped);
+    let first = next(&mut reader).unwrap();
+    let kept = first.slice(10..20);
+    drop(first);
+    assert_eq!(next(&mut reader), None);
+    assert_eq!((budget.waiting(), budget.used() <= LARGE + 4), (1, true));
+    drop(kept);
+    assert_eq!(next(&mut reader).map(|second| second.len()), Some(LARGE + 4));
+}
+
+/// Guards against a crowd of senders of half messages: what does not fit stays unread, small messages need no memory of
+/// the budget, and readers have their turn in order, also where one before them gives up.
+#[test]
+fn half_messages_stay_within_the_budget_and_wait_in_order() {
+    let budget = MemoryBudget::new(2 * (LARGE + 4));
+    let mut held = [half(&budget), half(&budget)];
+    let mut waiting = [half(&budget), half(&budget), half(&budget)];
+    held.iter_mut().chain(&mut waiting).for_each(|reader| assert_eq!(next(reader), None));
+    assert_eq!((budget.used(), budget.waiting()), (2 * (LARGE + 4), 3));
+    let mut small = reader(&message(300), 7).with_budget(&budget, ChargedUntil::Complete);
+    assert!(next(&mut small).is_some());
+    let [first, second, mut third] = waiting;
+    drop(held);
+    let mut late = half(&budget);
+    assert_eq!(next(&mut late), None, "those that wait go first");
+    drop(first);
+    drop(second);
+    assert_eq!(next(&mut third), None);
+    assert_eq!((budget.used(), budget.waiting()), (LARGE + 4, 1), "the third has memory, the late one waits");
+    assert_eq!(next(&mut late), None);
+    assert_eq!((budget.used(), budget.waiting()), (2 * (LARGE + 4), 0));
+}
+
+/// Guards against whole messages that starve behind half ones: what has arrived as a whole is read without waiting.
+#[test]
+fn a_message_that_has_arrived_as_a_whole_is_read_without_waiting() {
+    let budget = MemoryBudget::new(LARGE);
+    let mut held = half(&budget);
+    assert_eq!(next(&mut held), None);
+    let whole = message(LARGE);
+    let mut incomplete = reader(&whole, CHUNK)
+        .with_budget(&budget, ChargedUntil::Complete)
+        .with_available(|| LARGE + 3 - CHUNK);
+    assert_eq!((next(&mut incomplete), incomplete.has_arrived()), (None, false));
+    let mut arrived = reader(&whole, CHUNK)
+        .with_budget(&budget, ChargedUntil::Complete)
+        .with_available(|| LARGE + 4 - CHUNK);
+    assert_eq!(next(&mut arrived).as_deref(), Some(&whole[..]));
+    assert!(budget.used() <= LARGE + 4, "given back as soon as it is read");
+}
+
+/// A message larger than the whole budget is read once nothing else is.
+#[test]
+fn a_message_larger_than_the_budget_is_read_alone() {
+    let budget = MemoryBudget::new(100);
+    let whole = message(LARGE);
+    let mut reader = reader(&whole, CHUNK).with_budget(&budget, ChargedUntil::Dropped);
+    assert!(next(&mut reader).is_some());
+}
