Long messages are read in place: no copy between read buffer and message

A message whose length is known is now read into its own memory, at once.

Also: after a read that took exactly the rest of a message, the socket is asked whether it is empty, so that the time of the next request on that connection doesn't count from before the read.

--- a/wire/src/reader.rs
+++ b/wire/src/reader.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use async_io::Timer;
@@ -17,8 +17,6 @@
 use crate::framing::Measure;
 use crate::memory::{MemoryBudget, Reservation};
 
-/// Largest read, in bytes, of a message whose length is known.
-const MAX_READ: usize = 64 * 1024;
 /// First interval at which a reader that waits for memory checks whether its message has arrived as a whole; it doubles
 /// with each check.
 const MIN_ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(5);
@@ -26,7 +24,7 @@
 const MAX_ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 thread_local! {
-    /// Where bytes are read to before a reader keeps them, so that a reader without any takes no memory.
+    /// Where short messages are read to before a reader keeps them, so that a reader without any takes no memory.
     static READ_BUFFER: RefCell<Vec<u8>> = const { RefCell::new(Vec::new()) };
 }
 
@@ -67,8 +65,10 @@
 /// Reads whole messages from a stream.
 pub struct MessageReader<R> {
     stream: R,
-    /// Received bytes, from the first one that belongs to a message not returned yet.
+    /// Received bytes, and behind them room for the rest of a long message.
     buffer: Vec<u8>,
+    /// Number of received bytes in the buffer.
+    filled: usize,
     /// Number of bytes at the start of the buffer that belong to returned messages.
     returned: usize,
     /// When the first bytes of an incomplete message were read.
@@ -95,6 +95,7 @@
         Self {
             stream,
             buffer: Vec::new(),
+            filled: 0,
             returned: 0,
             partial_since: None,
             empty_at: clock::now(),
@@ -145,12 +146,17 @@
 
     /// Whether the message that waits for memory has arrived as a whole: the next call of [`Self::next`] returns it.
     pub fn has_arrived(&self) -> bool {
-        let Ok(needed) = (self.measure)(&self.buffer[self.returned..]) else { return false };
-        let missing = needed.saturating_sub(self.buffer.len() - self.returned);
+        let Ok(needed) = (self.measure)(self.received()) else { return false };
+        let missing = needed.saturating_sub(self.received().len());
         let waits = self.charge.as_ref().is_some_and(|charge| !charge.reservation.covers(needed));
         waits && needed > self.chunk && self.unread_bytes().is_some_and(|unread| unread >= missing)
     }
 
+    /// Bytes received of messages that are not returned yet.
+    fn received(&self) -> &[u8] {
+        &self.buffer[self.returned..self.filled]
+    }
+
     /// Number of bytes that can be read from the stream at once; `None` if that is unknown.
     fn unread_bytes(&self) -> Option<usize> {
         Some(self.charge.as_ref()?.available.as_ref()?())
@@ -165,20 +171,19 @@
     /// The next message; none at the end of the stream. Cancel-safe: the future may be dropped and `next` called again.
     pub async fn next(&mut self) -> io::Result<Option<Bytes>> {
         loop {
-            let received = self.buffer.len() - self.returned;
-            let needed = (self.measure)(&self.buffer[self.returned..])?;
-            if needed <= received {
+            let needed = (self.measure)(self.received())?;
+            if needed <= self.received().len() {
                 return Ok(Some(self.take_message(needed)));
             }
             self.discard_returned();
-            let room = if needed > self.chunk {
+            let read = if needed > self.chunk {
                 self.reserve(needed).await?;
-                self.buffer.reserve_exact(needed - received);
-                (needed - received).min(MAX_READ)
+                self.make_room(needed);
+                self.read(Self::poll_read_rest, needed - self.filled).await?
             } else {
-                self.chunk
+                self.read(Self::poll_read_chunk, self.chunk).await?
             };
-            if self.read(room).await? == 0 {
+            if read == 0 {
                 return Ok(None);
             }
         }
@@ -190,14 +195,13 @@
         let message = if self.returned == 0 && end == self.buffer.len() {
             std::mem::take(&mut self.buffer)
         } else {
-            let message = self.buffer[self.returned..end].to_vec();
-            self.returned = end;
-            message
+            self.buffer[self.returned..end].to_vec()
         };
-        if self.returned == self.buffer.len() {
-            (self.buffer, self.returned) = (Vec::new(), 0);
+        self.returned = end;
+        if self.returned == self.filled {
+            (self.buffer, self.filled, self.returned) = (Vec::new(), 0, 0);
         }
-        self.partial_since = (!self.buffer.is_empty()).then(clock::now);
+        self.partial_since = (self.filled > 0).then(clock::now);
         let Some(charge) = &mut self.charge else { return message.into() };
         let mut reservation = std::mem::replace(&mut charge.reservation, Reservation::new(&charge.budget));
         match charge.until {
@@ -212,15 +216,24 @@
     /// Frees the memory of returned messages.
     fn discard_returned(&mut self) {
         if self.returned > 0 {
-            self.buffer = self.buffer[self.returned..].to_vec();
-            self.returned = 0;
+            self.buffer = self.received().to_vec();
+            (self.filled, self.returned) = (self.buffer.len(), 0);
+        }
+    }
+
+    /// Makes room for a message of this length, of which the first bytes are received.
+    fn make_room(&mut self, length: usize) {
+        if self.buffer.len() < length {
+            let mut buffer = vec![0; length];
+            buffer[..self.filled].copy_from_slice(&self.buffer[..self.filled]);
+            self.buffer = buffer;
         }
     }
 
     /// Waits until the budget has memory for a message of this length.
     async fn reserve(&mut self, length: usize) -> io::Result<()> {
         let timeout = read_timeout(self.partial_since, self.message_timeout, None);
-        let missing = length - self.buffer.len();
+        let missing = length - self.received().len();
         let Some(Charge { reservation, available, .. }) = &mut self.charge else { return Ok(()) };
         let granted = async {
             poll_fn(|context| reservation.poll_grow(context, length)).await;
@@ -242,35 +255,27 @@
         Ok(())
     }
 
-    /// Reads up to `room` bytes into the buffer; returns their number.
-    async fn read(&mut self, room: usize) -> io::Result<usize> {
-        let stall_timeout = self.stall_timeout.filter(|_| !self.buffer.is_empty());
+    /// Reads up to `room` bytes by `poll_read`; returns their number.
+    async fn read(
+        &mut self,
+        poll_read: fn(&mut Self, &mut Context<'_>) -> Poll<io::Result<usize>>,
+        room: usize,
+    ) -> io::Result<usize> {
+        let stall_timeout = self.stall_timeout.filter(|_| self.filled > 0);
         let timeout = read_timeout(self.partial_since, self.message_timeout, stall_timeout);
-        let (stream, buffer) = (&mut self.stream, &mut self.buffer);
-        let (empty_at, mut waited) = (&mut self.empty_at, false);
+        let mut waited = false;
         let read = poll_fn(|context| {
-            READ_BUFFER.with_borrow_mut(|read_buffer| {
-                if read_buffer.len() < room {
-                    read_buffer.resize(room, 0);
-                }
-                match Pin::new(&mut *stream).poll_read(context, &mut read_buffer[..room]) {
-                    Poll::Ready(Ok(read)) => {
-                        buffer.extend_from_slice(&read_buffer[..read]);
-                        Poll::Ready(Ok(read))
-                    }
-                    Poll::Ready(Err(e)) => Poll::Ready(Err(e)),
-                    Poll::Pending => {
-                        (*empty_at, waited) = (clock::now(), true);
-                        Poll::Pending
-                    }
-                }
-            })
+            let read = poll_read(self, context);
+            if read.is_pending() {
+                (self.empty_at, waited) = (clock::now(), true);
+            }
+            read
         });
         let read = future::or(read, timed_out(timeout)).await?;
         let now = clock::now();
         // After a wait the task was woken by the bytes, so they were read as they arrived.
         self.received_at = if waited { now } else { self.empty_at };
-        if read < room {
+        if read < room || self.unread_bytes() == Some(0) {
             self.empty_at = now;
         }
         if read > 0 {
@@ -278,6 +283,32 @@
         }
         Ok(read)
     }
+
+    /// Reads into the room that was made for a long message.
+    fn poll_read_rest(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let room = &mut self.buffer[self.filled..];
+        let read = Pin::new(&mut self.stream).poll_read(context, room);
+        if let Poll::Ready(Ok(read)) = read {
+            self.filled += read;
+        }
+        read
+    }
+
+    /// Reads up to a chunk, of which no more is kept than was received.
+    fn poll_read_chunk(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        READ_BUFFER.with_borrow_mut(|read_buffer| {
+            if read_buffer.len() < self.chunk {
+                read_buffer.resize(self.chunk, 0);
+            }
+            let read = Pin::new(&mut self.stream).poll_read(context, &mut read_buffer[..self.chunk]);
+            if let Poll::Ready(Ok(read)) = read {
+                self.buffer.truncate(self.filled);
+                self.buffer.extend_from_slice(&read_buffer[..read]);
+                self.filled += read;
+            }
+            read
+        })
+    }
 }
 
 /// The time left until the first of two timeouts: of a whole message since its first byte, and of the next bytes.
