--- a/wire/src/reader.rs
+++ b/wire/src/reader.rs
@@ -178,8 +178,9 @@
             self.discard_returned();
             let read = if needed > self.chunk {
                 self.reserve(needed).await?;
-                self.make_room(needed);
-                self.read(Self::poll_read_rest, needed - self.filled).await?
+                let room = self.room_for(needed);
+                self.make_room(room);
+                self.read(Self::poll_read_rest, room - self.filled).await?
             } else {
                 self.read(Self::poll_read_chunk, self.chunk).await?
             };
@@ -221,7 +222,16 @@
         }
     }
 
-    /// Makes room for a message of this length, of which the first bytes are received.
+    /// Room to make for a message of this length: all of it within a budget. Without one no more than was received so far,
+    /// as nothing else bounds what a sender may announce.
+    fn room_for(&self, length: usize) -> usize {
+        match &self.charge {
+            Some(_) => length,
+            None => length.min(2 * self.filled.max(self.chunk)),
+        }
+    }
+
+    /// Makes room for this many bytes, of which the first ones are received.
     fn make_room(&mut self, length: usize) {
         if self.buffer.len() < length {
             let mut buffer = vec![0; length];
--- a/wire/tests/reader.rs
+++ b/wire/tests/reader.rs
@@ -134,6 +134,30 @@
     assert!(budget.used() <= LARGE + 4, "given back as soon as it is read");
 }
 
+/// Guards readers without a budget: a sender that announces a long message and sends little of it takes little memory.
+#[test]
+fn without_a_budget_room_is_made_as_bytes_arrive() {
+    /// A stream that delivers the head of a message once and counts the room that reads offer.
+    struct Head<'a>(Option<Vec<u8>>, &'a std::cell::Cell<usize>);
+    impl AsyncRead for Head<'_> {
+        fn poll_read(
+            mut self: Pin<&mut Self>,
+            _: &mut Context<'_>,
+            into: &mut [u8],
+        ) -> Poll<io::Result<usize>> {
+            self.1.set(self.1.get().max(into.len()));
+            let Some(head) = self.0.take() else { return Poll::Pending };
+            into[..head.len()].copy_from_slice(&head);
+            Poll::Ready(Ok(head.len()))
+        }
+    }
+    let room = std::cell::Cell::new(0);
+    let head = Head(Some(message(LARGE)[..100].to_vec()), &room);
+    let mut reader = MessageReader::new(head, thrift::measure, CHUNK);
+    assert!(future::block_on(future::poll_once(reader.next())).is_none());
+    assert!(room.get() <= 2 * CHUNK, "{}", room.get());
+}
+
 /// A message larger than the whole budget is read once nothing else is.
 #[test]
 fn a_message_larger_than_the_budget_is_read_alone() {
