A client that leaves while its half message waits for memory gives its connection back

Seen on reading the change again. Cause: since a connection whose message waits for memory isn't read, so the client's close went unseen until the message timed out, 2.5 s later, and the connection stayed taken for others.

Change: the look at what has arrived (each 5 to 200 ms) also sees the end of the stream. The check that the front already made before attempts is used for both.

Tests: a_client_that_leaves_while_it_waits_for_memory_is_noticed failed without the check ("the test timed out") and passes. The test of whole writes beside a crowd passed also without reading them early, after the crowd had timed out; it now fails then ("the writes waited until the crowd had timed out"), as does the one of waiting answers without the budget ("the test timed out").

--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -130,12 +130,7 @@
         let gone = match stream.get_ref().peek(&mut [0]) {
             Ok(0) => true,
             // The client may have closed behind bytes that are still unread.
-            Ok(_) => {
-                let mut fds = [PollFd::new(stream.get_ref(), PollFlags::RDHUP)];
-                let now = Timespec { tv_sec: 0, tv_nsec: 0 };
-                let end_flags = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-                poll(&mut fds, Some(&now)).is_ok_and(|n| n > 0) && fds[0].revents().intersects(end_flags)
-            }
+            Ok(_) => has_ended(stream.get_ref()),
             Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
         };
         self.gone.set(gone);
@@ -315,11 +310,7 @@
     ) -> io::Result<End> {
         let front = &*self.front;
         let socket = self.stream.clone();
-        let unread_bytes = move || {
-            let socket = socket.upgrade();
-            let unread = socket.and_then(|socket| rustix::io::ioctl_fionread(socket.get_ref()).ok());
-            unread.map_or(0, |bytes| bytes as usize)
-        };
+        let unread_bytes = move || socket.upgrade().map_or(0, |socket| unread_bytes(socket.get_ref()));
         let mut frames = MessageReader::new(stream, thrift::measure, READ_CHUNK)
             .unread_since(arrived_after)
             .with_budget(&front.incomplete_requests, ChargedUntil::Complete)
@@ -510,6 +501,22 @@
     Closing(CloseReason),
 }
 
+/// Whether the client has closed, or the connection has failed; bytes may still be unread.
+fn has_ended(socket: &TcpStream) -> bool {
+    let mut fds = [PollFd::new(socket, PollFlags::RDHUP)];
+    let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+    let end_flags = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    poll(&mut fds, Some(&now)).is_ok_and(|n| n > 0) && fds[0].revents().intersects(end_flags)
+}
+
+/// Number of bytes that can be read at once; no limit where the end of the stream follows them.
+fn unread_bytes(socket: &TcpStream) -> usize {
+    if has_ended(socket) {
+        return usize::MAX;
+    }
+    rustix::io::ioctl_fionread(socket).map_or(0, |bytes| bytes as usize)
+}
+
 fn closed_error<T>(_: T) -> io::Error {
     ErrorKind::BrokenPipe.into()
 }
--- a/silverspindle/tests/memory_limits.rs
+++ b/silverspindle/tests/memory_limits.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use std::io::Write;
-use std::net::TcpStream;
+use std::io::{ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use common::world::ActorHarness;
 use common::*;
 use futures_lite::future;
+use silverspindle::front::Front;
 use silverspindle::memory::MemoryLimits;
 use silverspindle::traffic::Message;
 use silverspindle::upstream::PeerMessage;
@@ -32,13 +33,18 @@
 }
 
 /// Connects and writes an incomplete message, as far as the kernel takes it.
-fn send_incomplete(address: std::net::SocketAddr) -> TcpStream {
+fn send_incomplete(address: SocketAddr) -> TcpStream {
     let mut stream = TcpStream::connect(address).unwrap();
     stream.set_nonblocking(true).unwrap();
     let _ = stream.write(&incomplete_message());
     stream
 }
 
+/// Whether the router has not closed the connection yet.
+fn is_open(stream: &TcpStream) -> bool {
+    stream.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+}
+
 /// Anonymous memory of a process, in bytes.
 fn anonymous_memory(process: u32) -> usize {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
@@ -51,7 +57,7 @@
 #[test]
 fn half_written_messages_stay_within_the_memory_limit() {
     const LIMIT_MB: usize = 16;
-    const CROWD: usize = 340;
+    const ALL_CONNECTIONS: usize = 340;
     run(async |tasks| {
         let cache = Cache::start(tasks);
         let (_coordinator, address) = listen();
@@ -60,49 +66,97 @@
         file["limits"]["memory_mb"] = LIMIT_MB.into();
         let router = start(&file, &format!("{}:0", ip()));
         let client = Client::connect(tasks, router.clients).await;
-        let crowd: Vec<TcpStream> = (0..CROWD).map(|_| send_incomplete(router.clients)).collect();
+        let crowd: Vec<TcpStream> = (0..ALL_CONNECTIONS).map(|_| send_incomplete(router.clients)).collect();
         client.send(&serve(1, &page("00000000000000a1"), b"")).await;
         let (wanted, connection) = cache.next().await;
         reply(&connection, &[&wanted[1], "HIT", NAMED, "x"]).await;
         assert_eq!(client.next().await.unwrap(), served_answer(1, b"x"));
-        let is_open = |stream: &TcpStream| {
-            stream.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
-        };
         while crowd.iter().any(is_open) {
             let memory = anonymous_memory(router.child.id());
-            assert!(memory <= LIMIT_MB * MB, "{memory} bytes with {CROWD} messages in part");
+            assert!(memory <= LIMIT_MB * MB, "{memory} bytes with {ALL_CONNECTIONS} messages in part");
             Timer::after(Duration::from_millis(5)).await;
         }
     });
 }
 
-/// Guards usual writes beside a crowd of half-written messages that has used up the memory for those: a write that has
-/// arrived as a whole goes on at once, and small requests as well.
-#[test]
-fn a_whole_write_is_served_beside_half_written_messages() {
-    run(async |tasks| {
+/// Number of half-written messages that use up the memory for those, and some.
+const CROWD: usize = 40;
+
+/// Tries of what must happen before the half-written messages time out. Where they have, a try shows nothing.
+const TRIES: usize = 5;
+
+/// A front that passes its requests to the harness, with a crowd of half-written messages.
+struct CrowdedFront {
+    harness: ActorHarness,
+    front: Rc<Front>,
+    address: SocketAddr,
+    crowd: Vec<TcpStream>,
+}
+
+impl CrowdedFront {
+    fn start(tasks: &Tasks) -> Self {
         let harness = ActorHarness::new(tasks, 9);
         let (listener, address) = listen();
-        let front = silverspindle::front::Front::new(
-            harness.shared.site.clone(),
-            harness.shared.director.clone(),
-            16 * MB,
-            1024,
-            Rc::default(),
-        );
-        tasks.spawn(front.accept(listener, tasks.clone())).detach();
-        let _crowd: Vec<TcpStream> = (0..40).map(|_| send_incomplete(address)).collect();
-        let client = Client::connect(tasks, address).await;
-        let body = vec![b'w'; 48_000];
-        for seq in 1..=3 {
-            let rid = format!("{seq:016x}");
-            let mut fields: Vec<(&str, &str)> = page("");
-            (fields[0].1, fields[1].1) = ("scan", &rid);
-            fields.push(("token", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
-            client.send(&serve(seq, &fields, &body)).await;
-            let Message::Request { call, .. } = harness.messages.recv().await.unwrap() else { panic!() };
-            assert_eq!(call.body.len(), body.len());
+        let (site, director) = (harness.shared.site.clone(), harness.shared.director.clone());
+        let front = Front::new(site, director, 16 * MB, 1024, Rc::default());
+        tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
+        let crowd = (0..CROWD).map(|_| send_incomplete(address)).collect();
+        Self { harness, front, address, crowd }
+    }
+
+    /// Waits until the front has this many connections.
+    async fn wait_for_connections(&self, expected: usize) {
+        while self.front.connection_counts().0 != expected {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+    }
+
+    /// Whether the crowd still holds the memory.
+    fn is_crowded(&self) -> bool {
+        self.crowd.iter().all(is_open)
+    }
+}
+
+/// Guards usual writes beside half-written messages: one that has arrived as a whole does not wait for their memory.
+#[test]
+fn a_whole_write_is_read_beside_half_written_messages() {
+    run(async |tasks| {
+        for _ in 0..TRIES {
+            let crowded = CrowdedFront::start(tasks);
+            let client = Client::connect(tasks, crowded.address).await;
+            let body = vec![b'w'; 48_000];
+            for seq in 1..=3 {
+                let rid = format!("{seq:016x}");
+                let mut fields: Vec<(&str, &str)> = page("");
+                (fields[0].1, fields[1].1) = ("scan", &rid);
+                fields.push(("token", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
+                client.send(&serve(seq, &fields, &body)).await;
+                let (.., call) = crowded.harness.request().await;
+                assert_eq!(call.body.len(), body.len());
+            }
+            if crowded.is_crowded() {
+                return;
+            }
+        }
+        panic!("the writes waited until the crowd had timed out");
+    });
+}
+
+/// Guards the connections for clients: one that leaves while its half-written message waits for memory gives its
+/// connection back, though nothing more is read from it.
+#[test]
+fn a_client_that_leaves_while_it_waits_for_memory_is_noticed() {
+    run(async |tasks| {
+        for _ in 0..TRIES {
+            let mut crowded = CrowdedFront::start(tasks);
+            crowded.wait_for_connections(CROWD).await;
+            crowded.crowd.truncate(CROWD / 2);
+            crowded.wait_for_connections(CROWD / 2).await;
+            if crowded.is_crowded() {
+                return;
+            }
         }
+        panic!("those that had left were held until the crowd had timed out");
     });
 }
 
--- a/wire/src/reader.rs
+++ b/wire/src/reader.rs
@@ -130,8 +130,9 @@
         Self { charge: Some(Charge { budget, until, reservation, available: None }), ..self }
     }
 
-    /// Sets how many bytes can be read from the stream at once. A message that has arrived as a whole is then read without
-    /// waiting for memory, as it takes it only until it is handled.
+    /// Sets how many bytes can be read from the stream at once; `usize::MAX` once its end is behind them. A message that has
+    /// arrived as a whole is then read without waiting for memory, as it takes it only until it is handled; and so is the
+    /// rest before the end.
     pub fn with_available(mut self, available: impl Fn() -> usize + 'static) -> Self {
         if let Some(charge) = &mut self.charge {
             charge.available = Some(Box::new(available));
