--- a/silverspindle/src/coordinator.rs
+++ b/silverspindle/src/coordinator.rs
@@ -20,65 +20,51 @@
 
 pub mod lease;
 
-/// An empty frame comes each second: without any for so long the coordinator has stopped. All counts as told 7 s after,
-/// heard or not: that leaves time for three connections in a row that fall silent at once.
-const SILENT: Duration = Duration::from_millis(1800);
-/// Half an event without the rest for so long is a stop, too.
-const STALL: Duration = Duration::from_millis(500);
-/// A connection not up by then has failed.
-const CONNECT: Duration = Duration::from_secs(1);
-/// After a break all counts as told 2 s later: the first try comes at once, further ones after these waits,
-/// doubled from try to try.
-const AGAIN: Duration = Duration::from_millis(50);
-const AGAIN_MOST: Duration = Duration::from_millis(500);
-const CHUNK: usize = 16 * 1024;
-
-/// The socket is looked at this often at least, to know since when all that has come was read.
-const LOOK: Duration = Duration::from_millis(200);
-
-/// An event as it came.
+/// Timeout for the next frame. The coordinator sends an empty one each second. Of the 7 s after which events bind
+/// unsent, this leaves time for three connections in a row that fall silent.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1800);
+/// Timeout for the next bytes of an incomplete frame.
+const STALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout of a connect, and of writing the number of the last event.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Delay before the second attempt to reconnect, doubled from attempt to attempt; the first comes at once.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Maximum delay between two attempts to reconnect.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Maximum number of bytes that are read of a frame at once.
+const READ_CHUNK: usize = 16 * 1024;
+/// Interval at which a waiting read is polled, to know up to when the socket was empty.
+const EMPTY_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// An event as it was received.
 #[derive(Debug)]
 pub struct Told {
     /// What it says.
     pub event: Event,
     /// The whole frame.
     pub frame: Bytes,
-    /// It came after this time of the steady clock: nothing was there to be read then.
+    /// It arrived after this time of the steady clock: the socket was empty then.
     pub after: Micros,
 }
 
-/// Where events go.
+/// Receiver of the events.
 pub trait Sink {
-    /// Whether it wants to know after which time an event came.
-    const TIMED: bool = false;
-    /// Whether nobody takes them any more.
+    /// Whether nobody takes events any more.
     fn is_closed(&self) -> bool;
-    /// Takes an event; false where nobody does.
+    /// Takes an event; false if nobody takes events any more.
     fn tell(&self, told: Told) -> impl Future<Output = bool>;
-    /// Called before the next event where the coordinator no longer has some events in between; false where nobody
-    /// takes events.
+    /// Called before the next event where the coordinator no longer has some events in between; false if nobody takes
+    /// events any more.
     fn missed(&self) -> impl Future<Output = bool> {
         async { true }
     }
 }
 
-impl<N: From<Update>> Sink for Sender<N> {
-    fn is_closed(&self) -> bool {
-        Sender::is_closed(self)
-    }
-
-    async fn tell(&self, told: Told) -> bool {
-        self.send(told.event.update.into()).await.is_ok()
-    }
-}
-
 /// The director, as the receiver of the events: it is also told up to which time it has received all of them.
 #[derive(Debug)]
 pub struct DirectorSink(pub Sender<Notification>);
 
 impl Sink for DirectorSink {
-    const TIMED: bool = true;
-
     fn is_closed(&self) -> bool {
         self.0.is_closed()
     }
@@ -155,20 +141,23 @@
             tracing::warn!(event = self.last, "coordinator {}: {e}; connecting anew", self.address);
             wait = if self.last > before { Duration::ZERO } else { wait };
             Timer::after(wait).await;
-            wait = (wait * 2).clamp(AGAIN, AGAIN_MOST);
+            wait = (wait * 2).clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
         }
     }
 
     /// One connection, to its end.
     async fn follow(&mut self) -> io::Result<()> {
-        let stream = within(CONNECT, Async::<TcpStream>::connect(self.address)).await?;
-        within(CONNECT, (&stream).write_all(&self.last.to_be_bytes())).await?;
+        let stream = within(CONNECT_TIMEOUT, Async::<TcpStream>::connect(self.address)).await?;
+        within(CONNECT_TIMEOUT, (&stream).write_all(&self.last.to_be_bytes())).await?;
         tracing::info!(event = self.last, "coordinator {}: following", self.address);
-        let mut frames = MessageReader::new(&stream, feed::measure, CHUNK).with_stall_timeout(STALL);
+        let mut frames =
+            MessageReader::new(&stream, feed::measure, READ_CHUNK).with_stall_timeout(STALL_TIMEOUT);
         // The time since when nothing is left unread: what comes then was not there yet, however late it is read.
         let mut empty = steady_now();
         loop {
-            let Some(frame) = within(SILENT, looking(S::TIMED, frames.next(), &mut empty)).await? else {
+            let Some(frame) =
+                within(SILENCE_TIMEOUT, read_when_empty_until(frames.next(), &mut empty)).await?
+            else {
                 return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "closed"));
             };
             let event = feed::decode(&frame)?;
@@ -207,11 +196,8 @@
     }
 }
 
-/// A read; where it is timed, with the last time at which there was nothing to be read yet.
-async fn looking<T>(timed: bool, read: impl Future<Output = T>, empty: &mut Micros) -> T {
-    if !timed {
-        return read.await;
-    }
+/// Completes a read and records the last time at which the socket was still empty.
+async fn read_when_empty_until<T>(read: impl Future<Output = T>, empty: &mut Micros) -> T {
     let mut read = pin!(read);
     loop {
         let began = steady_now();
@@ -219,11 +205,11 @@
             return done;
         }
         *empty = began;
-        let again = async {
-            Timer::after(LOOK).await;
+        let check_due = async {
+            Timer::after(EMPTY_CHECK_INTERVAL).await;
             None
         };
-        if let Some(done) = future::or(async { Some((&mut read).await) }, again).await {
+        if let Some(done) = future::or(async { Some((&mut read).await) }, check_due).await {
             return done;
         }
     }
--- a/silverspindle/src/distribution/actor.rs
+++ b/silverspindle/src/distribution/actor.rs
@@ -33,8 +33,6 @@
 struct Log(Sender<Told>);
 
 impl Sink for Log {
-    const TIMED: bool = true;
-
     fn is_closed(&self) -> bool {
         self.0.is_closed()
     }
--- a/silverspindle/tests/crossing_lists.rs
+++ b/silverspindle/tests/crossing_lists.rs
@@ -12,20 +12,41 @@
 use silverspindle::steady::steady_now;
 use silverspindle::traffic::Notification;
 
-struct FollowerHarness {
+struct FollowerHarness<T> {
     listener: Async<std::net::TcpListener>,
-    updates: async_channel::Receiver<Update>,
+    received: async_channel::Receiver<T>,
     moves: async_channel::Sender<SocketAddr>,
 }
 
+/// Passes events on as they were received.
+struct Unchanged(async_channel::Sender<Told>);
+
+impl Sink for Unchanged {
+    fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+
+    async fn tell(&self, told: Told) -> bool {
+        self.0.send(told).await.is_ok()
+    }
+}
+
 /// The actor that follows the list, with event 1 known, connected to a scripted coordinator.
-fn start_follower(tasks: &Tasks) -> FollowerHarness {
+fn start_follower(tasks: &Tasks) -> FollowerHarness<Told> {
+    start_follower_with(tasks, Unchanged)
+}
+
+/// As [`start_follower`], with this receiver of the events.
+fn start_follower_with<T, S: Sink + 'static>(
+    tasks: &Tasks,
+    sink: impl FnOnce(async_channel::Sender<T>) -> S,
+) -> FollowerHarness<T> {
     let (listener, address) = listen();
-    let (sender, updates) = async_channel::bounded(64);
+    let (sender, received) = async_channel::bounded(64);
     let (moves, moves_receiver) = async_channel::bounded(4);
-    let actor = Coordinator { address, last: 1, notices: sender, moves: moves_receiver, gap: None };
+    let actor = Coordinator { address, last: 1, notices: sink(sender), moves: moves_receiver, gap: None };
     tasks.spawn(actor.run()).detach();
-    FollowerHarness { listener, updates, moves }
+    FollowerHarness { listener, received, moves }
 }
 
 /// The next connection, and the number of the last known event that it sends.
@@ -40,9 +61,9 @@
     event(index, 4, &[17u16.to_be_bytes().as_slice(), &index.to_be_bytes()].concat())
 }
 
-async fn next_purge(feed: &FollowerHarness) -> u64 {
+async fn next_purge(feed: &FollowerHarness<Told>) -> u64 {
     loop {
-        match feed.updates.recv().await.unwrap() {
+        match feed.received.recv().await.unwrap().event.update {
             Update::Purged { at, .. } => return at.as_micros() / 1000,
             Update::UpToDate => {}
             other => panic!("{other:?}"),
@@ -61,7 +82,7 @@
         stream.write_all(&purge_event(3)).await.unwrap();
         let (mut stream, last) = accept_follower(&feed.listener).await;
         assert_eq!(last, 1, "requested from the last known event");
-        assert!(feed.updates.is_empty(), "no event is delivered out of order");
+        assert!(feed.received.is_empty(), "no event is delivered out of order");
         stream.write_all(&[purge_event(2), purge_event(3), purge_event(6)].concat()).await.unwrap();
         assert_eq!((next_purge(&feed).await, next_purge(&feed).await), (2, 3));
         let (mut stream, last) = accept_follower(&feed.listener).await;
@@ -138,7 +159,7 @@
         let (mut stream, _) = accept_follower(&feed.listener).await;
         let all: Vec<u8> = (2..=200).flat_map(purge_event).collect();
         stream.write_all(&all).await.unwrap();
-        while !feed.updates.is_full() {
+        while !feed.received.is_full() {
             future::yield_now().await;
         }
         for index in 2..=200 {
@@ -147,32 +168,13 @@
     });
 }
 
-/// Receives events together with a time after which each of them arrived.
-struct Timed(async_channel::Sender<Told>);
-
-impl Sink for Timed {
-    const TIMED: bool = true;
-
-    fn is_closed(&self) -> bool {
-        self.0.is_closed()
-    }
-
-    async fn tell(&self, told: Told) -> bool {
-        self.0.send(told).await.is_ok()
-    }
-}
-
 /// The process is stopped while the coordinator confirms that all events were sent. Read later, the confirmation counts
 /// only from a time before it arrived. Guards against a frozen source or router that renews its lease by a message that
 /// lay unread in its socket.
 #[test]
 fn a_confirmation_that_lay_unread_counts_from_before_its_arrival() {
     run(async |tasks| {
-        let (listener, address) = listen();
-        let (sender, received) = async_channel::bounded(64);
-        let (_, moves) = async_channel::bounded(1);
-        let actor = Coordinator { address, last: 1, notices: Timed(sender), moves, gap: None };
-        tasks.spawn(actor.run()).detach();
+        let FollowerHarness { listener, received, .. } = start_follower(tasks);
         let (stream, _) = accept_follower(&listener).await;
         (&stream).write_all(&event(1, 0, b"")).await.unwrap();
         let began = steady_now();
@@ -191,11 +193,7 @@
 #[test]
 fn only_a_complete_feed_is_confirmed_and_lost_events_are_reported() {
     run(async |tasks| {
-        let (listener, address) = listen();
-        let (sender, received) = async_channel::bounded(64);
-        let (_, moves) = async_channel::bounded(1);
-        let actor = Coordinator { address, last: 1, notices: DirectorSink(sender), moves, gap: None };
-        tasks.spawn(actor.run()).detach();
+        let FollowerHarness { listener, received, .. } = start_follower_with(tasks, DirectorSink);
         let began = steady_now();
         let (mut stream, _) = accept_follower(&listener).await;
         let numbered_ahead = event(3, 0, b"");
--- a/wire/tests/reader.rs
+++ b/wire/tests/reader.rs
@@ -1,8 +1,10 @@
 //! Reading messages from a stream: in pieces of any size, and within a budget of memory.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
@@ -123,14 +125,15 @@
     let mut held = half(&budget);
     assert_eq!(next(&mut held), None);
     let whole = message(LARGE);
-    let mut incomplete = reader(&whole, CHUNK)
+    let unread = Rc::new(Cell::new(LARGE + 3 - CHUNK));
+    let available = unread.clone();
+    let mut arriving = reader(&whole, CHUNK)
         .with_budget(&budget, ChargedUntil::Complete)
-        .with_available(|| LARGE + 3 - CHUNK);
-    assert_eq!((next(&mut incomplete), incomplete.has_arrived()), (None, false));
-    let mut arrived = reader(&whole, CHUNK)
-        .with_budget(&budget, ChargedUntil::Complete)
-        .with_available(|| LARGE + 4 - CHUNK);
-    assert_eq!(next(&mut arrived).as_deref(), Some(&whole[..]));
+        .with_available(move || available.get());
+    assert_eq!((next(&mut arriving), arriving.has_arrived()), (None, false));
+    unread.set(LARGE + 4 - CHUNK);
+    assert!(arriving.has_arrived(), "a close must not overtake it");
+    assert_eq!(next(&mut arriving).as_deref(), Some(&whole[..]));
     assert!(budget.used() <= LARGE + 4, "given back as soon as it is read");
 }
 
@@ -138,7 +141,7 @@
 #[test]
 fn without_a_budget_room_is_made_as_bytes_arrive() {
     /// A stream that delivers the head of a message once and counts the room that reads offer.
-    struct Head<'a>(Option<Vec<u8>>, &'a std::cell::Cell<usize>);
+    struct Head<'a>(Option<Vec<u8>>, &'a Cell<usize>);
     impl AsyncRead for Head<'_> {
         fn poll_read(
             mut self: Pin<&mut Self>,
@@ -151,7 +154,7 @@
             Poll::Ready(Ok(head.len()))
         }
     }
-    let room = std::cell::Cell::new(0);
+    let room = Cell::new(0);
     let head = Head(Some(message(LARGE)[..100].to_vec()), &room);
     let mut reader = MessageReader::new(head, thrift::measure, CHUNK);
     assert!(future::block_on(future::poll_once(reader.next())).is_none());
