The router logs how long its event loop did not run

A task looks every 50 ms; a gap over 100 ms is logged as a warning, once in 5 s. Nothing acts on it yet.

--- a/silverspindle/src/lib.rs
+++ b/silverspindle/src/lib.rs
@@ -31,4 +31,4 @@
 pub mod upstream;
 pub mod withheld;
 
-pub use silverspindle_wire::{clock, feed, framing, resp, thrift};
+pub use silverspindle_wire::{clock, feed, framing, loop_monitor, resp, thrift};
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -29,13 +29,14 @@
 use crate::front::{Front, LISTEN_BACKLOG, max_client_connections};
 use crate::knowledge::exchange::{self, Hub};
 use crate::knowledge::{Knowledge, keys::Tls, snapshots};
+use crate::limited::LimitedLine;
 use crate::links::Connector;
 use crate::management::Management;
 use crate::memory::MemoryLimits;
 use crate::steady::steady_now;
 use crate::traffic::{Descriptors, Message, RoutingState, Shared};
 use crate::upgrade::{ProcessFile, remaining_limit};
-use crate::{clock, invariant};
+use crate::{clock, invariant, loop_monitor};
 
 /// File descriptors reserved for everything but clients and peers: the listener, the coordinator, signals,
 /// the reactor.
@@ -260,6 +261,7 @@
             let limited = (descriptors, answer_memory, front.clone(), mailbox.clone());
             tasks.spawn(share_limits(process_file, limits, limited)).detach();
         }
+        tasks.spawn(monitor_loop()).detach();
         tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
         tasks.spawn(front.clone().run_drain_sweep()).detach();
         if let Some(listener) = management {
@@ -367,6 +369,17 @@
     }
 }
 
+/// Runs for ever: logs delays of the event loop.
+async fn monitor_loop() {
+    let mut log = LimitedLine::default();
+    loop_monitor::run(|delay| {
+        if log.is_due() {
+            tracing::warn!("the event loop did not run for {} ms", delay / 1000);
+        }
+    })
+    .await;
+}
+
 /// Returns the TLS keys for connections to other routers: those of the exchange where it is on, as it reloads
 /// them on SIGHUP, otherwise those read from `files`.
 fn tls_keys(hub: Option<&Hub>, files: &Files) -> io::Result<Rc<RefCell<Tls>>> {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -1,10 +1,11 @@
 //! Codecs of the router's sockets: message framing ([`framing`]), reading ([`reader`]) within a budget ([`memory`]), the protocols of clients
-//! ([`thrift`]), caches ([`resp`]) and the coordinator ([`feed`]), and the process clock ([`clock`]). The crate depends
-//! on no actor and opens no socket.
+//! ([`thrift`]), caches ([`resp`]) and the coordinator ([`feed`]), the process clock ([`clock`]), and a
+//! monitor of the event loop ([`loop_monitor`]). The crate depends on no actor and opens no socket.
 
 pub mod clock;
 pub mod feed;
 pub mod framing;
+pub mod loop_monitor;
 pub mod memory;
 pub mod reader;
 pub mod resp;
--- /dev/null
+++ b/wire/src/loop_monitor.rs
@@ -0,0 +1,80 @@
+//! Notices when the event loop of this thread did not run for a while, because the process was stopped, got no processor
+//! time or was busy.
+//!
+//! What arrives during such a delay is read only after it, all at once and in no particular order. Code that needs to know
+//! when something arrived asks [`earliest_arrival`].
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use async_io::Timer;
+use bitternhold::Micros;
+use futures_lite::future;
+
+use crate::clock;
+
+/// Interval at which the monitor's task runs.
+const TURN_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two turns, in microseconds, from which on the loop counts as delayed.
+pub const MAX_TURN_GAP: Micros = 100_000;
+/// Time until the next turn after a delay: the sockets are polled in between.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(1);
+
+thread_local! {
+    /// When the monitor's task last ran; none where it does not run on this thread.
+    static LAST_TURN: Cell<Option<Micros>> = const { Cell::new(None) };
+    /// Start of the last delay, until the loop has read what arrived during it.
+    static DELAYED_SINCE: Cell<Option<Micros>> = const { Cell::new(None) };
+}
+
+/// Resets the thread's state when the monitor's task ends.
+struct Reset;
+
+impl Drop for Reset {
+    fn drop(&mut self) {
+        LAST_TURN.set(None);
+        DELAYED_SINCE.set(None);
+    }
+}
+
+/// Runs for ever on the thread's executor; `on_delay` is told how long each delay was.
+pub async fn run(mut on_delay: impl FnMut(Micros)) {
+    let _reset = Reset;
+    LAST_TURN.set(Some(clock::now()));
+    loop {
+        match DELAYED_SINCE.get() {
+            None => drop(Timer::after(TURN_INTERVAL).await),
+            Some(_) => {
+                Timer::after(CATCH_UP_INTERVAL).await;
+                // Tasks that were woken by the same poll of the sockets run first.
+                future::yield_now().await;
+            }
+        }
+        if let Some(delay) = record_turn(clock::now()) {
+            on_delay(delay);
+        }
+    }
+}
+
+/// Notes a turn of the loop; returns the length of the delay that it ends, if there was one.
+fn record_turn(now: Micros) -> Option<Micros> {
+    let delayed_since = delay_start(now);
+    LAST_TURN.set(Some(now));
+    DELAYED_SINCE.set(delayed_since);
+    delayed_since.map(|since| now.saturating_sub(since))
+}
+
+/// The last turn, if it is so long ago that the loop is delayed now.
+fn delay_start(now: Micros) -> Option<Micros> {
+    LAST_TURN.get().filter(|last| now.saturating_sub(*last) > MAX_TURN_GAP)
+}
+
+/// Whether the loop has not yet read everything that arrived during a delay.
+pub fn is_behind() -> bool {
+    DELAYED_SINCE.get().is_some() || delay_start(clock::now()).is_some()
+}
+
+/// The earliest time at which bytes can have arrived whose task was woken for them and runs `now`.
+pub fn earliest_arrival(now: Micros) -> Micros {
+    delay_start(now).or(DELAYED_SINCE.get()).unwrap_or(now)
+}
