--- /dev/null
+++ b/silverspindle/tests/delayed_loop.rs
@@ -0,0 +1,124 @@
+//! A router that does not run for a while: its process is stopped, requests and cancels arrive, and it goes on. Each request
+//! counts from when it arrived, and what has ended meanwhile is not sent on.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use common::process::{Router, start};
+use common::sender::MS;
+use common::*;
+use rustix::process::{Pid, Signal, kill_process};
+
+/// How long the process is stopped.
+const STOP_TIME: Duration = Duration::from_millis(900);
+/// Time that the client of a request waits, in milliseconds.
+const BUDGET: &str = "1000";
+/// The final answer may come this long after the client's time: 0.5 s, and 50 ms that the rules allow on sockets.
+const ANSWER_GRACE: Duration = Duration::from_millis(550);
+/// The deadline passed on may exceed what the client has left by this.
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+
+/// Runs a test with a router as a process and one cache that is scripted by the test.
+fn with_router(test: impl AsyncFnOnce(&Tasks, &Router, &Cache)) {
+    run(async |tasks| {
+        let (_coordinator, nowhere) = listen();
+        let cache = Cache::start(tasks);
+        let file = configuration(&[entry(1, "box", cache.address), entry(99, "origin", nowhere)], nowhere);
+        let router = start(&file, &format!("{}:0", ip()));
+        test(tasks, &router, &cache).await;
+    });
+}
+
+/// Connects a client whose connection the router has accepted and waits to read from.
+async fn connect_and_rest(tasks: &Tasks, router: &Router) -> Client {
+    let client = Client::connect(tasks, router.clients).await;
+    assert!(client.is_well(1).await);
+    // The router comes to another connection only after it has returned to the first one.
+    assert!(Client::connect(tasks, router.clients).await.is_well(1).await);
+    client
+}
+
+/// Stops the process and waits until the kernel reports it as stopped.
+async fn stop(router: &Router) {
+    kill_process(Pid::from_child(&router.child), Signal::STOP).unwrap();
+    let state = || {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", router.child.id())).unwrap();
+        stat.rsplit_once(')').unwrap().1.trim_start().chars().next()
+    };
+    while state() != Some('T') {
+        Timer::after(MS).await;
+    }
+}
+
+fn go_on(router: &Router) {
+    kill_process(Pid::from_child(&router.child), Signal::CONT).unwrap();
+}
+
+/// A request of the class `page` for an object of its own.
+fn request(seq: i32, budget: &'static str) -> Vec<u8> {
+    let (rid, object) = (format!("{seq:016x}"), format!("{:016x}", seq * 7919));
+    let mut fields: Vec<(&str, &str)> = page("");
+    (fields[1].1, fields[2].1, fields[3].1) = (&rid, budget, &object);
+    serve(seq, &fields, b"")
+}
+
+/// Checks that a request written at `sent` is answered in its time by a router that went on after `stopped` of that time,
+/// and that the cache, which never answers, was not given more than what the client had left.
+async fn ends_in_its_time(client: &Client, cache: &Cache, sent: Instant, stopped: Duration) {
+    assert!(client.next().await.is_some(), "the connection was closed");
+    let (answered, budget) = (sent.elapsed(), Duration::from_millis(BUDGET.parse().unwrap()));
+    assert!(answered <= budget + ANSWER_GRACE, "answered after {answered:?}");
+    while !cache.nothing_came() {
+        let (command, _) = cache.next().await;
+        if command[0] == "want" {
+            let passed_on = Duration::from_millis(field(&command, "ttl").unwrap().parse().unwrap());
+            assert!(
+                passed_on + stopped <= budget + DEADLINE_SLACK,
+                "a deadline of {passed_on:?} was passed on"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_request_that_arrived_while_the_router_was_stopped_counts_from_its_arrival() {
+    with_router(async |tasks, router, cache| {
+        let client = connect_and_rest(tasks, router).await;
+        stop(router).await;
+        client.send(&request(2, BUDGET)).await;
+        let sent = Instant::now();
+        Timer::after(STOP_TIME).await;
+        let stopped = sent.elapsed();
+        go_on(router);
+        ends_in_its_time(&client, cache, sent, stopped).await;
+    });
+}
+
+#[test]
+fn requests_cancelled_while_the_router_was_stopped_are_not_sent_on() {
+    const REQUESTS: i32 = 40;
+    with_router(async |tasks, router, cache| {
+        let client = connect_and_rest(tasks, router).await;
+        stop(router).await;
+        let numbers = 2..2 + REQUESTS;
+        client.send(&numbers.clone().flat_map(|seq| request(seq, "20000")).collect::<Vec<u8>>()).await;
+        client.send(&numbers.flat_map(forget).collect::<Vec<u8>>()).await;
+        Timer::after(STOP_TIME).await;
+        go_on(router);
+        let last = 2 + REQUESTS;
+        client.send(&request(last, "20000")).await;
+        let mut sent_on = 0;
+        loop {
+            let (command, line) = cache.next().await;
+            if command[0] == "want" && command[1] == format!("{last:016x}") {
+                reply(&line, &[&command[1], "HIT", NAMED, "x"]).await;
+                break;
+            }
+            sent_on += usize::from(command[0] == "want");
+        }
+        assert!(client.next().await.is_some(), "the connection was closed");
+        assert_eq!(sent_on, 0, "cancelled requests were sent on");
+    });
+}
