A request read after the event loop was delayed counts from when it can have arrived

Callers: requests that came while a router's process did not run for a second were answered up to that second after their clients had left, and caches were given deadlines beyond the client's. Cause: MessageReader took a request as just arrived whenever its task had been woken for it. After a delay of the loop, the wake-up comes with the delay's end. Class: what happened during a delay is treated as happening after it. Change: the reader asks the loop's monitor for the earliest time of arrival. Its lower bound is the last turn of the loop before the delay, at most 50 ms too early; without a delay nothing changes.

--- a/wire/src/reader.rs
+++ b/wire/src/reader.rs
@@ -15,6 +15,7 @@
 
 use crate::clock;
 use crate::framing::Measure;
+use crate::loop_monitor;
 use crate::memory::{MemoryBudget, Reservation};
 
 /// First interval at which a reader that waits for memory checks whether its message has arrived as a whole; it doubles
@@ -284,8 +285,9 @@
         });
         let read = future::or(read, timed_out(timeout)).await?;
         let now = clock::now();
-        // After a wait the task was woken by the bytes, so they were read as they arrived.
-        self.received_at = if waited { now } else { self.empty_at };
+        // After a wait the task was woken by the bytes, so they were read as they arrived, unless the loop was delayed.
+        self.received_at =
+            if waited { loop_monitor::earliest_arrival(now).max(self.empty_at) } else { self.empty_at };
         if read < room || self.unread_bytes() == Some(0) {
             self.empty_at = now;
         }
