A connection accepted after the event loop was delayed counts from when it can have come

Callers: requests on new connections that came while the process did not run were answered up to the delay after their clients had left. Cause: the same as in the reader: Front::accept took a connection as just arrived because its wait for one had ended. Change: the queue's time of arrival comes from the loop's monitor and never goes back. Measured: the test passed.

--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -18,12 +18,12 @@
 use futures_lite::future;
 use silverspindle_wire::memory::MemoryBudget;
 
-use crate::clock;
 use crate::counters::{CloseReason, Counters, RefusalReason};
 use crate::drain::Drain;
 use crate::limited::LimitedLine;
 use crate::memory::MemoryLimits;
 use crate::traffic::{Call, Message, Refusal, SafeToRetry, Verdict};
+use crate::{clock, loop_monitor};
 
 mod closing;
 mod connection;
@@ -319,8 +319,8 @@
                         None => {
                             queue.seen_empty(clock::now());
                             let accepted = accept.await;
-                            // Woken by the new connection: the queue was empty until then.
-                            queue.seen_empty(clock::now());
+                            // Woken by the new connection: the queue was empty until it came.
+                            queue.seen_empty(loop_monitor::earliest_arrival(clock::now()));
                             accepted
                         }
                     }
--- a/silverspindle/src/front/queue.rs
+++ b/silverspindle/src/front/queue.rs
@@ -26,9 +26,9 @@
         Self { length, earliest_arrival: now, accept_times: VecDeque::new() }
     }
 
-    /// Notes that the queue was found empty.
-    pub fn seen_empty(&mut self, now: Micros) {
-        self.earliest_arrival = now;
+    /// Notes that the queue was found empty at this time, or that this is the earliest time at which its connections came.
+    pub fn seen_empty(&mut self, at: Micros) {
+        self.earliest_arrival = self.earliest_arrival.max(at);
         self.accept_times.clear();
     }
 
--- a/silverspindle/tests/delayed_loop.rs
+++ b/silverspindle/tests/delayed_loop.rs
@@ -96,6 +96,21 @@
     });
 }
 
+#[test]
+fn a_request_on_a_connection_that_came_while_the_router_was_stopped_counts_from_its_arrival() {
+    with_router(async |tasks, router, cache| {
+        connect_and_rest(tasks, router).await;
+        stop(router).await;
+        let client = Client::connect(tasks, router.clients).await;
+        client.send(&request(1, BUDGET)).await;
+        let sent = Instant::now();
+        Timer::after(STOP_TIME).await;
+        let stopped = sent.elapsed();
+        go_on(router);
+        ends_in_its_time(&client, cache, sent, stopped).await;
+    });
+}
+
 #[test]
 fn requests_cancelled_while_the_router_was_stopped_are_not_sent_on() {
     const REQUESTS: i32 = 40;
