A request that came during a long start counts from when the router began to listen

Cause: AcceptQueue began with the time of the first accept, not of the listening. Change: accept is told since when the listener listens. Measured: the new test, which fails with the queue begun at the first accept (deadline 0.5 s too late), passed.

--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -294,13 +294,14 @@
     }
 
     /// Accepts clients until told to stop. While all connections allowed for clients are in use, further clients wait
-    /// until one is free.
+    /// until one is free. The listener's queue was empty at the time `listening_since`.
     pub async fn accept(
         self: Rc<Self>,
         listener: Async<std::net::TcpListener>,
+        listening_since: Micros,
         tasks: Rc<LocalExecutor<'static>>,
     ) {
-        let mut queue = AcceptQueue::new(LISTEN_BACKLOG + 1, clock::now());
+        let mut queue = AcceptQueue::new(LISTEN_BACKLOG + 1, listening_since);
         let mut queued_accepted = None;
         let (mut full_log, mut failure_log, mut failed_accepts) =
             (LimitedLine::default(), LimitedLine::default(), 0);
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -89,6 +89,7 @@
     /// the router is ready.
     pub fn start(config: Config, conf: Conf, tasks: &Rc<LocalExecutor<'static>>) -> io::Result<Self> {
         config.notes.iter().for_each(|note| tracing::warn!("{note}"));
+        let listening_since = clock::now();
         let listener = Async::new(bind_shared(config.listen)?)?;
         let management = config.management.map(Async::<TcpListener>::bind).transpose()?;
         let address = listener.get_ref().local_addr()?;
@@ -262,7 +263,7 @@
             tasks.spawn(share_limits(process_file, limits, limited)).detach();
         }
         tasks.spawn(monitor_loop()).detach();
-        tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
+        tasks.spawn(front.clone().accept(listener, listening_since, tasks.clone())).detach();
         tasks.spawn(front.clone().run_drain_sweep()).detach();
         if let Some(listener) = management {
             tracing::info!("management on {}", listener.get_ref().local_addr()?);
--- a/silverspindle/tests/actors.rs
+++ b/silverspindle/tests/actors.rs
@@ -238,7 +238,7 @@
         let (listener, address) = listen();
         let front =
             Front::new(harness.shared.site.clone(), harness.shared.director.clone(), 3000, 64, Rc::default());
-        tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
+        tasks.spawn(front.clone().accept(listener, clock::now(), tasks.clone())).detach();
         let (slow, good) = (Client::connect(tasks, address).await, Client::connect(tasks, address).await);
         slow.send(&serve(1, &page("00000000000000a1"), b"")).await;
         let Message::Request { client: first, .. } = harness.messages.recv().await.unwrap() else { panic!() };
@@ -306,7 +306,7 @@
             64,
             Rc::default(),
         );
-        tasks.spawn(front.accept(listener, tasks.clone())).detach();
+        tasks.spawn(front.accept(listener, clock::now(), tasks.clone())).detach();
         let client = Client::connect(tasks, address).await;
         let write = |seq| {
             let mut fields =
@@ -339,7 +339,7 @@
             64,
             Rc::default(),
         );
-        tasks.spawn(front.accept(listener, tasks.clone())).detach();
+        tasks.spawn(front.accept(listener, clock::now(), tasks.clone())).detach();
         let client = Client::connect(tasks, address).await;
         let request = |seq| {
             let rid = format!("{seq:016x}");
--- a/silverspindle/tests/common/world.rs
+++ b/silverspindle/tests/common/world.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use bitternhold::settings::SiteSettings;
-use bitternhold::{FillMode, Keep, MemberId, Status};
+use bitternhold::{FillMode, Keep, MemberId, Micros, Status};
 use bytes::Bytes;
 use silverspindle::clock;
 use silverspindle::drain::Drain;
@@ -125,10 +125,21 @@
         tasks: &Tasks,
         drain: &Rc<RefCell<Drain>>,
         listener: Async<TcpListener>,
+    ) -> Rc<Front> {
+        self.front_listening_since(tasks, drain, listener, clock::now())
+    }
+
+    /// As [`Self::front_at`], with a listener that has listened since this time.
+    pub fn front_listening_since(
+        &self,
+        tasks: &Tasks,
+        drain: &Rc<RefCell<Drain>>,
+        listener: Async<TcpListener>,
+        listening_since: Micros,
     ) -> Rc<Front> {
         let (site, director) = (self.shared.site.clone(), self.shared.director.clone());
         let front = Front::new(site, director, 192_000_000, 64, drain.clone());
-        tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
+        tasks.spawn(front.clone().accept(listener, listening_since, tasks.clone())).detach();
         front
     }
 
--- a/silverspindle/tests/crossing_clients.rs
+++ b/silverspindle/tests/crossing_clients.rs
@@ -246,6 +246,23 @@
     });
 }
 
+/// Guards against requests that came during a long start and are dated to its end.
+#[test]
+fn a_request_that_came_before_the_first_accept_counts_from_the_start_of_listening() {
+    const START_TIME: u64 = 500_000;
+    const BUDGET: u64 = 20_000_000;
+    run(async |tasks| {
+        let harness = ActorHarness::new(tasks, 9);
+        let (listener, address) = listen();
+        let mut client = TcpStream::connect(address).unwrap();
+        client.write_all(&serve(1, &page(RID), b"")).unwrap();
+        let listening_since = clock::now() - START_TIME;
+        let _front = harness.front_listening_since(tasks, &serving_drain(), listener, listening_since);
+        let (_, _, call) = harness.request().await;
+        assert_eq!(call.deadline, listening_since + BUDGET);
+    });
+}
+
 /// A client whose socket has a small receive buffer.
 async fn connect_with_small_buffer(address: SocketAddr) -> Async<TcpStream> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP)).unwrap();
--- a/silverspindle/tests/memory_limits.rs
+++ b/silverspindle/tests/memory_limits.rs
@@ -99,7 +99,7 @@
         let (listener, address) = listen();
         let (site, director) = (harness.shared.site.clone(), harness.shared.director.clone());
         let front = Front::new(site, director, 16 * MB, 1024, Rc::default());
-        tasks.spawn(front.clone().accept(listener, tasks.clone())).detach();
+        tasks.spawn(front.clone().accept(listener, silverspindle::clock::now(), tasks.clone())).detach();
         let crowd = (0..CROWD).map(|_| send_incomplete(address)).collect();
         Self { harness, front, address, crowd }
     }
