After a delay of the event loop nothing is sent until what came meanwhile is read

Callers: requests whose clients had cancelled them, drained members and purges may lie unread when a router goes on after a delay; 40 of 40 cancelled requests were sent on 0.9 s after they had ended. Cause: a reader handles one message a turn of the loop, and an attempt is written two turns after its request, so cancels further back in the same stream come too late. In normal service they are less than 0.1 s old. Change: readers count as having a backlog from their first read after a delay until their stream is empty; the one place that checks an attempt before its first byte waits for that, 0.1 s at most, so that a client that sends on and on holds nobody up. Without a delay nothing waits.

--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -14,11 +14,11 @@
 use futures_lite::{AsyncWriteExt, future};
 use rustix::io::Errno;
 
-use crate::clock;
 use crate::framing::{ChargedUntil, MessageReader};
 use crate::limited::LimitedLine;
 use crate::resp::{self, AnswerCode};
 use crate::traffic::{Attempt, AttemptEnd, Descriptor, Message, Shared};
+use crate::{clock, loop_monitor};
 
 /// Capacity of an actor's mailbox. Where it is full the director counts the attempt as never sent.
 pub const MAILBOX_CAPACITY: usize = 256;
@@ -627,6 +627,10 @@
         attempt: &Rc<Attempt>,
     ) -> io::Result<Option<(Vec<u8>, usize)>> {
         loop {
+            // A cancel, a drain or a purge that came during a delay may still be unread.
+            if loop_monitor::is_behind() {
+                loop_monitor::caught_up().await;
+            }
             if attempt.abandoned.get() || attempt.connection.get() != self.connection {
                 return Ok(None);
             }
--- a/wire/src/loop_monitor.rs
+++ b/wire/src/loop_monitor.rs
@@ -2,7 +2,8 @@
 //! time or was busy.
 //!
 //! What arrives during such a delay is read only after it, all at once and in no particular order. Code that needs to know
-//! when something arrived asks [`earliest_arrival`].
+//! when something arrived asks [`earliest_arrival`]; code that acts on the latest state waits until that is known
+//! ([`caught_up`]).
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -19,12 +20,40 @@
 pub const MAX_TURN_GAP: Micros = 100_000;
 /// Time until the next turn after a delay: the sockets are polled in between.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(1);
+/// Maximum time after a delay for which anything waits until the loop has caught up, in microseconds: a client that sends
+/// on and on must not hold up the others.
+const MAX_CATCH_UP: Micros = 100_000;
 
 thread_local! {
     /// When the monitor's task last ran; none where it does not run on this thread.
     static LAST_TURN: Cell<Option<Micros>> = const { Cell::new(None) };
     /// Start of the last delay, until the loop has read what arrived during it.
     static DELAYED_SINCE: Cell<Option<Micros>> = const { Cell::new(None) };
+    /// When the loop counts as caught up even if there are readers with a backlog.
+    static CAUGHT_UP_BY: Cell<Micros> = const { Cell::new(0) };
+    /// Number of readers with a backlog.
+    static BACKLOGS: Cell<usize> = const { Cell::new(0) };
+}
+
+/// A reader's backlog: what arrived during a delay and is not handled yet. Dropped once the reader has found its stream
+/// empty.
+#[derive(Debug)]
+pub struct Backlog(());
+
+impl Backlog {
+    /// A backlog, if the loop has been delayed and the streams have not been polled since.
+    pub fn after_delay() -> Option<Self> {
+        is_delayed().then(|| {
+            BACKLOGS.set(BACKLOGS.get() + 1);
+            Self(())
+        })
+    }
+}
+
+impl Drop for Backlog {
+    fn drop(&mut self) {
+        BACKLOGS.set(BACKLOGS.get().saturating_sub(1));
+    }
 }
 
 /// Resets the thread's state when the monitor's task ends.
@@ -61,6 +90,9 @@
     let delayed_since = delay_start(now);
     LAST_TURN.set(Some(now));
     DELAYED_SINCE.set(delayed_since);
+    if delayed_since.is_some() {
+        CAUGHT_UP_BY.set(now + MAX_CATCH_UP);
+    }
     delayed_since.map(|since| now.saturating_sub(since))
 }
 
@@ -69,11 +101,24 @@
     LAST_TURN.get().filter(|last| now.saturating_sub(*last) > MAX_TURN_GAP)
 }
 
-/// Whether the loop has not yet read everything that arrived during a delay.
-pub fn is_behind() -> bool {
+/// Whether the loop is delayed, or the streams have not been polled since.
+fn is_delayed() -> bool {
     DELAYED_SINCE.get().is_some() || delay_start(clock::now()).is_some()
 }
 
+/// Whether something that arrived during a delay may not be handled yet.
+pub fn is_behind() -> bool {
+    is_delayed() || (BACKLOGS.get() > 0 && clock::now() < CAUGHT_UP_BY.get())
+}
+
+/// Waits until what arrived during a delay is handled, at most for [`MAX_CATCH_UP`].
+pub async fn caught_up() {
+    let give_up_at = clock::now() + MAX_CATCH_UP;
+    while is_behind() && clock::now() < give_up_at {
+        Timer::after(CATCH_UP_INTERVAL).await;
+    }
+}
+
 /// The earliest time at which bytes can have arrived whose task was woken for them and runs `now`.
 pub fn earliest_arrival(now: Micros) -> Micros {
     delay_start(now).or(DELAYED_SINCE.get()).unwrap_or(now)
--- a/wire/src/reader.rs
+++ b/wire/src/reader.rs
@@ -15,7 +15,7 @@
 
 use crate::clock;
 use crate::framing::Measure;
-use crate::loop_monitor;
+use crate::loop_monitor::{self, Backlog};
 use crate::memory::{MemoryBudget, Reservation};
 
 /// First interval at which a reader that waits for memory checks whether its message has arrived as a whole; it doubles
@@ -88,6 +88,8 @@
     message_timeout: Option<Duration>,
     /// The budget that messages are read within; `None`: without one.
     charge: Option<Charge>,
+    /// What arrived while the event loop was delayed, until the stream is found empty.
+    backlog: Option<Backlog>,
 }
 
 impl<R: AsyncRead + Unpin> MessageReader<R> {
@@ -106,6 +108,7 @@
             stall_timeout: None,
             message_timeout: None,
             charge: None,
+            backlog: None,
         }
     }
 
@@ -280,11 +283,13 @@
             let read = poll_read(self, context);
             if read.is_pending() {
                 (self.empty_at, waited) = (clock::now(), true);
+                self.backlog = None;
             }
             read
         });
         let read = future::or(read, timed_out(timeout)).await?;
         let now = clock::now();
+        self.backlog = self.backlog.take().or_else(Backlog::after_delay);
         // After a wait the task was woken by the bytes, so they were read as they arrived, unless the loop was delayed.
         self.received_at =
             if waited { loop_monitor::earliest_arrival(now).max(self.empty_at) } else { self.empty_at };
