--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -65,6 +65,9 @@
 const READY_AGAIN: Micros = 2 * SECOND;
 /// A cache that has crashed is down for so long.
 const CRASHED: Duration = Duration::from_millis(700);
+/// When in a round a process is stopped, and for how long.
+const STOPPED_FROM: std::ops::Range<Micros> = SECOND..7 * SECOND;
+const STOPPED_FOR: std::ops::Range<Micros> = 150 * MS..1500 * MS;
 /// Idle connections of a crowd.
 const CROWD: usize = 120;
 /// So often it is looked whether the soak itself is late.
@@ -304,9 +307,25 @@
         // The head office is always there.
         let number = if number >= CACHES - 1 { number + 1 } else { number };
         all.push(tasks.spawn(self.clone().on_list(listed, wait, number)));
+        for node in &self.nodes {
+            if random.random_bool(0.7) {
+                let (wait, time) = (random.random_range(STOPPED_FROM), random.random_range(STOPPED_FOR));
+                all.push(tasks.spawn(self.clone().on_process(node.clone(), wait, time)));
+            }
+        }
         all
     }
 
+    /// A process is stopped and goes on, unless something else is being done with its router.
+    async fn on_process(self: Rc<Self>, node: Rc<Node>, wait: Micros, time: Micros) {
+        rest(wait).await;
+        let Some(running) = node.running.borrow().clone().filter(|_| !node.is_busy.get()) else { return };
+        self.act(format!("n{}: stopped for {} ms", node.number, time / MS));
+        node.is_busy.set(true);
+        node.stop(&running, time).await;
+        node.is_busy.set(false);
+    }
+
     async fn on_router(self: Rc<Self>, node: Rc<Node>, kind: u32, wait: Micros, seed: u64) {
         rest(wait).await;
         let Some(running) = node.running.borrow().clone() else { return };
--- a/standins/src/soak/nodes.rs
+++ b/standins/src/soak/nodes.rs
@@ -16,7 +16,7 @@
 use silverspindle_wire::clock;
 
 use super::clients::Door;
-use super::record::{Process, Records};
+use super::record::{Process, Records, Stop};
 use crate::ports::Port;
 use crate::shim::{ClockStep, FailingCalls};
 use crate::{Micros, SECOND};
@@ -182,6 +182,15 @@
         running.signal(Signal::KILL);
     }
 
+    /// Stops a process for this time and records it.
+    pub async fn stop(&self, running: &Running, time: Micros) {
+        let from = clock::now();
+        running.signal(Signal::STOP);
+        clock::timer_at(from + time).await;
+        running.signal(Signal::CONT);
+        self.records.stops.borrow_mut().push(Stop { process: running.place, from, until: clock::now() });
+    }
+
     /// SIGHUP.
     pub fn reload(&self, running: &Running) {
         running.signal(Signal::HUP);
--- a/standins/src/soak/record.rs
+++ b/standins/src/soak/record.rs
@@ -123,6 +123,17 @@
     pub ended: Option<(Micros, bool)>,
 }
 
+/// A time in which a router's process was stopped.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    /// The process.
+    pub process: usize,
+    /// When it was stopped.
+    pub from: Micros,
+    /// When it went on.
+    pub until: Micros,
+}
+
 /// A drain of a router.
 #[derive(Clone, Debug)]
 pub struct Drain {
@@ -190,6 +201,8 @@
     pub attempts: RefCell<Vec<Attempt>>,
     /// Processes, by place.
     pub processes: RefCell<Vec<Process>>,
+    /// Times in which processes were stopped.
+    pub stops: RefCell<Vec<Stop>>,
     /// Drains of routers.
     pub drains: RefCell<Vec<Drain>>,
     /// Drains of caches.
