An own copy is served only where the link can still carry it in the client's time

Callers: requests that fell back to the router's own copy together were all served from it, and counted as served only once the link had carried all copies before theirs: many seconds after their clients had left, lost. Cause: the time on the link is estimated as the request comes (Director::handle_request) and acted on when its attempts have failed; what others booked in between was not looked at. Change: serve_own_copy looks at the link again; a copy that can't be in time counts as lost (link_busy) and the request is decided anew.

--- a/silverspindle/src/counters.rs
+++ b/silverspindle/src/counters.rs
@@ -99,6 +99,8 @@
     Aged,
     /// The last confirmation of the purge feed was too old to rule out a purge of the copy.
     Unconfirmed,
+    /// The router's link could no longer carry the copy in time.
+    LinkBusy,
 }
 
 impl CopyLoss {
@@ -108,6 +110,7 @@
             CopyLoss::Purged => "purged",
             CopyLoss::Aged => "aged",
             CopyLoss::Unconfirmed => "unconfirmed",
+            CopyLoss::LinkBusy => "link_busy",
         }
     }
 }
--- a/silverspindle/src/director/own_copies.rs
+++ b/silverspindle/src/director/own_copies.rs
@@ -37,7 +37,8 @@
 
     /// Answers a request from the copy that was offered for it. Returns false if the copy may not be served
     /// any more. The copy's age is counted up to the request's arrival, so it does not age out while the
-    /// request is open; a purge or an expired feed lease still rules it out.
+    /// request is open; a purge, an expired feed lease or what other copies have booked on the link since still rules
+    /// it out.
     pub(super) fn serve_own_copy(&mut self, id: RequestId) -> bool {
         let Some(open) = self.requests.get(&id).filter(|open| !open.closed) else { return true };
         let (call, now) = (open.call.clone(), self.now());
@@ -51,6 +52,7 @@
             None => CopyLoss::Purged,
             Some(copy) if !is_usable(copy) => CopyLoss::Aged,
             Some(copy) if !self.is_covered_by_lease(now, copy.stamp) => CopyLoss::Unconfirmed,
+            Some(copy) if !self.can_deliver(now, &call, copy) => CopyLoss::LinkBusy,
             Some(copy) => {
                 let (copy, holds) = (copy.clone(), call.holds(&copy.tag));
                 self.copies.book_transfer(now, copy.bytes(holds));
@@ -69,6 +71,12 @@
         true
     }
 
+    /// Whether the router's link can carry a copy while the client still waits.
+    fn can_deliver(&self, now: Micros, call: &Call, copy: &Copy) -> bool {
+        let transfer_time = self.copies.transfer_time(now, copy.bytes(call.holds(&copy.tag)));
+        now.saturating_add(transfer_time) <= call.deadline
+    }
+
     /// Makes open requests release the own copies that a purge applies to.
     pub(super) fn release_purged_copies(&mut self, what: PurgeTarget, at: Stamp) {
         for open in self.requests.values_mut() {
