A drain or SIGTERM that comes while the event loop is delayed keeps its deadlines

Callers: connections were held past the 4 s of a drain, and requests past the earliest SIGKILL, by as long as the process had not run when the call or the signal came. Cause: both were dated to when they were noticed, the same class as requests. Change: Drain keeps the earliest time of the request; deadlines (4 s, SIGKILL) count from it, what is granted to clients (grace, time to arrive) from when it was noticed. The signal's side is tested on the state machine alone.

--- a/silverspindle/src/drain.rs
+++ b/silverspindle/src/drain.rs
@@ -120,8 +120,13 @@
     phase: Phase,
     /// Shortest time from SIGTERM to SIGKILL.
     kill_after: Micros,
-    /// When SIGTERM came.
+    /// Earliest time at which the drain or shutdown can have been requested: it may have been noticed late. What must be
+    /// over some time after the request counts from here.
+    requested: Micros,
+    /// When SIGTERM was noticed.
     signalled: Micros,
+    /// Earliest time at which SIGTERM can have come.
+    earliest_signal: Micros,
     /// Since when the agreed order of work takes this router out, and whether the order started the drain.
     ordered: Option<(Micros, bool)>,
     /// The router may pass on no request: its confirmation of what the routers agreed on is too old.
@@ -140,7 +145,9 @@
         Self {
             phase: Phase::Starting,
             kill_after: MAX_COUNTED_DEADLINE + ARRIVAL_WINDOW,
+            requested: 0,
             signalled: 0,
+            earliest_signal: 0,
             ordered: None,
             alone: false,
         }
@@ -167,18 +174,24 @@
     /// Staff request a drain. A second drain keeps the time of the first; a router that is shutting down continues to.
     /// Returns whether the phase changed.
     pub fn drain(&mut self, now: Micros) -> bool {
+        self.drain_noticed(now, now)
+    }
+
+    /// As [`Self::drain`], for a request that is noticed now and can have come as early as `earliest`.
+    pub fn drain_noticed(&mut self, now: Micros, earliest: Micros) -> bool {
         // From here on the drain is staff's, even if an order of work started it: the end of the order does not undo
         // it.
         if let Some((_, started_by_order)) = &mut self.ordered {
             *started_by_order = false;
         }
-        self.begin_drain(now)
+        self.begin_drain(now, earliest)
     }
 
-    fn begin_drain(&mut self, now: Micros) -> bool {
+    fn begin_drain(&mut self, now: Micros, earliest: Micros) -> bool {
         match self.phase {
             Phase::Starting | Phase::Serving => {
                 self.phase = Phase::Draining(now);
+                self.requested = earliest;
                 true
             }
             Phase::Draining(_) | Phase::Ending(_) => false,
@@ -191,7 +204,7 @@
     pub fn order_out(&mut self, now: Micros, out: bool) {
         let (since, started_by_order) = self.ordered.unwrap_or((now, false));
         let since = if out { since.min(now.saturating_sub(ORDERED_ACCEPT_TIME)) } else { since };
-        self.ordered = Some((since, self.begin_drain(now) || started_by_order));
+        self.ordered = Some((since, self.begin_drain(now, now) || started_by_order));
     }
 
     /// The router's turn for work is over: it serves again, unless staff have requested a drain as well.
@@ -226,13 +239,21 @@
     /// Starts the shutdown on SIGTERM or SIGINT. A router that was draining keeps the time of the drain, as its
     /// connections are closing already.
     pub fn end(&mut self, now: Micros) {
+        self.end_noticed(now, now);
+    }
+
+    /// As [`Self::end`], for a signal that is noticed now and can have come as early as `earliest`.
+    pub fn end_noticed(&mut self, now: Micros, earliest: Micros) {
         if !matches!(self.phase, Phase::Ending(_)) {
-            self.signalled = now;
+            (self.signalled, self.earliest_signal) = (now, earliest);
         }
         self.phase = match self.phase {
             Phase::Draining(since) => Phase::Ending(since.min(now)),
             Phase::Ending(since) => Phase::Ending(since),
-            Phase::Starting | Phase::Serving => Phase::Ending(now),
+            Phase::Starting | Phase::Serving => {
+                self.requested = earliest;
+                Phase::Ending(now)
+            }
         };
     }
 
@@ -258,7 +279,7 @@
 
     /// Why a connection is kept for now during a drain or shutdown.
     pub fn hold_reason(&self, now: Micros, connection: ConnectionState) -> Option<HoldReason> {
-        hold_reason_since(self.since()?, self.wait_for_reader_until(), now, connection)
+        hold_reason_since(self.since()?, self.requested, self.wait_for_reader_until(), now, connection)
     }
 
     /// Why a request that arrives now on this connection and is due by `deadline` is refused, as never run; none if
@@ -284,7 +305,8 @@
             connection.slow_reader && connection.unread_until.is_some() && now < self.wait_for_reader_until();
         let backlog = (connection.unwritten > 0 || slow_reader) && now >= since.saturating_add(GRACE);
         let busy = connection.open > 0 && now >= since.saturating_add(BUSY_ACCEPT_TIME);
-        let must_refuse = backlog || busy || now >= since.saturating_add(CLOSE_DEADLINE - RECENT_REQUEST);
+        let must_refuse =
+            backlog || busy || now >= self.requested.saturating_add(CLOSE_DEADLINE - RECENT_REQUEST);
         match self.phase {
             Phase::Ending(_) if now < self.signalled.saturating_add(ARRIVAL_WINDOW) => None,
             Phase::Ending(_) if must_refuse || deadline.saturating_add(KILL_MARGIN) > self.kill_time() => {
@@ -297,7 +319,7 @@
 
     /// Until when the router waits for clients that read slowly; after that, [`CLOSE_DEADLINE`] or SIGKILL is too near.
     fn wait_for_reader_until(&self) -> Micros {
-        let given_up_at = self.since().unwrap_or(0).saturating_add(FORCED_ANSWER_AFTER);
+        let given_up_at = self.requested.saturating_add(FORCED_ANSWER_AFTER);
         match self.phase {
             Phase::Ending(_) => given_up_at.min(self.kill_time().saturating_sub(KILL_MARGIN)),
             _ => given_up_at,
@@ -306,28 +328,30 @@
 
     /// Earliest time at which SIGKILL may follow SIGTERM.
     fn kill_time(&self) -> Micros {
-        self.signalled.saturating_add(self.kill_after)
+        self.earliest_signal.saturating_add(self.kill_after)
     }
 
     /// Whether the open requests of a connection must get their final answer now, because it would not be closed in
     /// time otherwise: its last request is within [`RECENT_REQUEST`] of [`CLOSE_DEADLINE`], or SIGKILL is near.
     pub fn must_answer_now(&self, now: Micros, connection: ConnectionState) -> bool {
-        let Some(since) = self.since() else { return false };
-        let in_use = connection
-            .last_request
-            .is_some_and(|at| at.saturating_add(RECENT_REQUEST) >= since.saturating_add(CLOSE_DEADLINE));
+        if self.since().is_none() {
+            return false;
+        }
+        let checked_at = self.requested.saturating_add(CLOSE_DEADLINE);
+        let in_use =
+            connection.last_request.is_some_and(|at| at.saturating_add(RECENT_REQUEST) >= checked_at);
         let ending = matches!(self.phase, Phase::Ending(_));
         let kill_is_near = ending && now.saturating_add(KILL_MARGIN) >= self.kill_time();
         // Requests that a router accepts during shutdown after the check at CLOSE_DEADLINE may be answered until
         // SIGKILL.
-        let check_ahead = !ending || now < since.saturating_add(CLOSE_DEADLINE);
-        kill_is_near || (in_use && check_ahead && now >= since.saturating_add(FORCED_ANSWER_AFTER))
+        let check_ahead = !ending || now < checked_at;
+        kill_is_near || (in_use && check_ahead && now >= self.requested.saturating_add(FORCED_ANSWER_AFTER))
     }
 
     /// Whether a connection with waiting answers must be cut off; its client has read none of them since `waits_since`.
     pub fn must_cut_off(&self, now: Micros, waits_since: Micros) -> bool {
         let Some(since) = self.since() else { return false };
-        now >= since.saturating_add(FORCED_ANSWER_AFTER)
+        now >= self.requested.saturating_add(FORCED_ANSWER_AFTER)
             && now >= waits_since.max(since).saturating_add(READ_STALL)
     }
 
@@ -368,10 +392,12 @@
     }
 }
 
-/// Why a connection is kept at `now` in a drain or shutdown that began at `since`. Between [`FORCED_ANSWER_AFTER`] and
+/// Why a connection is kept at `now` in a drain or shutdown that began at `since` and was `requested` then or
+/// earlier. Between [`FORCED_ANSWER_AFTER`] and
 /// [`CLOSE_DEADLINE`] a connection without a message is not kept, as it would count as held at the latter.
 fn hold_reason_since(
     since: Micros,
+    requested: Micros,
     wait_for_reader_until: Micros,
     now: Micros,
     connection: ConnectionState,
@@ -387,8 +413,9 @@
     }
     let late_and_silent = !connection.received_any && connection.last_active >= since;
     let in_time = now < connection.last_active.saturating_add(FIRST_MESSAGE_TIMEOUT);
-    let check_ahead =
-        (since.saturating_add(FORCED_ANSWER_AFTER)..since.saturating_add(CLOSE_DEADLINE)).contains(&now);
+    let check_ahead = (requested.saturating_add(FORCED_ANSWER_AFTER)
+        ..requested.saturating_add(CLOSE_DEADLINE))
+        .contains(&now);
     (late_and_silent && in_time && !check_ahead).then_some(HoldReason::FirstMessage)
 }
 
--- a/silverspindle/src/management.rs
+++ b/silverspindle/src/management.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{TcpListener, TcpStream};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,9 +21,9 @@
 use bitternhold::Micros;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 
-use crate::clock;
 use crate::drain::{Drain, Phase};
 use crate::limited::LimitedLine;
+use crate::{clock, loop_monitor};
 
 /// Maximum number of open calls; a further one closes the oldest.
 pub const MAX_CALLS: usize = 8;
@@ -61,8 +62,9 @@
     Parsed::Response(Response { status, text, body_remaining: 0 })
 }
 
-/// Parses a call from the bytes received so far and applies it to the drain.
-pub fn handle(bytes: &[u8], drain: &mut Drain, now: Micros) -> Parsed {
+/// Parses a call from the bytes received so far and applies it to the drain. The call may have come as early as
+/// `earliest`.
+pub fn handle(bytes: &[u8], drain: &mut Drain, now: Micros, earliest: Micros) -> Parsed {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     let head_length = match request.parse(bytes) {
@@ -100,7 +102,7 @@
         "/-/ready" if drain.ready() => (200, "ready"),
         "/-/ready" => (503, "not ready"),
         "/-/drain" => {
-            drain.drain(now);
+            drain.drain_noticed(now, earliest);
             (200, "draining")
         }
         _ if matches!(drain.phase(), Phase::Ending(_)) => (409, "ending; nothing brings it back"),
@@ -175,6 +177,7 @@
                     continue;
                 }
             };
+            let came_after = loop_monitor::earliest_arrival(clock::now());
             let full = self.open_calls.borrow().len() >= MAX_CALLS;
             if let Some((_, close)) = full.then(|| self.open_calls.borrow_mut().pop_first()).flatten() {
                 let _ = close.try_send(());
@@ -194,7 +197,9 @@
                         Timer::after(CALL_TIMEOUT).await;
                         Err(io::Error::from(io::ErrorKind::TimedOut))
                     };
-                    if let Err(e) = future::or(closed, future::or(timed_out, server.call(stream))).await {
+                    if let Err(e) =
+                        future::or(closed, future::or(timed_out, server.call(stream, came_after))).await
+                    {
                         tracing::debug!(call = id, "management: {e}");
                     }
                     server.open_calls.borrow_mut().remove(&id);
@@ -203,17 +208,28 @@
         }
     }
 
-    /// Reads one call, applies it and writes the response.
-    async fn call(&self, mut stream: Async<TcpStream>) -> io::Result<()> {
+    /// Reads one call, applies it and writes the response. The connection came at `came_after` or later.
+    async fn call(&self, mut stream: Async<TcpStream>, came_after: Micros) -> io::Result<()> {
         let mut buffer = [0u8; MAX_HEAD];
         let mut filled = 0;
+        // What is read without a wait may have come with the connection.
+        let mut earliest = Some(came_after);
         let response = loop {
-            let n = stream.read(&mut buffer[filled..]).await?;
+            let mut read = pin!(stream.read(&mut buffer[filled..]));
+            let n = match future::poll_once(&mut read).await {
+                Some(read) => read?,
+                None => {
+                    earliest = None;
+                    read.await?
+                }
+            };
             if n == 0 {
                 return Ok(());
             }
             filled += n;
-            let read = handle(&buffer[..filled], &mut self.drain.borrow_mut(), clock::now());
+            let now = clock::now();
+            let earliest = earliest.unwrap_or_else(|| loop_monitor::earliest_arrival(now));
+            let read = handle(&buffer[..filled], &mut self.drain.borrow_mut(), now, earliest);
             if let Parsed::Response(response) = read {
                 let _ = self.drain_notifier.try_send(());
                 break response;
@@ -242,7 +258,7 @@
     use super::*;
 
     fn call(text: &str, drain: &mut Drain) -> Parsed {
-        handle(text.as_bytes(), drain, 5)
+        handle(text.as_bytes(), drain, 5, 5)
     }
 
     fn status(read: Parsed) -> u16 {
@@ -308,14 +324,14 @@
             let mut drain_state = Drain::new();
             drain_state.started();
             assert_eq!(
-                handle(&whole.as_bytes()[..cut], &mut drain_state, 1),
+                handle(&whole.as_bytes()[..cut], &mut drain_state, 1, 1),
                 Parsed::Incomplete,
                 "answered an incomplete call of {cut} bytes"
             );
             assert!(drain_state.ready());
         }
         let mut drain_state = Drain::new();
-        let Parsed::Response(a) = handle(&whole.as_bytes()[..whole.len() - 1], &mut drain_state, 1) else {
+        let Parsed::Response(a) = handle(&whole.as_bytes()[..whole.len() - 1], &mut drain_state, 1, 1) else {
             panic!()
         };
         assert_eq!(
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -329,7 +329,8 @@
     /// Shuts down: reports not ready, keeps serving the clients that still connect, and returns once every
     /// request has its answer.
     pub async fn shut_down(&self) {
-        self.drain.borrow_mut().end(clock::now());
+        let now = clock::now();
+        self.drain.borrow_mut().end_noticed(now, loop_monitor::earliest_arrival(now));
         let _ = self.front.drain_notifier().try_send(());
         if self.process_file.as_ref().is_some_and(|process_file| process_file.has_successor()) {
             tracing::info!("a younger process serves on {}: it takes the new connections", self.address);
--- a/silverspindle/tests/delayed_loop.rs
+++ b/silverspindle/tests/delayed_loop.rs
@@ -3,12 +3,14 @@
 
 mod common;
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_io::Timer;
+use async_io::{Async, Timer};
 use common::process::{Router, start};
-use common::sender::MS;
+use common::sender::{CacheBehaviour, DEFAULT_BEHAVIOUR, MS, Sender, serve_from};
 use common::*;
+use futures_lite::AsyncWriteExt;
 use rustix::process::{Pid, Signal, kill_process};
 
 /// How long the process is stopped.
@@ -174,3 +176,32 @@
         assert!(answer.len() > MAX_EMPTY_ANSWER, "the answer was given up");
     });
 }
+
+#[test]
+fn a_drain_requested_while_the_router_was_stopped_closes_connections_in_time() {
+    const CLOSE_DEADLINE: Duration = Duration::from_secs(4);
+    const REQUESTS_BEFORE_DRAIN: i32 = 4;
+    run(async |tasks| {
+        let (_coordinator, nowhere) = listen();
+        let cache = serve_from(tasks, CacheBehaviour::Never);
+        let file = configuration(&[entry(1, "box", cache), entry(99, "origin", nowhere)], nowhere);
+        let router = start(&file, &format!("{}:0", ip()));
+        let stream = Rc::new(Async::<std::net::TcpStream>::connect(router.clients).await.unwrap());
+        let client = Rc::new(Sender::default());
+        let traffic = tasks.spawn(client.clone().run(stream, DEFAULT_BEHAVIOUR));
+        while client.last.get() < REQUESTS_BEFORE_DRAIN {
+            Timer::after(MS).await;
+        }
+        stop(&router).await;
+        let management = Async::<std::net::TcpStream>::connect(router.management).await.unwrap();
+        (&management).write_all(b"PUT /-/drain HTTP/1.1\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+        let requested = Instant::now();
+        Timer::after(STOP_TIME).await;
+        go_on(&router);
+        while !client.is_over() && requested.elapsed() < CLOSE_DEADLINE {
+            Timer::after(MS).await;
+        }
+        client.check(requested, CLOSE_DEADLINE);
+        drop(traffic);
+    });
+}
--- a/silverspindle/tests/front_times.rs
+++ b/silverspindle/tests/front_times.rs
@@ -97,3 +97,26 @@
     assert!(!drain.may_close(kill - KILL_MARGIN - 1, slow_reader_state(60 * S)));
     assert!(drain.may_close(kill - KILL_MARGIN, slow_reader_state(60 * S)));
 }
+
+/// A router that was stopped notices a drain or SIGTERM late: what has to be over by a time counts from when the request
+/// can have come, and what is granted to clients from when it was noticed.
+#[test]
+fn a_drain_or_a_signal_that_is_noticed_late_keeps_its_deadlines_and_its_grace() {
+    const DELAY: Micros = S;
+    let in_use = |at| ConnectionState { open: 1, last_request: Some(at), ..slow_reader_state(0) };
+    let mut drain = Drain::new();
+    drain.started();
+    drain.drain_noticed(10 * S + DELAY, 10 * S);
+    let given_up_at = 10 * S + FORCED_ANSWER_AFTER;
+    assert!(drain.must_answer_now(given_up_at, in_use(given_up_at)));
+    assert!(!drain.must_answer_now(given_up_at - 1, in_use(given_up_at - 1)));
+    let idle = ConnectionState { open: 0, ..in_use(9 * S) };
+    assert_eq!(drain.hold_reason(10 * S + DELAY + GRACE - 1, idle), Some(HoldReason::Grace));
+    let mut end = Drain::new().with_longest_deadline(2 * S);
+    end.started();
+    end.end_noticed(10 * S + DELAY, 10 * S);
+    let kill_time = 10 * S + 2 * S + ARRIVAL_WINDOW;
+    assert!(end.must_answer_now(kill_time - KILL_MARGIN, in_use(10 * S)));
+    assert_eq!(end.refusal(10 * S + DELAY + ARRIVAL_WINDOW - 1, 20 * S, idle), None);
+    assert!(!end.may_exit(10 * S + DELAY + ARRIVAL_WINDOW - 1, 0, true));
+}
