The soak sends SIGTERM to processes that are stopped as well

Half of the planned restarts come while the process is stopped, for up to 1 s; SIGKILL counts from the signal.

--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -68,6 +68,8 @@
 /// When in a round a process is stopped, and for how long.
 const STOPPED_FROM: std::ops::Range<Micros> = SECOND..7 * SECOND;
 const STOPPED_FOR: std::ops::Range<Micros> = 150 * MS..1500 * MS;
+/// The longest stop as SIGTERM comes.
+const STOPPED_AT_END: Micros = SECOND;
 /// Idle connections of a crowd.
 const CROWD: usize = 120;
 /// So often it is looked whether the soak itself is late.
@@ -332,7 +334,7 @@
         let name = format!("n{}", node.number);
         let done = match kind {
             0 => self.drain(&node, &running, &name).await,
-            1 => self.restart(&node, &running, &name).await,
+            1 => self.restart(&node, &running, &name, seed).await,
             2 | 3 => self.upgrade(&node, &running, &name).await,
             4 => self.kill(&node, &running, &name).await,
             5 => self.fail_accepts(&node, &name, seed).await,
@@ -398,14 +400,17 @@
         node: &Rc<Node>,
         running: &nodes::Running,
         name: &str,
+        seed: u64,
     ) -> io::Result<()> {
-        self.act(format!("{name}: SIGTERM, and a restart"));
+        // Every other process is stopped as the signal comes.
+        let stopped = if seed % 2 == 0 { seed / 2 % STOPPED_AT_END } else { 0 };
+        self.act(format!("{name}: SIGTERM while it is stopped for {} ms, and a restart", stopped / MS));
         let door = node.door.clone();
         let close = async {
             Timer::after(FRONT_STOPS).await;
             door.admits.set(false);
         };
-        futures_lite::future::zip(node.end(running), close).await;
+        futures_lite::future::zip(node.end(running, stopped), close).await;
         node.running.borrow_mut().take();
         node.serve(node.start().await?);
         Ok(())
@@ -416,7 +421,7 @@
         let new = node.start().await?;
         node.serve(new);
         self.act(format!("{name}: SIGTERM to the older process"));
-        node.end(running).await;
+        node.end(running, 0).await;
         Ok(())
     }
 
@@ -533,6 +538,6 @@
     async fn last_end(self: Rc<Self>, node: Rc<Node>) {
         let Some(running) = node.running.borrow().clone() else { return };
         self.act(format!("n{}: SIGTERM at the end", node.number));
-        node.end(&running).await;
+        node.end(&running, 0).await;
     }
 }
--- a/standins/src/soak/nodes.rs
+++ b/standins/src/soak/nodes.rs
@@ -160,11 +160,24 @@
         *self.running.borrow_mut() = Some(running);
     }
 
-    /// SIGTERM, and SIGKILL at the earliest moment that the pages allow.
-    pub async fn end(&self, running: &Running) {
+    /// SIGTERM, and SIGKILL at the earliest moment that the pages allow. The process is stopped for this time as SIGTERM
+    /// comes.
+    pub async fn end(&self, running: &Running, stopped: Micros) {
+        if stopped > 0 {
+            running.signal(Signal::STOP);
+        }
         let told = clock::now();
         self.records.processes.borrow_mut()[running.place].told = Some(told);
         running.signal(Signal::TERM);
+        if stopped > 0 {
+            clock::timer_at(told + stopped).await;
+            running.signal(Signal::CONT);
+            self.records.stops.borrow_mut().push(Stop {
+                process: running.place,
+                from: told,
+                until: clock::now(),
+            });
+        }
         while clock::now() < told + KILL {
             if let Some(good) = running.ended() {
                 self.records.processes.borrow_mut()[running.place].ended = Some((clock::now(), good));
