--- a/silverspindle/src/counters.rs
+++ b/silverspindle/src/counters.rs
@@ -101,6 +101,8 @@
     Unconfirmed,
     /// The router's link could no longer carry the copy in time.
     LinkBusy,
+    /// Unwritten answers left no memory for the copy.
+    Memory,
 }
 
 impl CopyLoss {
@@ -111,6 +113,7 @@
             CopyLoss::Aged => "aged",
             CopyLoss::Unconfirmed => "unconfirmed",
             CopyLoss::LinkBusy => "link_busy",
+            CopyLoss::Memory => "memory",
         }
     }
 }
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -63,6 +63,8 @@
 const REFUSAL_BACKOFF_MS: u64 = 200;
 /// Interval at which every connection is checked during a drain.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(25);
+/// Interval at which clients that read too slowly are looked for while unwritten answers are over their limit.
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Ids per generation of the filter that detects repeated request ids: an id may be used once.
 const REQUEST_IDS: usize = 8192;
 /// Time without a new request id, in microseconds, after which the filter changes generations.
@@ -102,6 +104,8 @@
     closing: ClosingConnections,
     /// Id of the connection that is to close to make room.
     to_evict: Cell<Option<u64>>,
+    /// Signals that unwritten answers are over their limit.
+    memory_short: (Sender<()>, Receiver<()>),
     /// Limits the log line about requests that wait for memory.
     memory_log: RefCell<LimitedLine>,
     /// The listener is open.
@@ -141,6 +145,7 @@
             recent_ids: RefCell::new(AgeingFilter::new(REQUEST_IDS, REQUEST_IDS_IDLE)),
             closing: ClosingConnections::default(),
             to_evict: Cell::new(None),
+            memory_short: async_channel::bounded(1),
             memory_log: RefCell::default(),
             accepting: Cell::new(true),
             connection_ended: async_channel::bounded(1),
@@ -231,18 +236,52 @@
         self.incomplete_requests.set_limit(memory.incomplete_requests);
     }
 
-    /// Limits the memory taken by slow readers: over the limit, the connection with the most unwritten bytes is cut off.
-    fn enforce_memory_limit(&self) {
-        if self.unwritten_bytes.get() <= self.max_unwritten_bytes.get() {
-            return;
+    /// Whether unwritten answers leave room for this many bytes more.
+    fn has_room(&self, bytes: usize) -> bool {
+        self.unwritten_bytes.get().saturating_add(bytes) <= self.max_unwritten_bytes.get()
+    }
+
+    /// Wakes [`Self::run_memory_watch`] if unwritten answers are over their limit.
+    fn check_memory(&self) {
+        if !self.has_room(0) {
+            let _ = self.memory_short.0.try_send(());
         }
-        if let Some(connection) = self.connections.borrow().values().max_by_key(|c| c.unwritten_bytes.get()) {
-            tracing::warn!(
-                client = connection.id,
-                "cut off, {} bytes wait for it",
-                connection.unwritten_bytes.get()
-            );
+    }
+
+    /// Runs for ever: while unwritten answers are over their limit, cuts off clients that read far less than the slowest rate
+    /// that the operators name. Others are waited for: answers of caches are bounded by their own budget and stay at the
+    /// caches, and own copies are served only where there is room.
+    pub async fn run_memory_watch(self: Rc<Self>) {
+        while self.memory_short.1.recv().await.is_ok() {
+            self.connections.borrow().values().for_each(|connection| connection.pace.restart());
+            while !self.has_room(0) {
+                let due = clock::now() + MEMORY_CHECK_INTERVAL.as_micros() as Micros;
+                clock::timer_at(due).await;
+                if clock::now() > due + loop_monitor::MAX_TURN_GAP {
+                    // What clients took during a delay is not known yet.
+                    self.connections.borrow().values().for_each(|connection| connection.pace.restart());
+                }
+                self.cut_off_too_slow();
+            }
+        }
+    }
+
+    /// Cuts off clients that read too slowly, those with the most unwritten bytes first, until the rest is within the limit.
+    fn cut_off_too_slow(&self) {
+        let now = clock::now();
+        let connections = self.connections.borrow();
+        let is_too_slow = |c: &&Rc<Connection>| c.unwritten_bytes.get() > 0 && c.pace.is_too_slow(now);
+        let mut too_slow: Vec<_> = connections.values().filter(is_too_slow).collect();
+        too_slow.sort_by_key(|c| std::cmp::Reverse(c.unwritten_bytes.get()));
+        let mut excess = self.unwritten_bytes.get().saturating_sub(self.max_unwritten_bytes.get());
+        for connection in too_slow {
+            if excess == 0 {
+                return;
+            }
+            let bytes = connection.unwritten_bytes.get();
+            tracing::warn!(client = connection.id, "cut off, {bytes} bytes wait for it");
             let _ = connection.cut.try_send(CloseReason::Memory);
+            excess = excess.saturating_sub(bytes);
         }
     }
 
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -16,7 +16,7 @@
 use socket2::SockRef;
 
 use super::closing::{LINGER_TIMEOUT, MAX_UNSENT, discard_until_closed};
-use super::reading::ReadProgress;
+use super::reading::{ReadPace, ReadProgress};
 use super::{EXPECTED_OPEN_REQUESTS, Front, MAX_QUEUED_ANSWERS};
 use crate::counters::{CloseReason, RefusalReason};
 use crate::drain::{ConnectionState, HoldReason};
@@ -73,6 +73,8 @@
     unwritten_since: Cell<Micros>,
     /// Estimate of what the client has still to read.
     read_progress: ReadProgress,
+    /// How fast the client takes waiting answers.
+    pub pace: ReadPace,
     /// Closes the connection at once.
     pub cut: Sender<CloseReason>,
     /// Asks the connection to close once it owes nothing.
@@ -111,7 +113,7 @@
                 self.unwritten_since.set(clock::now());
             }
             self.add_unwritten(1, bytes as isize);
-            self.front.enforce_memory_limit();
+            self.front.check_memory();
         }
     }
 
@@ -120,6 +122,10 @@
         self.finish_request();
     }
 
+    fn has_room(&self, bytes: usize) -> bool {
+        self.front.has_room(bytes)
+    }
+
     /// Checks the socket itself: the reader may not have reached the end of the stream yet, or may be waiting for room
     /// in a queue.
     fn is_gone(&self) -> bool {
@@ -155,6 +161,7 @@
             last_written: Cell::new(0),
             unwritten_since: Cell::new(0),
             read_progress: ReadProgress::default(),
+            pace: ReadPace::default(),
             cut,
             close,
             unwritten_bytes: Cell::new(0),
@@ -455,6 +462,9 @@
             let written = write.await;
             if from_director {
                 self.add_unwritten(-1, -(body.len() as isize));
+                if self.unwritten_answers.get() == 0 {
+                    self.pace.restart();
+                }
                 self.finish_request();
             } else {
                 self.unwritten_replies.set(self.unwritten_replies.get().saturating_sub(1));
@@ -486,6 +496,7 @@
             }
             let now = clock::now();
             self.last_written.set(now);
+            self.pace.record_write(written);
             self.read_progress.record_write(now, written, now.saturating_sub(began));
             bytes = &bytes[written..];
         }
--- a/silverspindle/src/memory.rs
+++ b/silverspindle/src/memory.rs
@@ -23,7 +23,8 @@
 /// Limits of the memory for each use, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryLimits {
-    /// Answers that clients have not read yet. Over this limit the slowest reader is cut off.
+    /// Answers that clients have not read yet. Over this limit clients that read too slowly are cut off, and no own copies are
+    /// served.
     pub unwritten_answers: usize,
     /// All answers of caches, from when they are read until they are written. Over this limit no further one is read.
     pub answers: usize,
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -139,6 +139,10 @@
     fn answer(&self, seq: i32, verdict: Verdict);
     /// The client has disconnected or no longer waits for a request: no answer will come.
     fn drop_request(&self);
+    /// Whether there is memory for an answer with a body of this many bytes that no cache's budget accounts for.
+    fn has_room(&self, _bytes: usize) -> bool {
+        true
+    }
     /// Whether the client has closed the connection, even if the front has not noticed it yet.
     fn is_gone(&self) -> bool;
 }
--- a/silverspindle/tests/common/mod.rs
+++ b/silverspindle/tests/common/mod.rs
@@ -27,6 +27,7 @@
 use silverspindle::serve::Router;
 use silverspindle::thrift;
 use silverspindle_conf::Conf;
+use socket2::{Domain, Protocol, Socket, Type};
 
 /// Time after which a test counts as hanging; far more than any test takes.
 const TEST_TIMEOUT: Duration = Duration::from_secs(60);
@@ -386,3 +387,15 @@
 pub async fn both<A, B>(a: impl Future<Output = A>, b: impl Future<Output = B>) -> (A, B) {
     futures_lite::future::zip(a, b).await
 }
+
+/// Buffer size requested for a socket with small buffers, in bytes; the kernel allocates twice as many.
+pub const SMALL_BUFFER: usize = 16 * 1024;
+
+/// A client whose socket has a small receive buffer.
+pub async fn connect_with_small_buffer(address: SocketAddr) -> Async<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP)).unwrap();
+    // Set before the TCP handshake, which negotiates the window.
+    socket.set_recv_buffer_size(SMALL_BUFFER).unwrap();
+    socket.connect(&address.into()).unwrap();
+    Async::new(socket.into()).unwrap()
+}
