The time at which a stream was found empty is taken before the look, not behind it

Cause: a reader noted when its stream was empty behind the system call; a process that is stopped between the two takes what comes meanwhile for later. The same in Front::accept. Change: the clock is read before the poll. Measured: the new test, in which the stream stops behind each read, failed before and passes.

--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -304,10 +304,11 @@
                 None => {
                     let accept = async { Some(listener.accept().await.map(|(s, _)| s)) };
                     let mut accept = pin!(future::or(accept, stop));
+                    let polled_at = clock::now();
                     match future::poll_once(&mut accept).await {
                         Some(accepted) => accepted,
                         None => {
-                            queue.seen_empty(clock::now());
+                            queue.seen_empty(polled_at);
                             let accepted = accept.await;
                             // Woken by the new connection: the queue was empty until it came.
                             queue.seen_empty(loop_monitor::earliest_arrival(clock::now()));
--- a/wire/src/reader.rs
+++ b/wire/src/reader.rs
@@ -278,11 +278,13 @@
     ) -> io::Result<usize> {
         let stall_timeout = self.stall_timeout.filter(|_| self.filled > 0);
         let timeout = read_timeout(self.partial_since, self.message_timeout, stall_timeout);
-        let mut waited = false;
+        let (mut waited, mut polled_at) = (false, 0);
         let read = poll_fn(|context| {
+            // Before the poll: the process may be stopped after it.
+            polled_at = clock::now();
             let read = poll_read(self, context);
             if read.is_pending() {
-                (self.empty_at, waited) = (clock::now(), true);
+                (self.empty_at, waited) = (polled_at, true);
                 self.backlog = None;
             }
             read
@@ -294,7 +296,7 @@
         self.received_at =
             if waited { loop_monitor::earliest_arrival(now).max(self.empty_at) } else { self.empty_at };
         if read < room || self.unread_bytes() == Some(0) {
-            self.empty_at = now;
+            self.empty_at = polled_at;
         }
         if read > 0 {
             self.partial_since = self.partial_since.or(Some(now));
--- a/wire/tests/reader.rs
+++ b/wire/tests/reader.rs
@@ -7,9 +7,12 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
+use bitternhold::Micros;
 use bytes::Bytes;
 use futures_lite::{AsyncRead, future};
+use silverspindle_wire::clock;
 use silverspindle_wire::framing::{ChargedUntil, MessageReader};
 use silverspindle_wire::memory::MemoryBudget;
 use silverspindle_wire::thrift;
@@ -169,3 +172,35 @@
     let mut reader = reader(&whole, CHUNK).with_budget(&budget, ChargedUntil::Dropped);
     assert!(next(&mut reader).is_some());
 }
+
+/// A stream whose process is stopped for a while behind each system call. Notes when the first of these returned.
+struct StoppedBehindReads {
+    pieces: Pieces,
+    first_read: Rc<Cell<Option<Micros>>>,
+}
+
+impl AsyncRead for StoppedBehindReads {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        into: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = Pin::new(&mut self.pieces).poll_read(context, into);
+        self.first_read.set(self.first_read.get().or(Some(clock::now())));
+        std::thread::sleep(Duration::from_millis(20));
+        read
+    }
+}
+
+/// The second message may have come while the process was stopped behind the read of the first one.
+#[test]
+fn a_message_counts_from_before_a_stop_behind_the_read_that_found_the_stream_empty() {
+    let mut pieces = Pieces::of(&message(1), CHUNK);
+    pieces.0.push_back(message(2));
+    let first_read = Rc::new(Cell::new(None));
+    let stream = StoppedBehindReads { pieces, first_read: first_read.clone() };
+    let mut reader = MessageReader::new(stream, thrift::measure, CHUNK);
+    assert_eq!(future::block_on(reader.next()).unwrap().unwrap(), message(1));
+    assert_eq!(future::block_on(reader.next()).unwrap().unwrap(), message(2));
+    assert!(reader.received_at() <= first_read.get().unwrap());
+}
