--- a/silverspindle/tests/actors.rs
+++ b/silverspindle/tests/actors.rs
@@ -16,6 +16,7 @@
 use silverspindle::clock;
 use silverspindle::feed::PurgeTarget;
 use silverspindle::front::Front;
+use silverspindle::loop_monitor::{self, Backlog};
 use silverspindle::thrift;
 use silverspindle::traffic::{Message, RoutingState, Verdict};
 use silverspindle::upstream::PeerMessage;
@@ -236,6 +237,34 @@
     });
 }
 
+/// An attempt waits when the loop is delayed, and its cache's drain lies unread behind the delay: it is not written before
+/// that is read, and then not at all.
+#[test]
+fn an_attempt_is_not_written_while_what_came_during_a_delay_is_unread() {
+    const TURNS: usize = 50;
+    run(async |tasks| {
+        let harness = ActorHarness::new(tasks, 9);
+        let peer = harness.peer();
+        peer.send(PeerMessage::Send(harness.attempt(1, "00000000000000a1"))).await.unwrap();
+        let (_, connection) = harness.cache.next().await;
+        reply(&connection, &["00000000000000a1", "NONE", "-", ""]).await;
+        assert_eq!(harness.end().await.0, 1);
+        let monitor = tasks.spawn(loop_monitor::run(|_| ()));
+        future::yield_now().await;
+        std::thread::sleep(Duration::from_micros(2 * loop_monitor::MAX_TURN_GAP));
+        let unread = Backlog::of_reader().expect("the loop was delayed");
+        peer.send(PeerMessage::Send(harness.attempt(2, "00000000000000a2"))).await.unwrap();
+        for _ in 0..TURNS {
+            future::yield_now().await;
+        }
+        harness.shared.state.set_ready(PEER, false);
+        drop(unread);
+        assert_eq!(harness.end().await, (2, Status::Moot));
+        assert!(harness.cache.nothing_came());
+        drop(monitor);
+    });
+}
+
 /// A front whose unwritten answers may take next to no memory, and its address.
 fn front_without_memory(tasks: &Tasks, harness: &ActorHarness) -> (Rc<Front>, SocketAddr) {
     let (listener, address) = listen();
@@ -277,6 +306,8 @@
             Timer::after(Duration::from_millis(1)).await;
         }
         assert!(front.all_answers_written());
+        let counters = front.counters().to_string();
+        assert!(counters.contains("closes: memory=1"), "cut off for its memory, and no other: {counters}");
         good.is_well(8).await;
     });
 }
--- a/silverspindle/tests/delayed_loop.rs
+++ b/silverspindle/tests/delayed_loop.rs
@@ -205,3 +205,36 @@
         drop(traffic);
     });
 }
+
+/// A hung request is given up before SIGKILL may come. Two routers get SIGTERM in one moment, one of them while it is
+/// stopped: it must not be later by the time of the stop.
+#[test]
+fn a_router_that_was_stopped_as_sigterm_came_gives_up_in_time_for_sigkill() {
+    const STOP_TIME: Duration = Duration::from_secs(2);
+    run(async |tasks| {
+        let (_coordinator, nowhere) = listen();
+        let cache = serve_from(tasks, CacheBehaviour::Never);
+        let file = configuration(&[entry(1, "box", cache), entry(99, "origin", nowhere)], nowhere);
+        let routers = [(); 2].map(|()| start(&file, &format!("{}:0", ip())));
+        let mut clients = Vec::new();
+        for router in &routers {
+            let client = connect_and_rest(tasks, router).await;
+            client.send(&request(2, "20000")).await;
+            clients.push(client);
+        }
+        let [_, stopped] = &routers;
+        stop(stopped).await;
+        for router in &routers {
+            kill_process(Pid::from_child(&router.child), Signal::TERM).unwrap();
+        }
+        Timer::after(STOP_TIME).await;
+        go_on(stopped);
+        let answered = async |client: &Client| {
+            assert!(client.next().await.is_some(), "closed without an answer");
+            Instant::now()
+        };
+        let (first, second) = both(answered(&clients[0]), answered(&clients[1])).await;
+        let later = second.saturating_duration_since(first);
+        assert!(later < STOP_TIME / 2, "given up {later:?} after the router that was not stopped");
+    });
+}
--- a/silverspindle/tests/own_copies_in_time.rs
+++ b/silverspindle/tests/own_copies_in_time.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::*;
+use futures_lite::AsyncWriteExt;
 use serde_json::json;
 use silverspindle::clock::Stamp;
 use silverspindle::config::Config;
@@ -74,3 +75,46 @@
         assert!(served * LINK_TIME <= budget + ANSWER_GRACE, "{served} own copies were served");
     });
 }
+
+/// Own copies for clients that don't read take no memory beyond the limit: caches are asked, whose answers have a budget.
+#[test]
+fn an_own_copy_is_not_served_while_unread_answers_leave_no_room() {
+    const LARGEST_OBJECT: usize = 240_000;
+    const CLIENTS: usize = 6;
+    const REQUESTS_OF_EACH: i32 = 8;
+    run(async |tasks| {
+        let (listener, address) = listen();
+        let cache = Cache::start(tasks);
+        let mut file =
+            configuration(&[entry(1, "box", cache.address), entry(99, "origin", address)], address);
+        file["limits"]["memory_mb"] = 16.into();
+        file["flow_bytes_per_s"] = 1_000_000_000.into();
+        file["link_bytes_per_s"] = 1_000_000_000.into();
+        let router =
+            silverspindle::serve::Router::start(config(&file).unwrap(), Conf::default(), tasks).unwrap();
+        let feed = std::rc::Rc::new(listener.accept().await.unwrap().0);
+        confirm_each_second(tasks, &feed);
+        let client = Client::connect(tasks, router.address).await;
+        client.send(&request(1, "20000")).await;
+        let (want, line) = cache.next().await;
+        let named = format!("version=4be0c1927d55a6f3,stamp={},why=warm", Stamp::now().as_micros() / 1000);
+        reply(&line, &[&want[1], "HIT", &named, &"x".repeat(LARGEST_OBJECT)]).await;
+        assert!(client.next().await.unwrap().len() > LARGEST_OBJECT, "served by the cache");
+        client.send(&request(2, "20000")).await;
+        assert!(client.next().await.unwrap().len() > LARGEST_OBJECT);
+        assert!(cache.nothing_came(), "not served from the own copy");
+        let mut silent = Vec::new();
+        for number in 0..CLIENTS as i32 {
+            let client = connect_with_small_buffer(router.address).await;
+            for seq in 1..=REQUESTS_OF_EACH {
+                let rid = format!("{:016x}", (number + 1) * 100 + seq);
+                let mut fields: Vec<(&str, &str)> = page("");
+                fields[1].1 = &rid;
+                (&client).write_all(&serve(seq, &fields, b"")).await.unwrap();
+            }
+            silent.push(client);
+        }
+        // Without the limit all of these requests are served from the own copy, and no cache is ever asked.
+        assert_eq!(cache.next().await.0[0], "want");
+    });
+}
