--- a/wire/tests/reader.rs
+++ b/wire/tests/reader.rs
@@ -9,11 +9,13 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use async_io::Timer;
 use bitternhold::Micros;
 use bytes::Bytes;
 use futures_lite::{AsyncRead, future};
 use silverspindle_wire::clock;
 use silverspindle_wire::framing::{ChargedUntil, MessageReader};
+use silverspindle_wire::loop_monitor;
 use silverspindle_wire::memory::MemoryBudget;
 use silverspindle_wire::thrift;
 
@@ -204,3 +206,28 @@
     assert_eq!(future::block_on(reader.next()).unwrap().unwrap(), message(2));
     assert!(reader.received_at() <= first_read.get().unwrap());
 }
+
+/// What a reader finds after a delay of the loop counts as unread until the reader has found its stream empty.
+#[test]
+fn the_loop_is_behind_until_a_reader_has_found_its_stream_empty() {
+    let mut monitor = std::pin::pin!(loop_monitor::run(|_| ()));
+    let mut run_monitor = |time| {
+        future::block_on(future::or(&mut monitor, async {
+            Timer::after(time).await;
+        }));
+    };
+    run_monitor(Duration::ZERO);
+    let mut pieces = Pieces::of(&message(1), CHUNK);
+    pieces.0.push_back(message(2));
+    let mut reader = MessageReader::new(pieces, thrift::measure, CHUNK);
+    std::thread::sleep(Duration::from_micros(2 * loop_monitor::MAX_TURN_GAP));
+    assert!(next(&mut reader).is_some());
+    run_monitor(Duration::from_millis(30));
+    assert!(loop_monitor::is_behind(), "a message is unread");
+    assert!(next(&mut reader).is_some());
+    assert!(loop_monitor::is_behind(), "the stream was not found empty");
+    assert!(next(&mut reader).is_none());
+    while loop_monitor::is_behind() {
+        run_monitor(Duration::from_millis(30));
+    }
+}
