--- a/review/rig2/cases.rs
+++ b/review/rig2/cases.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns whether the rule held.
 
-use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::world::*;
@@ -23,12 +24,16 @@
 
 impl Site {
     fn start(folder: &str, caches: u32) -> Result<Self, Fault> {
+        Self::start_with(folder, caches, 192)
+    }
+
+    fn start_with(folder: &str, caches: u32, memory_mb: u32) -> Result<Self, Fault> {
         let text = |e: std::io::Error| e.to_string();
         let record = Record::new(folder).map_err(text)?;
         let world = World::start(&record, caches).map_err(text)?;
         let coordinator = Coordinator::start(&record).map_err(text)?;
         let listen = free_address().map_err(text)?;
-        let config = config(&listen, coordinator.address, &world.members);
+        let config = config(&listen, coordinator.address, &world.members, memory_mb);
         let router = Router::start(&record, &listen, &config)?;
         Ok(Self { record, world, coordinator, router })
     }
@@ -43,7 +48,7 @@
                 n += 1;
                 let class = if n % 20 == 0 { "entry" } else { "reel" };
                 let object = format!("{:016x}", 0xa000_0000_0000_0000u64 + u64::from(n));
-                let ask = Ask { class, object, piece: 0, budget_ms: 3000, mem_kb: 49.0 };
+                let ask = Ask { class, object, piece: 0, budget_ms: 3000, mem_kb: 49.0, body: 0 };
                 match client.ask(&ask).map_err(|e| format!("a request got no answer: {e}"))? {
                     Answer::Served(_) | Answer::Keep => served += 1,
                     _ => other += 1,
@@ -84,6 +89,7 @@
         "slow-discovery" => slow_discovery(folder, trouble),
         "stopped-discovery" => stopped_discovery(folder, trouble),
         "long-outage" => long_outage(folder, trouble),
+        "memory" => memory(folder, trouble),
         "slow-writer" => slow_writer(folder, trouble),
         "crowd" => crowd(folder, trouble),
         "spoilt-copy" => spoilt_copy(folder, trouble),
@@ -137,7 +143,7 @@
     let site = Site::start(folder, 3)?;
     site.load(4.0)?;
     let object = "7f3a9c21e0b4d655".to_owned();
-    let ask = Ask { class: "reel", object: object.clone(), piece: 0, budget_ms: 3000, mem_kb: 49.0 };
+    let ask = Ask { class: "reel", object: object.clone(), piece: 0, budget_ms: 3000, mem_kb: 49.0, body: 0 };
     let mut client = Client::connect(&site.router.listen, &site.record).map_err(|e| e.to_string())?;
     let mut get = || client.ask(&ask).map_err(|e| e.to_string());
     for _ in 0..4 {
@@ -187,7 +193,14 @@
     let mut held = true;
     for round in 0..3 {
         let mut client = Client::connect(&site.router.listen, &site.record).map_err(|e| e.to_string())?;
-        let ask = Ask { class: "reel", object: big.clone(), piece: round, budget_ms: 5000, mem_kb: 9800.0 };
+        let ask = Ask {
+            class: "reel",
+            object: big.clone(),
+            piece: round,
+            budget_ms: 5000,
+            mem_kb: 9800.0,
+            body: 0,
+        };
         let (seq, rid) = client.send(&ask).map_err(|e| e.to_string())?;
         let mut reader = client.split().map_err(|e| e.to_string())?;
         let record = site.record.clone();
@@ -202,6 +215,7 @@
             piece: 0,
             budget_ms: 3000,
             mem_kb: 49.0,
+            body: 0,
         };
         let (_, other, bytes) = client.encode(&small);
         site.record.say(&format!("client begins to write {other}, {} bytes", bytes.len()));
@@ -232,7 +246,7 @@
     let site = Site::start(folder, 3)?;
     site.load(2.0)?;
     let object = "7f3a9c21e0b4d655".to_owned();
-    let ask = Ask { class: "reel", object: object.clone(), piece: 0, budget_ms: 3000, mem_kb: 49.0 };
+    let ask = Ask { class: "reel", object: object.clone(), piece: 0, budget_ms: 3000, mem_kb: 49.0, body: 0 };
     if trouble {
         *site.world.spoil.lock().unwrap() = Some(object.clone());
     }
@@ -287,7 +301,7 @@
             // Not accepted by the machine: nothing was taken.
             let Ok(mut client) = Client::connect(&listen, &record) else { return true };
             let object = format!("{:016x}", 0xb000_0000_0000_0000u64 + n);
-            let ask = Ask { class: "reel", object, piece: 0, budget_ms: BUDGET, mem_kb: 49.0 };
+            let ask = Ask { class: "reel", object, piece: 0, budget_ms: BUDGET, mem_kb: 49.0, body: 0 };
             let Ok((_, rid)) = client.send(&ask) else { return true };
             let written_at = record.at();
             let answer = client.read();
@@ -304,3 +318,150 @@
     site.record.say(&format!("{lost} of {} requests of usual clients were lost", held.len()));
     Ok(lost == 0)
 }
+
+/// Limit of the memory case, in MB.
+const MEMORY_MB: u32 = 32;
+/// Clients of the memory case that read objects, and how many of them read slowly.
+const READERS: u64 = 300;
+const SLOW_READERS: u64 = 100;
+/// Clients of the memory case that write.
+const WRITERS: u64 = 40;
+/// Bytes a second that a slow client reads.
+const SLOW_RATE: f64 = 1e6;
+
+/// Memory of a process, in KiB: anonymous, and all that is resident.
+fn memory_of(process: u32) -> (u64, u64) {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let field = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name));
+        line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    };
+    (field("RssAnon:"), field("VmRSS:"))
+}
+
+/// Reads the answers to `count` requests at no more than `rate` bytes a second; returns how many came whole.
+fn read_answers(stream: &mut std::net::TcpStream, count: u32, rate: f64) -> u32 {
+    use std::io::Read;
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
+    let (began, mut total, mut whole) = (Instant::now(), 0usize, 0);
+    // Bytes of the length of the next frame, and bytes of it still to come.
+    let (mut length, mut missing) = (Vec::new(), 0usize);
+    let mut buffer = vec![0u8; 32 * 1024];
+    while whole < count && began.elapsed() < Duration::from_secs(7) {
+        let n = match stream.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(n) => n,
+            Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
+                continue;
+            }
+            Err(_) => break,
+        };
+        total += n;
+        let mut bytes = &buffer[..n];
+        while !bytes.is_empty() {
+            if missing == 0 {
+                length.push(bytes[0]);
+                bytes = &bytes[1..];
+                if let Ok(whole_length) = <[u8; 4]>::try_from(&length[..]) {
+                    (missing, length) = (u32::from_be_bytes(whole_length) as usize, Vec::new());
+                }
+            } else {
+                let taken = missing.min(bytes.len());
+                (missing, bytes) = (missing - taken, &bytes[taken..]);
+                whole += u32::from(missing == 0);
+            }
+        }
+        let ahead = total as f64 / rate - began.elapsed().as_secs_f64();
+        if ahead > 0.0 {
+            std::thread::sleep(Duration::from_secs_f64(ahead));
+        }
+    }
+    whole
+}
+
+/// Sends `count` requests at once on a new connection and reads their answers; repeats it each `period_ms`.
+fn bursts(
+    record: &Record,
+    listen: &str,
+    seed: u64,
+    count: u32,
+    period_ms: u64,
+    rate: f64,
+    write: bool,
+    open: &AtomicI64,
+    sent: &AtomicI64,
+) {
+    let mut n = 0u64;
+    loop {
+        let began = Instant::now();
+        if let Ok(mut client) = Client::connect(listen, record) {
+            let mut bytes = Vec::new();
+            for _ in 0..count {
+                n += 1;
+                let object = format!("{}{:015x}", if write { 'e' } else { 'c' }, (seed << 24) + n);
+                let (class, body) = if write { ("entry", 47_900) } else { ("reel", 0) };
+                let mem_kb = if write { 98.0 } else { size_of(&object) as f64 / 240_000.0 * 490.0 };
+                bytes
+                    .extend(client.encode(&Ask { class, object, piece: 0, budget_ms: if write { 3000 } else { 5000 }, mem_kb, body }).2);
+            }
+            if client.write(&bytes).is_ok() {
+                open.fetch_add(i64::from(count), Ordering::SeqCst);
+                sent.fetch_add(i64::from(count), Ordering::SeqCst);
+                let whole = read_answers(client.stream(), count, rate);
+                open.fetch_sub(i64::from(whole), Ordering::SeqCst);
+            }
+            // Clients close a connection that has been idle for 4 s.
+            wait_ms(period_ms.saturating_sub(began.elapsed().as_millis() as u64));
+            client.close();
+        }
+        wait_ms(20);
+    }
+}
+
+/// Many clients send several commands at once, and some of them read slowly; the platform kills what goes over its limit.
+fn memory(folder: &str, trouble: bool) -> Result<bool, Fault> {
+    let mut site = Site::start_with(folder, 3, MEMORY_MB)?;
+    site.world.quiet.store(true, Ordering::SeqCst);
+    let (open, sent): (Arc<AtomicI64>, Arc<AtomicI64>) = Default::default();
+    let process = site.router.child.id();
+    for n in 0..READERS + WRITERS {
+        let (record, listen) = (site.record.clone(), site.router.listen.clone());
+        let (open, sent) = (open.clone(), sent.clone());
+        let rate = if trouble && n < SLOW_READERS { SLOW_RATE } else { f64::INFINITY };
+        std::thread::spawn(move || {
+            let (write, count, period) = if n < READERS { (false, 10, 4000) } else { (true, 8, 2000) };
+            wait_ms(n * period / READERS % period);
+            bursts(&record, &listen, n, count, period, rate, write, &open, &sent);
+        });
+    }
+    let limit = u64::from(MEMORY_MB) * 1024;
+    let (began, mut next, mut most) = (Instant::now(), 0, (0, 0));
+    while began.elapsed() < Duration::from_secs(75) {
+        wait_ms(10);
+        let (anonymous, resident) = memory_of(process);
+        most = (most.0.max(anonymous), most.1.max(resident));
+        if began.elapsed().as_secs() >= next {
+            next += 1;
+            let per_second = sent.load(Ordering::SeqCst) as f64 / began.elapsed().as_secs_f64().max(1.0);
+            site.record.say(&format!(
+                "memory: {anonymous} KiB anonymous, {resident} KiB resident; {per_second:.0} requests a second so far, {} open",
+                open.load(Ordering::SeqCst)
+            ));
+        }
+        if anonymous > limit {
+            site.record.say(&format!("OVER: {anonymous} KiB of anonymous memory ({resident} KiB resident), the limit is {limit} KiB"));
+            let lost = open.load(Ordering::SeqCst);
+            let _ = site.router.child.kill();
+            let _ = site.router.child.wait();
+            site.record.say(&format!("the platform has killed the router; some {lost} requests were open"));
+            return Ok(false);
+        }
+        if let Ok(Some(status)) = site.router.child.try_wait() {
+            site.record.say(&format!("the router has ended by itself: {status}"));
+            return Ok(false);
+        }
+    }
+    site.record
+        .say(&format!("at most {} KiB anonymous, {} KiB resident; the limit is {limit} KiB", most.0, most.1));
+    Ok(true)
+}
--- a/review/rig2/world.rs
+++ b/review/rig2/world.rs
@@ -102,16 +102,27 @@
     stores: Arc<Mutex<Stores>>,
     /// Time that a cache takes for each answer, in milliseconds, by object; 5 where none is set.
     pub pace: Arc<Mutex<HashMap<String, u64>>>,
+    /// The caches' part of the record is left out, as it would be too long.
+    pub quiet: Arc<AtomicBool>,
     /// The next good answer for this object arrives spoilt: noise in place of its bytes.
     pub spoil: Arc<Mutex<Option<String>>>,
 }
 
-pub const BODY: usize = 3100;
+/// Bytes of an object, but for those whose id begins with `c`.
+const BODY: usize = 3100;
+/// Bytes of objects whose id begins with `c`, by the last digit of the id: none over the largest of the protocol page.
+const BODIES: [usize; 6] = [240_000, 240_000, 120_000, 60_000, 30_000, 180_000];
+
+/// Bytes of an object.
+pub fn size_of(name: &str) -> usize {
+    let last = name.chars().last().and_then(|digit| digit.to_digit(16)).unwrap_or(0);
+    if name.starts_with('c') { BODIES[last as usize % BODIES.len()] } else { BODY }
+}
 
 /// The body of a part: its name and the version's tag, filled up.
 pub fn body_of(name: &str, piece: &str, tag: &str) -> Vec<u8> {
     let mut body = format!("{name}/{piece}/{tag}/").into_bytes();
-    body.resize(BODY, b'.');
+    body.resize(size_of(name), b'.');
     body
 }
 
@@ -134,6 +145,7 @@
             stores: Arc::default(),
             pace: Arc::default(),
             spoil: Arc::default(),
+            quiet: Arc::default(),
         };
         for (member, listener) in world.members.clone().into_iter().zip(listeners) {
             let world = world.clone();
@@ -182,13 +194,17 @@
                     let fields = fields.split(',').filter_map(|f| f.split_once('='));
                     let fields = fields.map(|(n, v)| (n.to_owned(), v.to_owned())).collect();
                     let want = Want { at, member: member.id, rid: word(1), fields };
-                    self.record.say(&format!(
-                        "want at {} (first byte {at} ms) {} {}",
-                        member.name(),
-                        want.rid,
-                        word(2)
-                    ));
-                    self.stores.lock().unwrap().wants.push(want.clone());
+                    if !self.quiet.load(Ordering::SeqCst) {
+                        self.record.say(&format!(
+                            "want at {} (first byte {at} ms) {} {}",
+                            member.name(),
+                            want.rid,
+                            word(2)
+                        ));
+                    }
+                    if !self.quiet.load(Ordering::SeqCst) {
+                        self.stores.lock().unwrap().wants.push(want.clone());
+                    }
                     let (world, writer, given_up) = (self.clone(), writer.clone(), given_up.clone());
                     let member = member.clone();
                     spawn(move || world.answer(&member, &want, &writer, &given_up));
@@ -213,7 +229,10 @@
         let ttl: u64 = want.field("ttl").parse().unwrap_or(0);
         wait_ms(pace.min(ttl));
         if given_up.lock().unwrap().contains(&want.rid) {
-            return self.record.say(&format!("given up at {}: {}", member.name(), want.rid));
+            if !self.quiet.load(Ordering::SeqCst) {
+                self.record.say(&format!("given up at {}: {}", member.name(), want.rid));
+            }
+            return;
         }
         let part = format!("{name}/{piece}");
         let tag = self.current_tag(name, piece);
@@ -268,7 +287,9 @@
         }
         drop(spoil);
         let mark = if spoilt { " (its bytes arrive as noise)" } else { "" };
-        self.record.say(&format!("answer of {} to {}: {word} {fields}{mark}", member.name(), want.rid));
+        if !self.quiet.load(Ordering::SeqCst) {
+            self.record.say(&format!("answer of {} to {}: {word} {fields}{mark}", member.name(), want.rid));
+        }
         let answer = array(&[want.rid.as_bytes(), word.as_bytes(), fields.as_bytes(), &body]);
         let _ = writer.lock().unwrap().write_all(&answer);
     }
@@ -502,7 +523,7 @@
 }
 
 /// The settings of a small deployment: one branch, three classes.
-pub fn config(listen: &str, coordinator: SocketAddr, members: &[Member]) -> String {
+pub fn config(listen: &str, coordinator: SocketAddr, members: &[Member], memory_mb: u32) -> String {
     let kinds = ["cache", "parent", "origin"];
     let zones = ["hub", "branch"];
     let list: Vec<String> = members
@@ -516,7 +537,7 @@
         .collect();
     format!(
         r#"{{"name":"n1","listen":"{listen}","seed":"8c1f30d27a5be964","coordinator":"{coordinator}",
-"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"flow_bytes_per_s":310000,"link_bytes_per_s":1240000,
+"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":1024}},"flow_bytes_per_s":2400000,"link_bytes_per_s":9600000,
 "known":{{"index":1,"updates":[{{"index":1,"endpoints":{{"revision":1,"complete":true,"members":[{}]}}}}]}},
 "settings":{{"balancers":1,"index":0,"family":"edge","membership_mode":"pushed","my_zone":"branch","stage":0,
 "failure_domains":["hub","branch"],"kinds":["cache","parent","origin"],"tiers":["tier"],"tenants":[],"tick_ms":2.0,
@@ -640,6 +661,8 @@
     pub piece: u32,
     pub budget_ms: u64,
     pub mem_kb: f64,
+    /// Bytes of a write.
+    pub body: usize,
 }
 
 impl Client {
@@ -690,9 +713,8 @@
             }
         }
         out.extend([11, 0, 2]);
-        let body: &[u8] = if ask.class == "entry" { b"scan" } else { b"" };
-        out.extend((body.len() as u32).to_be_bytes());
-        out.extend(body);
+        out.extend((ask.body as u32).to_be_bytes());
+        out.resize(out.len() + ask.body, b'x');
         out.push(0);
         (self.seq, rid, framed(out))
     }
@@ -708,6 +730,11 @@
         Ok((seq, rid))
     }
 
+    /// The connection itself.
+    pub fn stream(&mut self) -> &mut TcpStream {
+        &mut self.stream
+    }
+
     /// Writes bytes of a request.
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
