--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Case 9: slow-discovery. Needs the deploy file's build and review/build-2.sh. TROUBLE=0 plays it without the disruption.
+# Case 9: stopped-discovery. Needs the deploy file's build and review/build-2.sh. TROUBLE=0 plays it without the disruption.
 # Exit: 1 the rule was broken, 0 it held, 2 the case couldn't run.
 here=$(cd "$(dirname "$0")" && pwd)
-exec sh "$here/../rig2/case.sh" slow-discovery "$here"
+exec sh "$here/../rig2/case.sh" stopped-discovery "$here"
--- a/review/rig2/cases.rs
+++ b/review/rig2/cases.rs
@@ -401,8 +401,18 @@
                 let object = format!("{}{:015x}", if write { 'e' } else { 'c' }, (seed << 24) + n);
                 let (class, body) = if write { ("entry", 47_900) } else { ("reel", 0) };
                 let mem_kb = if write { 98.0 } else { size_of(&object) as f64 / 240_000.0 * 490.0 };
-                bytes
-                    .extend(client.encode(&Ask { class, object, piece: 0, budget_ms: if write { 3000 } else { 5000 }, mem_kb, body }).2);
+                bytes.extend(
+                    client
+                        .encode(&Ask {
+                            class,
+                            object,
+                            piece: 0,
+                            budget_ms: if write { 3000 } else { 5000 },
+                            mem_kb,
+                            body,
+                        })
+                        .2,
+                );
             }
             if client.write(&bytes).is_ok() {
                 open.fetch_add(i64::from(count), Ordering::SeqCst);
