--- a/review/rig2/cases.rs
+++ b/review/rig2/cases.rs
@@ -90,6 +90,7 @@
         "stopped-discovery" => stopped_discovery(folder, trouble),
         "long-outage" => long_outage(folder, trouble),
         "memory" => memory(folder, trouble),
+        "slow-readers" => slow_readers(folder, trouble),
         "slow-writer" => slow_writer(folder, trouble),
         "crowd" => crowd(folder, trouble),
         "spoilt-copy" => spoilt_copy(folder, trouble),
@@ -323,7 +324,7 @@
 const MEMORY_MB: u32 = 32;
 /// Clients of the memory case that read objects, and how many of them read slowly.
 const READERS: u64 = 300;
-const SLOW_READERS: u64 = 100;
+const SLOW_READERS: u64 = 150;
 /// Clients of the memory case that write.
 const WRITERS: u64 = 40;
 /// Bytes a second that a slow client reads.
@@ -339,15 +340,16 @@
     (field("RssAnon:"), field("VmRSS:"))
 }
 
-/// Reads the answers to `count` requests at no more than `rate` bytes a second; returns how many came whole.
-fn read_answers(stream: &mut std::net::TcpStream, count: u32, rate: f64) -> u32 {
+/// Reads the answers to `count` requests at no more than `rate` bytes a second; returns how many came whole, and
+/// whether a further one had begun.
+fn read_answers(stream: &mut std::net::TcpStream, count: u32, rate: f64) -> (u32, bool) {
     use std::io::Read;
     let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
     let (began, mut total, mut whole) = (Instant::now(), 0usize, 0);
     // Bytes of the length of the next frame, and bytes of it still to come.
     let (mut length, mut missing) = (Vec::new(), 0usize);
     let mut buffer = vec![0u8; 32 * 1024];
-    while whole < count && began.elapsed() < Duration::from_secs(7) {
+    while whole < count && began.elapsed() < Duration::from_secs(9) {
         let n = match stream.read(&mut buffer) {
             Ok(0) => break,
             Ok(n) => n,
@@ -376,7 +378,7 @@
             std::thread::sleep(Duration::from_secs_f64(ahead));
         }
     }
-    whole
+    (whole, missing > 0 || !length.is_empty())
 }
 
 /// Sends `count` requests at once on a new connection and reads their answers; repeats it each `period_ms`.
@@ -417,7 +419,7 @@
             if client.write(&bytes).is_ok() {
                 open.fetch_add(i64::from(count), Ordering::SeqCst);
                 sent.fetch_add(i64::from(count), Ordering::SeqCst);
-                let whole = read_answers(client.stream(), count, rate);
+                let (whole, _) = read_answers(client.stream(), count, rate);
                 open.fetch_sub(i64::from(whole), Ordering::SeqCst);
             }
             // Clients close a connection that has been idle for 4 s.
@@ -446,7 +448,7 @@
     }
     let limit = u64::from(MEMORY_MB) * 1024;
     let (began, mut next, mut most) = (Instant::now(), 0, (0, 0));
-    while began.elapsed() < Duration::from_secs(75) {
+    while began.elapsed() < Duration::from_secs(25) {
         wait_ms(10);
         let (anonymous, resident) = memory_of(process);
         most = (most.0.max(anonymous), most.1.max(resident));
@@ -475,3 +477,47 @@
         .say(&format!("at most {} KiB anonymous, {} KiB resident; the limit is {limit} KiB", most.0, most.1));
     Ok(true)
 }
+
+/// Clients of the slow readers' case, the requests that each sends at once, and the bytes a second that each reads.
+const PATIENT: u64 = 40;
+const AT_ONCE: u64 = 10;
+const PATIENT_RATE: f64 = 600_000.0;
+
+/// Clients send ten reads each and read the answers steadily, at less than 1 MB a second.
+fn slow_readers(folder: &str, trouble: bool) -> Result<bool, Fault> {
+    let site = Site::start_with(folder, 3, MEMORY_MB)?;
+    site.world.quiet.store(true, Ordering::SeqCst);
+    let rate = if trouble { PATIENT_RATE } else { f64::INFINITY };
+    let mut clients = Vec::new();
+    for n in 0..PATIENT {
+        let (listen, record) = (site.router.listen.clone(), site.record.clone());
+        clients.push(std::thread::spawn(move || -> std::io::Result<u64> {
+            wait_ms(n * 1000 / PATIENT);
+            let mut client = Client::connect(&listen, &record)?;
+            let mut bytes = Vec::new();
+            for part in 0..AT_ONCE {
+                // All objects are of the largest size.
+                let object = format!("c{:014x}0", (n << 20) + part);
+                let ask = Ask { class: "reel", object, piece: 0, budget_ms: 5000, mem_kb: 490.0, body: 0 };
+                bytes.extend(client.encode(&ask).2);
+            }
+            client.write(&bytes)?;
+            let began = Instant::now();
+            let (whole, begun) = read_answers(client.stream(), AT_ONCE as u32, rate);
+            // An answer that had begun has failed and is not lost.
+            let lost = AT_ONCE - u64::from(whole) - u64::from(begun);
+            let mark = if lost > 0 { "LOST: " } else { "" };
+            record.say(&format!(
+                "{mark}client {n}: after {} ms {whole} of {AT_ONCE} answered, one begun: {begun}, {lost} without any byte",
+                began.elapsed().as_millis()
+            ));
+            Ok(lost)
+        }));
+    }
+    let mut lost = 0;
+    for client in clients {
+        lost += client.join().map_err(|_| "a client failed")?.map_err(|e| e.to_string())?;
+    }
+    site.record.say(&format!("{lost} of {} requests were lost", PATIENT * AT_ONCE));
+    Ok(lost == 0)
+}
