Own copies are withheld once a purge binds unsent: 4 s after a stop, 2 s after a break

Cause: once the feed's lease (4 s) had run out only copies issued over 7 s ago were withheld. 7 s is the last of the times from which an event counts as told; after a stop it is 4 s, after a break 2 s. Evidence: the log line names the lease at 4,033 ms after the last word, no second confirmation, no cache asked for the object between the purge and the end of the old answers. Change: beyond the lease an own copy must be younger than the grace of a purge. A break shortens the lease to 2 s unless the feed is confirmed after it; a connection that this side gives up is no break. No copy is dropped; caches are asked as before.

--- a/silverspindle/src/coordinator.rs
+++ b/silverspindle/src/coordinator.rs
@@ -53,6 +53,11 @@
     fn is_closed(&self) -> bool;
     /// Takes an event; false if nobody takes events any more.
     fn tell(&self, told: Told) -> impl Future<Output = bool>;
+    /// Called when an established connection broke, no earlier than this time of the steady clock; false if nobody takes
+    /// events any more.
+    fn broken(&self, _at: Micros) -> impl Future<Output = bool> {
+        async { true }
+    }
     /// Called before the next event where the coordinator no longer has some events in between; false if nobody takes
     /// events any more.
     fn missed(&self) -> impl Future<Output = bool> {
@@ -78,6 +83,10 @@
         sent
     }
 
+    async fn broken(&self, at: Micros) -> bool {
+        self.0.send(Notification::Broken { at }).await.is_ok()
+    }
+
     async fn missed(&self) -> bool {
         self.0.send(Notification::EventsMissed).await.is_ok()
     }
@@ -150,13 +159,21 @@
         let stream = within(CONNECT_TIMEOUT, Async::<TcpStream>::connect(self.address)).await?;
         within(CONNECT_TIMEOUT, (&stream).write_all(&self.last.to_be_bytes())).await?;
         tracing::info!(event = self.last, "coordinator {}: following", self.address);
-        let mut frames =
-            MessageReader::new(&stream, feed::measure, READ_CHUNK).with_stall_timeout(STALL_TIMEOUT);
         // The time since when nothing is left unread: what comes then was not there yet, however late it is read.
         let mut empty = steady_now();
+        let ended = self.receive(&stream, &mut empty).await;
+        if ended.as_ref().is_err_and(is_break) {
+            self.notices.broken(empty).await;
+        }
+        ended
+    }
+
+    /// Reads the frames of one connection, until it ends or falls silent, or until the director is gone.
+    async fn receive(&mut self, stream: &Async<TcpStream>, empty: &mut Micros) -> io::Result<()> {
+        let mut frames =
+            MessageReader::new(stream, feed::measure, READ_CHUNK).with_stall_timeout(STALL_TIMEOUT);
         loop {
-            let Some(frame) =
-                within(SILENCE_TIMEOUT, read_when_empty_until(frames.next(), &mut empty)).await?
+            let Some(frame) = within(SILENCE_TIMEOUT, read_when_empty_until(frames.next(), empty)).await?
             else {
                 return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "closed"));
             };
@@ -185,7 +202,7 @@
                     return Ok(());
                 }
             }
-            if !self.notices.tell(Told { event, frame, after: empty }).await {
+            if !self.notices.tell(Told { event, frame, after: *empty }).await {
                 return Ok(());
             }
             // Only now: dropped before, on a move, the event is asked for again.
@@ -196,6 +213,12 @@
     }
 }
 
+/// Whether an established connection with this error was ended by the coordinator. After a silence, a gap or a frame that
+/// can't be read it is this side that ends it.
+fn is_break(error: &io::Error) -> bool {
+    !matches!(error.kind(), io::ErrorKind::TimedOut | io::ErrorKind::InvalidData)
+}
+
 /// Completes a read and records the last time at which the socket was still empty.
 async fn read_when_empty_until<T>(read: impl Future<Output = T>, empty: &mut Micros) -> T {
     let mut read = pin!(read);
--- a/silverspindle/src/director/freshness.rs
+++ b/silverspindle/src/director/freshness.rs
@@ -19,6 +19,7 @@
         match notification {
             Notification::Update(update) => self.handle_update(update, ListKind::Full),
             Notification::Confirmed { at } => self.shared.state.feed_confirmed(at),
+            Notification::Broken { at } => self.shared.state.feed_broken(at),
             Notification::EventsMissed => self.discard_own_copies(),
             Notification::PurgedBefore(at) => {
                 let what = PurgeTarget::Group(ALL_GROUPS);
@@ -41,7 +42,7 @@
     }
 
     /// Whether a copy that the origin issued at this time may be served as far as the feed's lease goes:
-    /// always while the lease holds, and only if the copy is younger than the lease once it has run out.
+    /// always while the lease holds, and only if no purge that binds unheard can apply to it once it has run out.
     pub(super) fn is_covered_by_lease(&self, now: Micros, stamp: Stamp) -> bool {
         self.shared.state.max_copy_age().is_none_or(|max_age| self.skew.copy_age(now, stamp) < max_age)
     }
--- a/silverspindle/src/distribution/lease.rs
+++ b/silverspindle/src/distribution/lease.rs
@@ -73,7 +73,12 @@
     fn freshness(&self) -> FeedFreshness {
         let at = steady_now();
         let feed = self.guard.read(at);
-        FeedFreshness { at, age: feed.age, max_copy_age: feed.max_copy_age }
+        FeedFreshness {
+            at,
+            age: feed.age,
+            max_copy_age: feed.max_copy_age,
+            max_cache_copy_age: feed.max_copy_age,
+        }
     }
 
     fn applied(&self, after: u64, number: u64) {
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -135,6 +135,7 @@
         let mut director =
             Director::new(config.seed, shared, pending_answers.clone(), copies).with_knowledge(knowledge);
         let (last_event, known) = config.known;
+        let purge_grace = site.settings.purge_grace;
         let purge_cleared_after = site.settings.purge_complete_within + site.settings.purge_grace;
         let known_for_relay = conf.relay.as_ref().map(|_| known.clone());
         known.into_iter().for_each(|event| director.handle_update(event.update, ListKind::Cached));
@@ -221,7 +222,8 @@
             None => {
                 // The known events are those of the start.
                 let confirmed_at = (last_event > 0).then(steady_now);
-                state.set_lease(Rc::new(CoordinatorLease::new(confirmed_at)), purge_cleared_after);
+                let lease = CoordinatorLease::new(confirmed_at, purge_grace);
+                state.set_lease(Rc::new(lease), purge_cleared_after);
                 let coordinator = Coordinator {
                     address: config.coordinator,
                     last: last_event,
--- a/silverspindle/src/traffic/board.rs
+++ b/silverspindle/src/traffic/board.rs
@@ -51,9 +51,11 @@
     pub at: Micros,
     /// Age of the feed's last confirmation; `None` if there has been none.
     pub age: Option<Micros>,
-    /// Set while the lease has run out: copies older than this may have been purged without this router's
+    /// Set while the lease has run out: own copies older than this may have been purged without this router's
     /// knowledge.
     pub max_copy_age: Option<Micros>,
+    /// The same for copies of caches, unless the caches have dropped older purged copies by that age.
+    pub max_cache_copy_age: Option<Micros>,
 }
 
 /// The lease of the feed of purges, consulted right before acting.
@@ -63,6 +65,9 @@
     /// Called when the director has applied everything that the coordinator had at this time of the steady clock. A
     /// feed that has its confirmations from elsewhere ignores it.
     fn confirmed(&self, _at: Micros) {}
+    /// Called when the connection to the coordinator broke, no earlier than this time of the steady clock. A feed that
+    /// has its confirmations from elsewhere ignores it.
+    fn broken(&self, _at: Micros) {}
     /// Called when the director has applied a batch: the numbers after `after`, up to and including `number`.
     fn applied(&self, after: u64, number: u64);
     /// Called when the director has applied a state that replaces all numbers up to and including this one.
@@ -81,6 +86,11 @@
         /// That time.
         at: Micros,
     },
+    /// The connection to the coordinator broke, no earlier than this time of the steady clock.
+    Broken {
+        /// That time.
+        at: Micros,
+    },
     /// Events between the updates so far and the next one are lost; purges may be among them.
     EventsMissed,
     /// All copies issued before this time may have been purged.
@@ -155,7 +165,7 @@
         self.purge_complete_within.set(purge_complete_within);
     }
 
-    /// While the feed's lease has run out: the maximum age of copies that may be served.
+    /// While the feed's lease has run out: the maximum age of own copies that may be served.
     pub fn max_copy_age(&self) -> Option<Micros> {
         self.lease.borrow().as_ref()?.freshness().max_copy_age
     }
@@ -163,11 +173,11 @@
     /// The same for copies of caches; `None` if the caches themselves have dropped older purged copies by
     /// that age.
     pub fn max_cache_copy_age(&self) -> Option<Micros> {
-        self.limit_for_caches(self.max_copy_age()?)
+        self.limit_for_caches(&self.lease.borrow().as_ref()?.freshness())
     }
 
-    fn limit_for_caches(&self, max_copy_age: Micros) -> Option<Micros> {
-        (max_copy_age <= self.purge_complete_within.get()).then_some(max_copy_age)
+    fn limit_for_caches(&self, freshness: &FeedFreshness) -> Option<Micros> {
+        freshness.max_cache_copy_age.filter(|age| *age <= self.purge_complete_within.get())
     }
 
     /// Reports that the director has applied everything that the coordinator had at this time of the steady clock.
@@ -177,6 +187,13 @@
         }
     }
 
+    /// Reports that the connection to the coordinator broke, no earlier than this time of the steady clock.
+    pub fn feed_broken(&self, at: Micros) {
+        if let Some(lease) = self.lease.borrow().as_ref() {
+            lease.broken(at);
+        }
+    }
+
     /// Reports that the director has applied a batch, or, without `after`, a state that replaces all numbers
     /// up to this one.
     pub fn applied(&self, after: Option<u64>, number: u64) {
@@ -313,7 +330,7 @@
         let purges = self.purges.borrow();
         let purged_since = |what| purges.get(&what).is_some_and(|(number, _)| *number > attempt.purge_seq);
         let freshness = self.lease.borrow().as_ref().map(|lease| lease.freshness());
-        let max_copy_age = freshness.and_then(|freshness| self.limit_for_caches(freshness.max_copy_age?));
+        let max_copy_age = freshness.and_then(|freshness| self.limit_for_caches(&freshness));
         let allows = self.clock.now() < attempt.write_by
             && !attempt.call.finished.get()
             && !attempt.client.is_gone()
--- a/silverspindle/tests/common/orders.rs
+++ b/silverspindle/tests/common/orders.rs
@@ -212,7 +212,12 @@
 
 impl FeedLease for Feed {
     fn freshness(&self) -> FeedFreshness {
-        FeedFreshness { at: 0, age: None, max_copy_age: self.0.get().then_some(LEASE) }
+        FeedFreshness {
+            at: 0,
+            age: None,
+            max_copy_age: self.0.get().then_some(LEASE),
+            max_cache_copy_age: self.0.get().then_some(LEASE),
+        }
     }
     fn applied(&self, _: u64, _: u64) {}
     fn reset(&self, _: u64) {}
--- a/silverspindle/tests/crossing_lists.rs
+++ b/silverspindle/tests/crossing_lists.rs
@@ -211,3 +211,23 @@
         assert!(received.is_empty());
     });
 }
+
+/// A connection that the coordinator breaks is reported behind what it brought, and one that this side gives up for its
+/// silence is not. Guards against own copies that a purge may apply to which was to be sent when the connection broke.
+#[test]
+fn a_break_is_reported_and_a_silence_is_not() {
+    run(async |tasks| {
+        let FollowerHarness { listener, received, .. } = start_follower_with(tasks, DirectorSink);
+        let (_silent, _) = accept_follower(&listener).await;
+        let (mut stream, _) = accept_follower(&listener).await;
+        let began = steady_now();
+        stream.write_all(&[purge_event(2), purge_event(3)[..10].to_vec()].concat()).await.unwrap();
+        assert!(matches!(received.recv().await.unwrap(), Notification::Update(Update::Purged { .. })));
+        drop(stream);
+        let broken = received.recv().await.unwrap();
+        let Notification::Broken { at } = broken else { panic!("{broken:?}") };
+        assert!(at <= steady_now() && at + 1_000_000 >= began);
+        assert_eq!(accept_follower(&listener).await.1, 2);
+        assert!(received.is_empty());
+    });
+}
--- a/silverspindle/tests/distribution.rs
+++ b/silverspindle/tests/distribution.rs
@@ -319,7 +319,12 @@
 
 impl FeedLease for Scripted {
     fn freshness(&self) -> FeedFreshness {
-        FeedFreshness { at: 0, age: None, max_copy_age: self.oldest.get() }
+        FeedFreshness {
+            at: 0,
+            age: None,
+            max_copy_age: self.oldest.get(),
+            max_cache_copy_age: self.oldest.get(),
+        }
     }
     fn applied(&self, _: u64, _: u64) {}
     fn reset(&self, _: u64) {}
