A silent connection to the coordinator is kept while others are tried beside it

Cause: each connection was closed after 1.8 s without a whole frame, so none lived until its first one; half a frame got 0.5 s. Evidence: the log has 'silent; connecting anew' every 1.8 s and the retry delay, the last event stays 1 throughout. Change: another connection is opened beside the silent one, four at most; the first that delivers closes the others. The oldest that has not had its turn and those on which bytes come are kept (coordinator/hedging.rs, no I/O). Breaks are retried as before.

--- a/silverspindle/src/coordinator.rs
+++ b/silverspindle/src/coordinator.rs
@@ -1,40 +1,23 @@
 //! The list's actor: follows the coordinator's events, from `known` on, and hands them to the director. It
 //! moves to another coordinator when told to; numbering continues there.
 
+use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use async_io::{Async, Timer};
 use bitternhold::Micros;
 use bytes::Bytes;
-use futures_lite::{AsyncWriteExt, future};
-use std::io;
-use std::net::TcpStream;
-use std::pin::pin;
+use futures_lite::future;
 
 use crate::feed::{self, Event, Update};
-use crate::framing::MessageReader;
-use crate::steady::steady_now;
 use crate::traffic::Notification;
 
+mod connections;
+pub mod hedging;
 pub mod lease;
 
-/// Timeout for the next frame. The coordinator sends an empty one each second. Of the 7 s after which events bind
-/// unsent, this leaves time for three connections in a row that fall silent.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1800);
-/// Timeout for the next bytes of an incomplete frame.
-const STALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Timeout of a connect, and of writing the number of the last event.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Delay before the second attempt to reconnect, doubled from attempt to attempt; the first comes at once.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Maximum delay between two attempts to reconnect.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Maximum number of bytes that are read of a frame at once.
-const READ_CHUNK: usize = 16 * 1024;
-/// Interval at which a waiting read is polled, to know up to when the socket was empty.
-const EMPTY_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+use connections::{Connections, Incoming};
+use hedging::ConnectionId;
 
 /// An event as it was received.
 #[derive(Debug)]
@@ -107,12 +90,14 @@
     pub gap: Option<u64>,
 }
 
-async fn within<T>(time: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
-    let late = async {
-        Timer::after(time).await;
-        Err(io::Error::new(io::ErrorKind::TimedOut, "silent"))
-    };
-    future::or(work, late).await
+/// What became of a frame.
+enum Taken {
+    /// An event, or the confirmation that there is none, was handed on.
+    Delivered { is_event: bool },
+    /// It brought nothing new, and confirms nothing.
+    Ignored,
+    /// The director is gone.
+    Unwanted,
 }
 
 impl<S: Sink> Coordinator<S> {
@@ -141,99 +126,69 @@
         }
     }
 
-    /// Follows one coordinator through breaks, until the director is gone. May be dropped at any point.
+    /// Follows one coordinator through breaks and silences, until the director is gone. May be dropped at any point.
     async fn follow_on(&mut self) {
-        let mut wait = Duration::ZERO;
+        let mut connections = Connections::new(self.address);
         while !self.notices.is_closed() {
-            let before = self.last;
-            let Err(e) = self.follow().await else { return };
-            tracing::warn!(event = self.last, "coordinator {}: {e}; connecting anew", self.address);
-            wait = if self.last > before { Duration::ZERO } else { wait };
-            Timer::after(wait).await;
-            wait = (wait * 2).clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+            match connections.next(self.last).await {
+                (id, Incoming::Frame { frame, after }) => match self.take(frame, after).await {
+                    Ok(Taken::Delivered { is_event }) => connections.delivered(id, is_event),
+                    Ok(Taken::Ignored) => connections.heard(id),
+                    Ok(Taken::Unwanted) => return,
+                    Err(error) => self.end(&mut connections, id, &error),
+                },
+                (_, Incoming::Stalled) => connections.stalled(),
+                (id, Incoming::Ended { error, broken_after }) => {
+                    self.end(&mut connections, id, &error);
+                    if let Some(at) = broken_after
+                        && !self.notices.broken(at).await
+                    {
+                        return;
+                    }
+                }
+            }
         }
     }
 
-    /// One connection, to its end.
-    async fn follow(&mut self) -> io::Result<()> {
-        let stream = within(CONNECT_TIMEOUT, Async::<TcpStream>::connect(self.address)).await?;
-        within(CONNECT_TIMEOUT, (&stream).write_all(&self.last.to_be_bytes())).await?;
-        tracing::info!(event = self.last, "coordinator {}: following", self.address);
-        // The time since when nothing is left unread: what comes then was not there yet, however late it is read.
-        let mut empty = steady_now();
-        let ended = self.receive(&stream, &mut empty).await;
-        if ended.as_ref().is_err_and(is_break) {
-            self.notices.broken(empty).await;
-        }
-        ended
+    fn end(&self, connections: &mut Connections, id: ConnectionId, error: &io::Error) {
+        tracing::warn!(event = self.last, "coordinator {}: {error}; connecting anew", self.address);
+        connections.end(id);
     }
 
-    /// Reads the frames of one connection, until it ends or falls silent, or until the director is gone.
-    async fn receive(&mut self, stream: &Async<TcpStream>, empty: &mut Micros) -> io::Result<()> {
-        let mut frames =
-            MessageReader::new(stream, feed::measure, READ_CHUNK).with_stall_timeout(STALL_TIMEOUT);
-        loop {
-            let Some(frame) = within(SILENCE_TIMEOUT, read_when_empty_until(frames.next(), empty)).await?
-            else {
-                return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "closed"));
-            };
-            let event = feed::decode(&frame)?;
-            let index = event.index;
-            // Nothing more to tell: what was told is current.
-            let current = event.update == Update::UpToDate;
-            // What came already, before a break, is not told twice: an old list would undo newer changes.
-            if index <= self.last && !current {
-                continue;
-            }
-            // Numbered ahead of the last event here: some are still to come, so this does not confirm the feed.
-            if index > self.last && current {
-                tracing::debug!(event = self.last, "coordinator: says that it has told all up to {index}");
-                continue;
-            }
-            if index > self.last + 1 && !current {
-                let missing = format!("events {} to {} are missing", self.last + 1, index - 1);
-                // What is missing may be a drain or a purge: it is asked for again, by connecting from the last event
-                // that is known. A coordinator that has no more to tell than this is believed the second time.
-                if self.gap.replace(self.last) != Some(self.last) {
-                    return Err(io::Error::new(io::ErrorKind::InvalidData, missing));
-                }
-                tracing::warn!(event = index, "coordinator: {missing}, also when asked again");
-                if !self.notices.missed().await {
-                    return Ok(());
-                }
-            }
-            if !self.notices.tell(Told { event, frame, after: *empty }).await {
-                return Ok(());
+    /// Hands a frame on that arrived after this time of the steady clock. An error ends its connection.
+    async fn take(&mut self, frame: Bytes, after: Micros) -> io::Result<Taken> {
+        let event = feed::decode(&frame)?;
+        let index = event.index;
+        // Nothing more to tell: what was told is current.
+        let current = event.update == Update::UpToDate;
+        // What came already, before a break, is not told twice: an old list would undo newer changes.
+        if index <= self.last && !current {
+            return Ok(Taken::Ignored);
+        }
+        // Numbered ahead of the last event here: some are still to come, so this does not confirm the feed.
+        if index > self.last && current {
+            tracing::debug!(event = self.last, "coordinator: says that it has told all up to {index}");
+            return Ok(Taken::Ignored);
+        }
+        if index > self.last + 1 && !current {
+            let missing = format!("events {} to {} are missing", self.last + 1, index - 1);
+            // What is missing may be a drain or a purge: it is asked for again, by connecting from the last event
+            // that is known. A coordinator that has no more to tell than this is believed the second time.
+            if self.gap.replace(self.last) != Some(self.last) {
+                return Err(io::Error::new(io::ErrorKind::InvalidData, missing));
             }
-            // Only now: dropped before, on a move, the event is asked for again.
-            if !current {
-                self.last = index;
+            tracing::warn!(event = index, "coordinator: {missing}, also when asked again");
+            if !self.notices.missed().await {
+                return Ok(Taken::Unwanted);
             }
         }
-    }
-}
-
-/// Whether an established connection with this error was ended by the coordinator. After a silence, a gap or a frame that
-/// can't be read it is this side that ends it.
-fn is_break(error: &io::Error) -> bool {
-    !matches!(error.kind(), io::ErrorKind::TimedOut | io::ErrorKind::InvalidData)
-}
-
-/// Completes a read and records the last time at which the socket was still empty.
-async fn read_when_empty_until<T>(read: impl Future<Output = T>, empty: &mut Micros) -> T {
-    let mut read = pin!(read);
-    loop {
-        let began = steady_now();
-        if let Some(done) = future::poll_once(&mut read).await {
-            return done;
+        if !self.notices.tell(Told { event, frame, after }).await {
+            return Ok(Taken::Unwanted);
         }
-        *empty = began;
-        let check_due = async {
-            Timer::after(EMPTY_CHECK_INTERVAL).await;
-            None
-        };
-        if let Some(done) = future::or(async { Some((&mut read).await) }, check_due).await {
-            return done;
+        // Only now: dropped before, on a move, the event is asked for again.
+        if !current {
+            self.last = index;
         }
+        Ok(Taken::Delivered { is_event: !current })
     }
 }
--- a/silverspindle/tests/crossing_lists.rs
+++ b/silverspindle/tests/crossing_lists.rs
@@ -107,6 +107,44 @@
     });
 }
 
+/// A crowded coordinator serves the first connection only once others wait as well. Guards against a router that gives
+/// each silent connection up before its turn comes, and so never hears of a drain.
+#[test]
+fn a_connection_that_is_served_late_is_still_read() {
+    run(async |tasks| {
+        let feed = start_follower(tasks);
+        let (mut first, _) = accept_follower(&feed.listener).await;
+        let (mut second, _) = accept_follower(&feed.listener).await;
+        let (mut third, _) = accept_follower(&feed.listener).await;
+        first.write_all(&purge_event(2)).await.unwrap();
+        assert_eq!(next_purge(&feed).await, 2);
+        // The others are closed, and the one that delivered is followed on.
+        assert_eq!(second.read(&mut [0]).await.unwrap(), 0);
+        assert_eq!(third.read(&mut [0]).await.unwrap(), 0);
+        first.write_all(&purge_event(3)).await.unwrap();
+        assert_eq!(next_purge(&feed).await, 3);
+    });
+}
+
+/// A frame drips: its parts come so far apart that others are tried meanwhile. Guards against a router that starts a
+/// frame over and over and never has it whole.
+#[test]
+fn a_frame_that_drips_is_read_to_its_end() {
+    run(async |tasks| {
+        let feed = start_follower(tasks);
+        let (mut dripping, _) = accept_follower(&feed.listener).await;
+        let frame = purge_event(2);
+        let (start, rest) = frame.split_at(3);
+        dripping.write_all(start).await.unwrap();
+        let _silent = accept_follower(&feed.listener).await;
+        let (middle, end) = rest.split_at(5);
+        dripping.write_all(middle).await.unwrap();
+        let _other_silent = accept_follower(&feed.listener).await;
+        dripping.write_all(end).await.unwrap();
+        assert_eq!(next_purge(&feed).await, 2);
+    });
+}
+
 /// A connection to the coordinator that breaks after every connect is retried with a growing delay.
 #[test]
 fn a_connection_that_breaks_after_every_connect_is_retried_with_backoff() {
