Requests of thousands of short fields take no more memory than their frame

Cause: decoding made a list of 32 bytes a field, 256 KB a frame, and list and frame lived while the connection waited for the director's mailbox or for its client to read replies. Change: Fields reads entries from the frame when asked; a message is handled without waiting and its frame dropped before any wait; method names over 256 bytes end the connection, as replies repeat them. codecs.rs compares the entries one by one: as strict.

--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -21,7 +21,7 @@
 use crate::counters::{CloseReason, RefusalReason};
 use crate::drain::{ConnectionState, HoldReason};
 use crate::framing::{ChargedUntil, Malformed, MessageReader};
-use crate::traffic::{ClientHandle, Message, Verdict};
+use crate::traffic::{Call, ClientHandle, Message, Verdict};
 use crate::{clock, invariant, thrift};
 
 /// Maximum number of bytes that are read of a request before there is memory for all of it.
@@ -348,64 +348,76 @@
                 },
                 Err(e) => return Err(e),
             };
-            let arrived = clock::now();
-            self.received_any.set(true);
-            self.last_active.set(arrived);
-            let reply = match thrift::decode(&frame)? {
-                thrift::Message::Forget(seq) => {
-                    front
-                        .director
-                        .send(Message::Forget { client: self.id, seq })
-                        .await
-                        .map_err(closed_error)?;
-                    None
+            // The frame is dropped before anything is waited for: a client that reads no replies must not hold it.
+            match self.handle_frame(frame, frames.received_at(), &mut last_seq)? {
+                Handled::Forward(message) => front.director.send(message).await.map_err(closed_error)?,
+                Handled::Reply(reply) => {
+                    self.unwritten_replies.set(self.unwritten_replies.get() + 1);
+                    reply_sender.send(reply).await.map_err(closed_error)?;
                 }
-                thrift::Message::Unknown { oneway: true, .. } => None,
-                thrift::Message::Serve { seq, .. } if seq <= last_seq => {
-                    // Two answers with the same sequence number could not be told apart.
-                    return Err(Malformed("sequence number is not increasing").into());
-                }
-                thrift::Message::Serve { seq, fields, body } => {
-                    last_seq = seq;
-                    self.last_request.set(Some(arrived));
-                    let body = frame.slice_ref(body);
-                    // The request's time runs from the arrival of its last byte, even if it was read later: the deadline
-                    // passed on must not exceed the time that the client has left.
-                    match front.parse_call(&fields, body, frames.received_at()) {
-                        // Too many open requests. Nothing has run, so a refusal is safe; reading must go on, as a `forget`
-                        // may follow.
-                        Ok(call) if self.open.get() >= MAX_QUEUED_ANSWERS => {
-                            Some(Reply::Verdict(seq, front.refuse(call, RefusalReason::TooManyOpen)))
-                        }
-                        Ok(call) if self.unwritten_bytes.get() >= MAX_UNWRITTEN_BYTES => {
-                            Some(Reply::Verdict(seq, front.refuse(call, RefusalReason::Backlog)))
-                        }
-                        Ok(call) => match self.refusal_reason(arrived, call.deadline) {
-                            Some(reason) => Some(Reply::Verdict(seq, front.refuse(call, reason))),
-                            None => {
-                                self.open.set(self.open.get() + 1);
-                                let request = Message::Request { client: self.clone(), seq, call };
-                                front.director.send(request).await.map_err(closed_error)?;
-                                None
-                            }
-                        },
-                        Err(verdict) => Some(Reply::Verdict(seq, verdict)),
-                    }
-                }
-                thrift::Message::IsWell(seq) => Some(Reply::IsWell(seq, front.drain.borrow().ready())),
-                thrift::Message::Unknown { seq, name, .. } => {
-                    Some(Reply::Unknown(seq, String::from_utf8_lossy(name).into_owned()))
-                }
-            };
-            if let Some(reply) = reply {
-                self.unwritten_replies.set(self.unwritten_replies.get() + 1);
-                reply_sender.send(reply).await.map_err(closed_error)?;
+                Handled::Nothing => {}
             }
             // A client that sends at full speed must not starve the others.
             future::yield_now().await;
         }
     }
 
+    /// Handles a message of the client, whose last byte arrived at `received_at`. `last_seq` is the sequence number of the
+    /// last request. An error ends the connection.
+    fn handle_frame(
+        self: &Rc<Self>,
+        frame: Bytes,
+        received_at: Micros,
+        last_seq: &mut i32,
+    ) -> io::Result<Handled> {
+        let front = &*self.front;
+        let arrived = clock::now();
+        self.received_any.set(true);
+        self.last_active.set(arrived);
+        Ok(match thrift::decode(&frame)? {
+            thrift::Message::Forget(seq) => Handled::Forward(Message::Forget { client: self.id, seq }),
+            thrift::Message::Unknown { oneway: true, .. } => Handled::Nothing,
+            thrift::Message::Serve { seq, .. } if seq <= *last_seq => {
+                // Two answers with the same sequence number could not be told apart.
+                return Err(Malformed("sequence number is not increasing").into());
+            }
+            thrift::Message::Serve { seq, fields, body } => {
+                *last_seq = seq;
+                self.last_request.set(Some(arrived));
+                let body = frame.slice_ref(body);
+                // The request's time runs from the arrival of its last byte, even if it was read later: the deadline
+                // passed on must not exceed the time that the client has left.
+                match front.parse_call(&fields, body, received_at) {
+                    Ok(call) => self.admit_call(arrived, seq, call),
+                    Err(verdict) => Handled::Reply(Reply::Verdict(seq, verdict)),
+                }
+            }
+            thrift::Message::IsWell(seq) => Handled::Reply(Reply::IsWell(seq, front.drain.borrow().ready())),
+            thrift::Message::Unknown { seq, name, .. } => {
+                Handled::Reply(Reply::Unknown(seq, String::from_utf8_lossy(name).into_owned()))
+            }
+        })
+    }
+
+    /// Passes a valid request on, or refuses it where this connection or a drain has no place for it. Nothing has run, so
+    /// a refusal is safe; reading must go on, as a `forget` may follow.
+    fn admit_call(self: &Rc<Self>, arrived: Micros, seq: i32, call: Call) -> Handled {
+        let refusal_reason = if self.open.get() >= MAX_QUEUED_ANSWERS {
+            Some(RefusalReason::TooManyOpen)
+        } else if self.unwritten_bytes.get() >= MAX_UNWRITTEN_BYTES {
+            Some(RefusalReason::Backlog)
+        } else {
+            self.refusal_reason(arrived, call.deadline)
+        };
+        match refusal_reason {
+            Some(reason) => Handled::Reply(Reply::Verdict(seq, self.front.refuse(call, reason))),
+            None => {
+                self.open.set(self.open.get() + 1);
+                Handled::Forward(Message::Request { client: self.clone(), seq, call })
+            }
+        }
+    }
+
     /// Why a drain or a shutdown refuses a request that arrived now, if it does.
     fn refusal_reason(&self, arrived: Micros, deadline: Micros) -> Option<RefusalReason> {
         self.front.drain.borrow().refusal(arrived, deadline, self.state())
@@ -506,6 +518,16 @@
     }
 }
 
+/// What is to be done about a client's message.
+enum Handled {
+    /// It goes to the director.
+    Forward(Message),
+    /// It is answered at once.
+    Reply(Reply),
+    /// It needs no answer.
+    Nothing,
+}
+
 /// Why a connection ended.
 enum End {
     /// The client has closed, or no further answers can come.
--- a/silverspindle/src/front/request.rs
+++ b/silverspindle/src/front/request.rs
@@ -32,8 +32,8 @@
         arrived: Micros,
     ) -> Result<Call, Verdict> {
         // Outer none: not valid UTF-8. Inner none: the field is absent.
-        let field = |name: &str| match fields.iter().find(|(n, _)| *n == name.as_bytes()) {
-            Some((_, value)) => std::str::from_utf8(value).ok().map(Some),
+        let field = |name: &str| match fields.get(name.as_bytes()) {
+            Some(value) => std::str::from_utf8(value).ok().map(Some),
             None => Some(None),
         };
         // Caches parse lists of name=value, so a value must not hold a separator.
--- a/silverspindle/tests/codecs.rs
+++ b/silverspindle/tests/codecs.rs
@@ -42,8 +42,14 @@
         bytes.extend(forget(seq));
         let frames = in_pieces(&bytes, &sizes, thrift::measure).unwrap();
         prop_assert_eq!(frames.len(), 2);
-        let fields = fields.iter().map(|(a, b)| (a.as_bytes(), b.as_bytes())).collect();
-        prop_assert_eq!(thrift::decode(&frames[0]), Ok(thrift::Message::Serve { seq, fields, body: &body }));
+        let fields: Vec<_> = fields.iter().map(|(a, b)| (a.as_bytes(), b.as_bytes())).collect();
+        let thrift::Message::Serve { seq: decoded_seq, fields: decoded_fields, body: decoded_body } =
+            thrift::decode(&frames[0]).unwrap()
+        else {
+            panic!("not a request")
+        };
+        prop_assert_eq!((decoded_seq, decoded_body), (seq, &body[..]));
+        prop_assert_eq!(decoded_fields.iter().collect::<Vec<_>>(), fields);
         prop_assert_eq!(thrift::decode(&frames[1]), Ok(thrift::Message::Forget(seq)));
     }
 
--- a/silverspindle/tests/memory_limits.rs
+++ b/silverspindle/tests/memory_limits.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::cell::Cell;
-use std::io::{ErrorKind, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::pin::pin;
 use std::rc::Rc;
@@ -87,6 +87,69 @@
     });
 }
 
+/// A request with thousands of fields of no length besides its own.
+fn request_with_many_fields(number: i32, seq: i32) -> Vec<u8> {
+    const EMPTY_FIELDS: usize = 8_000;
+    let rid = format!("{:016x}", number * 1000 + seq);
+    let mut fields: Vec<(&str, &str)> = page("");
+    fields[1].1 = &rid;
+    fields.resize(fields.len() + EMPTY_FIELDS, ("", ""));
+    serve(seq, &fields, b"")
+}
+
+/// Guards against a router that is killed for memory: hundreds of clients send requests with thousands of short fields, all
+/// at once and as fast as they are read. Each request has its answer; no cache is up.
+#[test]
+fn requests_with_thousands_of_fields_stay_within_the_memory_limit() {
+    const LIMIT_MB: usize = 32;
+    const CLIENTS: i32 = 250;
+    const REQUESTS_OF_EACH: i32 = 8;
+    let (_coordinator, address) = listen();
+    let gone = listen().1;
+    let mut file = configuration(&[entry(1, "box", gone), entry(99, "origin", gone)], address);
+    file["limits"]["memory_mb"] = LIMIT_MB.into();
+    let router = start(&file, &format!("{}:0", ip()));
+    let clients = router.clients;
+    let send_and_receive = move |number: i32| {
+        let requests: Vec<u8> =
+            (1..=REQUESTS_OF_EACH).flat_map(|seq| request_with_many_fields(number, seq)).collect();
+        let mut stream = TcpStream::connect(clients).unwrap();
+        stream.write_all(&requests).unwrap();
+        for _ in 0..REQUESTS_OF_EACH {
+            let mut length = [0; 4];
+            stream.read_exact(&mut length).expect("an answer");
+            let mut answer = vec![0; u32::from_be_bytes(length) as usize];
+            stream.read_exact(&mut answer).expect("a whole answer");
+        }
+    };
+    let clients: Vec<_> =
+        (1..=CLIENTS).map(|number| std::thread::spawn(move || send_and_receive(number))).collect();
+    while !clients.iter().all(|client| client.is_finished()) {
+        let memory = anonymous_memory(router.child.id());
+        assert!(memory <= LIMIT_MB * MB, "{memory} bytes");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    clients.into_iter().for_each(|client| client.join().unwrap());
+}
+
+/// Guards against replies that hold a frame each: the name of a method that there is not ends the connection if it is long.
+#[test]
+fn a_long_method_name_ends_the_connection() {
+    run(async |tasks| {
+        let (router, _coordinator) = router(tasks, &[]);
+        let client = Client::connect(tasks, router.address).await;
+        let name = "m".repeat(60_000);
+        let mut frame = vec![0, 0, 0, 0, 0x80, 1, 0, 1];
+        frame.extend((name.len() as u32).to_be_bytes());
+        frame.extend(name.as_bytes());
+        frame.extend([0, 0, 0, 1, 0]);
+        let length = frame.len() as u32 - 4;
+        frame[..4].copy_from_slice(&length.to_be_bytes());
+        client.send(&frame).await;
+        assert!(client.next().await.is_none());
+    });
+}
+
 /// Number of half-written messages that use up the memory for those, and some.
 const CROWD: usize = 40;
 
--- a/wire/src/framing.rs
+++ b/wire/src/framing.rs
@@ -35,7 +35,7 @@
 }
 
 /// Reads the fields of a message in order and checks every length against the remaining bytes.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Cursor<'a>(pub &'a [u8]);
 
 impl<'a> Cursor<'a> {
--- a/wire/src/thrift.rs
+++ b/wire/src/thrift.rs
@@ -9,6 +9,9 @@
 /// Deepest nesting of a field that is skipped. No client's message is nested deeper; the limit bounds the recursion in
 /// [`skip`].
 const MAX_DEPTH: u32 = 8;
+/// Longest name of a method, in bytes. A reply repeats it, so a client that reads no replies could make them take a frame
+/// each.
+const MAX_METHOD_NAME: usize = 256;
 
 // Message types of the Thrift binary protocol.
 const CALL: u8 = 1;
@@ -23,8 +26,26 @@
 const STRUCT: u8 = 12;
 const MAP: u8 = 13;
 
-/// Entries of a string map, as slices of the frame.
-pub type Fields<'a> = Vec<(&'a [u8], &'a [u8])>;
+/// Entries of a string map, read from the frame each time they are asked for: a frame has room for thousands of short
+/// ones, and a list of them would take several times its memory.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Fields<'a> {
+    /// The encoded entries, checked when the message was decoded.
+    entries: Cursor<'a>,
+}
+
+impl<'a> Fields<'a> {
+    /// All entries: name and value.
+    pub fn iter(&self) -> impl Iterator<Item = (&'a [u8], &'a [u8])> + use<'a> {
+        let mut entries = self.entries;
+        std::iter::from_fn(move || entries.length_prefixed().ok().zip(entries.length_prefixed().ok()))
+    }
+
+    /// The value of the first entry with this name.
+    pub fn get(&self, name: &[u8]) -> Option<&'a [u8]> {
+        self.iter().find(|(other, _)| *other == name).map(|(_, value)| value)
+    }
+}
 
 /// A decoded message of a client.
 #[derive(Clone, Debug, PartialEq)]
@@ -74,6 +95,9 @@
         return Err(Malformed("not a call"));
     }
     let (name, seq) = (c.length_prefixed()?, c.number(4)? as u32 as i32);
+    if name.len() > MAX_METHOD_NAME {
+        return Err(Malformed("method name too long"));
+    }
     let (mut fields, mut body, mut forgotten) = (None, &b""[..], None);
     loop {
         let field_type = c.number(1)? as u8;
@@ -105,7 +129,13 @@
     if count > c.0.len() / 8 || (count > 0 && (key, value) != (STRING, STRING)) {
         return Err(Malformed("not a map of strings"));
     }
-    (0..count).map(|_| Ok((c.length_prefixed()?, c.length_prefixed()?))).collect()
+    let whole = c.0;
+    for _ in 0..count {
+        c.length_prefixed()?;
+        c.length_prefixed()?;
+    }
+    let entries = &whole[..whole.len() - c.0.len()];
+    Ok(Fields { entries: Cursor(entries) })
 }
 
 /// Skips a value of this field type.
