--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -350,7 +350,7 @@
             };
             // The frame is dropped before anything is waited for: a client that reads no replies must not hold it.
             match self.handle_frame(frame, frames.received_at(), &mut last_seq)? {
-                Handled::Forward(message) => front.director.send(message).await.map_err(closed_error)?,
+                Handled::Forward(message) => front.director.send(*message).await.map_err(closed_error)?,
                 Handled::Reply(reply) => {
                     self.unwritten_replies.set(self.unwritten_replies.get() + 1);
                     reply_sender.send(reply).await.map_err(closed_error)?;
@@ -375,7 +375,9 @@
         self.received_any.set(true);
         self.last_active.set(arrived);
         Ok(match thrift::decode(&frame)? {
-            thrift::Message::Forget(seq) => Handled::Forward(Message::Forget { client: self.id, seq }),
+            thrift::Message::Forget(seq) => {
+                Handled::Forward(Box::new(Message::Forget { client: self.id, seq }))
+            }
             thrift::Message::Unknown { oneway: true, .. } => Handled::Nothing,
             thrift::Message::Serve { seq, .. } if seq <= *last_seq => {
                 // Two answers with the same sequence number could not be told apart.
@@ -413,7 +415,7 @@
             Some(reason) => Handled::Reply(Reply::Verdict(seq, self.front.refuse(call, reason))),
             None => {
                 self.open.set(self.open.get() + 1);
-                Handled::Forward(Message::Request { client: self.clone(), seq, call })
+                Handled::Forward(Box::new(Message::Request { client: self.clone(), seq, call }))
             }
         }
     }
@@ -521,7 +523,7 @@
 /// What is to be done about a client's message.
 enum Handled {
     /// It goes to the director.
-    Forward(Message),
+    Forward(Box<Message>),
     /// It is answered at once.
     Reply(Reply),
     /// It needs no answer.
