--- a/wire/src/thrift.rs
+++ b/wire/src/thrift.rs
@@ -9,9 +9,6 @@
 /// Deepest nesting of a field that is skipped. No client's message is nested deeper; the limit bounds the recursion in
 /// [`skip`].
 const MAX_DEPTH: u32 = 8;
-/// Longest name of a method, in bytes. A reply repeats it, so a client that reads no replies could make them take a frame
-/// each.
-const MAX_METHOD_NAME: usize = 256;
 
 // Message types of the Thrift binary protocol.
 const CALL: u8 = 1;
@@ -95,9 +92,6 @@
         return Err(Malformed("not a call"));
     }
     let (name, seq) = (c.length_prefixed()?, c.number(4)? as u32 as i32);
-    if name.len() > MAX_METHOD_NAME {
-        return Err(Malformed("method name too long"));
-    }
     let (mut fields, mut body, mut forgotten) = (None, &b""[..], None);
     loop {
         let field_type = c.number(1)? as u8;
