No client is cut off for its slow reading; answers without room stay at the caches

Cause: over a third of the memory limit, memory_watch cut off who took less than 0.5 MB/s in 0.5 s. Memory does not need that: answers are bounded by their budget before they are read. It was there so that who reads nothing does not keep the budget from the others. Evidence: on clients_that_pause_lose_nothing_and_make_no_other_wait, a_client_that_reads_very_slowly_gets_all_its_answers and a_client_that_pauses_gets_all_its_answers fail (connections ended), nothing_is_sent_behind_an_answer_that_waits_for_memory too (a second client's attempt goes behind the first one's answer). Change: nobody is cut off for memory. The budget of answers knows who each is for: who holds memory gets no more than half of what is free, with what it holds (a dynamic threshold); of those that wait, who holds least goes first, then who was served longest ago. A connection to a cache on which an answer waits gets no further attempts while there is a descriptor; an answer that others wait behind waits for the budget only. A drain cuts off who reads nothing for 2 s only once its requests' time is over. Own copies for a client that reads slowly leave a part of what is free.

--- a/silverspindle/src/counters.rs
+++ b/silverspindle/src/counters.rs
@@ -23,8 +23,6 @@
     MakeRoom,
     /// The bytes received could not be decoded.
     Malformed,
-    /// The answers that wait to be written exceeded the memory limit.
-    Memory,
     /// The client accepted no byte of an answer for too long.
     Stalled,
 }
@@ -39,7 +37,6 @@
             CloseReason::Drained => "drained",
             CloseReason::MakeRoom => "room",
             CloseReason::Malformed => "malformed",
-            CloseReason::Memory => "memory",
             CloseReason::Stalled => "stalled",
         }
     }
--- a/silverspindle/src/drain.rs
+++ b/silverspindle/src/drain.rs
@@ -34,7 +34,7 @@
 /// It leaves enough time before [`CLOSE_DEADLINE`] to write the final answer, for the client to read it, and to close.
 pub const FORCED_ANSWER_AFTER: Micros = CLOSE_DEADLINE - 600_000;
 /// From [`FORCED_ANSWER_AFTER`] on, a client that has read no byte of its waiting answers for this long, in
-/// microseconds, counts as no longer reading.
+/// microseconds, counts as no longer reading, once the time that it waits for them is over.
 pub const READ_STALL: Micros = 2_000_000;
 /// Time for the first request of a connection that came late, after the start of a drain or shutdown, in microseconds.
 pub const FIRST_MESSAGE_TIMEOUT: Micros = 300_000;
@@ -348,10 +348,12 @@
         kill_is_near || (in_use && check_ahead && now >= self.requested.saturating_add(FORCED_ANSWER_AFTER))
     }
 
-    /// Whether a connection with waiting answers must be cut off; its client has read none of them since `waits_since`.
-    pub fn must_cut_off(&self, now: Micros, waits_since: Micros) -> bool {
+    /// Whether a connection with waiting answers must be cut off; its client has read none of them since `waits_since`, and
+    /// waits for none of them any more from `gives_up_at` on, the end of its requests' budgets (PROTOCOL, "budget").
+    pub fn must_cut_off(&self, now: Micros, waits_since: Micros, gives_up_at: Micros) -> bool {
         let Some(since) = self.since() else { return false };
         now >= self.requested.saturating_add(FORCED_ANSWER_AFTER)
+            && now >= gives_up_at
             && now >= waits_since.max(since).saturating_add(READ_STALL)
     }
 
--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -16,9 +16,9 @@
 use bitternhold::settings::SiteSettings;
 use bitternhold::{AgeingFilter, Micros};
 use futures_lite::future;
-use silverspindle_wire::memory::MemoryBudget;
+use silverspindle_wire::memory::{FREE_SHARE_DIVISOR, MemoryBudget};
 
-use crate::counters::{CloseReason, Counters, RefusalReason};
+use crate::counters::{Counters, RefusalReason};
 use crate::drain::Drain;
 use crate::limited::LimitedLine;
 use crate::memory::{MemoryLimits, MemoryPool};
@@ -28,7 +28,6 @@
 mod closing;
 mod connection;
 mod drain_log;
-mod memory_watch;
 pub mod queue;
 pub mod reading;
 mod request;
@@ -103,8 +102,6 @@
     closing: ClosingConnections,
     /// Id of the connection that is to close to make room.
     to_evict: Cell<Option<u64>>,
-    /// Signals that unwritten answers are over their limit.
-    memory_short: (Sender<()>, Receiver<()>),
     /// Limits the log line about requests that wait for memory.
     memory_log: RefCell<LimitedLine>,
     /// The listener is open.
@@ -144,7 +141,6 @@
             recent_ids: RefCell::new(AgeingFilter::new(REQUEST_IDS, REQUEST_IDS_IDLE)),
             closing: ClosingConnections::default(),
             to_evict: Cell::new(None),
-            memory_short: async_channel::bounded(1),
             memory_log: RefCell::default(),
             accepting: Cell::new(true),
             connection_ended: async_channel::bounded(1),
@@ -181,7 +177,7 @@
 
     /// Asks each connection that the drain releases to close; the connection checks its socket once more before it does.
     /// Where the drain no longer waits for a connection to become free, its open requests get their final answers, and
-    /// clients that do not read are cut off.
+    /// clients that neither read nor wait any more are cut off.
     pub fn close_releasable(&self) {
         let (now, drain) = (clock::now(), self.drain.borrow());
         if drain.is_before_kill(now) {
@@ -194,8 +190,8 @@
             } else if connection.is_waiting() && drain.must_answer_now(now, state) {
                 // If the director's mailbox is full, the next sweep sends the message.
                 let _ = self.director.try_send(Message::GiveUp { client: connection.id });
-            } else if state.unwritten > 0 && drain.must_cut_off(now, connection.not_reading_since()) {
-                let _ = connection.cut.try_send(CloseReason::Stalled);
+            } else if state.unwritten > 0 && connection.must_cut_off(now, &drain) {
+                let _ = connection.cut.try_send(());
             }
         }
     }
@@ -223,6 +219,18 @@
         self.unwritten_bytes.get()
     }
 
+    /// Whether unwritten answers leave room for an answer of this many bytes for a connection that reads slowly and has this
+    /// many unwritten bytes: with them, no more than a part of what is free.
+    fn has_room_for_slow(&self, unwritten: usize, bytes: usize) -> bool {
+        let free = self.max_unwritten_bytes.get().saturating_sub(self.unwritten_bytes.get());
+        unwritten.saturating_add(bytes) <= free / FREE_SHARE_DIVISOR
+    }
+
+    /// Whether unwritten answers leave room for this many bytes more.
+    fn has_room(&self, bytes: usize) -> bool {
+        self.unwritten_bytes.get().saturating_add(bytes) <= self.max_unwritten_bytes.get()
+    }
+
     /// Whether all answers are written.
     pub fn all_answers_written(&self) -> bool {
         self.unwritten_answers.get() == 0
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -16,10 +16,10 @@
 use socket2::SockRef;
 
 use super::closing::{LINGER_TIMEOUT, MAX_UNSENT, discard_until_closed};
-use super::reading::{ReadPace, ReadProgress};
+use super::reading::ReadProgress;
 use super::{EXPECTED_OPEN_REQUESTS, Front, MAX_QUEUED_ANSWERS};
 use crate::counters::{CloseReason, RefusalReason};
-use crate::drain::{ConnectionState, HoldReason};
+use crate::drain::{ConnectionState, Drain, HoldReason};
 use crate::framing::{ChargedUntil, Malformed, MessageReader};
 use crate::traffic::{Call, ClientHandle, Message, Verdict};
 use crate::{clock, invariant, thrift};
@@ -71,12 +71,12 @@
     last_written: Cell<Micros>,
     /// Since when answers have been waiting to be written; 0 if none ever did.
     unwritten_since: Cell<Micros>,
+    /// When the client has stopped waiting for all of its requests.
+    gives_up_at: Cell<Micros>,
     /// Estimate of what the client has still to read.
     read_progress: ReadProgress,
-    /// How fast the client takes waiting answers.
-    pub pace: ReadPace,
     /// Closes the connection at once.
-    pub cut: Sender<CloseReason>,
+    pub cut: Sender<()>,
     /// Asks the connection to close once it owes nothing.
     pub close: Sender<()>,
     /// Bytes of the bodies in unwritten answers.
@@ -96,7 +96,7 @@
 /// Receiving ends of the channels that the connection's task reads.
 pub(super) struct TaskChannels {
     answers: Receiver<Reply>,
-    cuts: Receiver<CloseReason>,
+    cuts: Receiver<()>,
     closes: Receiver<()>,
 }
 
@@ -114,7 +114,6 @@
                 self.unwritten_since.set(clock::now());
             }
             self.add_unwritten(1, bytes as isize);
-            self.front.check_memory();
         }
     }
 
@@ -123,8 +122,11 @@
         self.finish_request();
     }
 
+    /// A client that reads slowly gets no more than a part of what is free, so that it leaves room for the others.
     fn has_room(&self, bytes: usize) -> bool {
+        let reads_slowly = self.unwritten_answers.get() > 0 && self.read_progress.is_slow(clock::now());
         self.front.has_room(bytes)
+            && (!reads_slowly || self.front.has_room_for_slow(self.unwritten_bytes.get(), bytes))
     }
 
     /// Checks the socket itself: the reader may not have reached the end of the stream yet, or may be waiting for room
@@ -162,8 +164,8 @@
             partial_message: Cell::new(false),
             last_written: Cell::new(0),
             unwritten_since: Cell::new(0),
+            gives_up_at: Cell::new(0),
             read_progress: ReadProgress::default(),
-            pace: ReadPace::default(),
             cut,
             close,
             unwritten_bytes: Cell::new(0),
@@ -205,9 +207,11 @@
         self.open.get() > self.unwritten_answers.get()
     }
 
-    /// Since when the client has read nothing of the waiting answers. The time before they were ready does not count.
-    pub fn not_reading_since(&self) -> Micros {
-        self.last_written.get().max(self.unwritten_since.get())
+    /// Whether a drain or a shutdown ends the connection over its waiting answers: its client has read nothing of them for
+    /// long, the time before they were ready not counted, and has stopped waiting.
+    pub fn must_cut_off(&self, now: Micros, drain: &Drain) -> bool {
+        let not_reading_since = self.last_written.get().max(self.unwritten_since.get());
+        drain.must_cut_off(now, not_reading_since, self.gives_up_at.get())
     }
 
     /// For log lines: the number of answers that wait to be written, and the time since the last request.
@@ -256,13 +260,13 @@
         let _ = SockRef::from(stream.get_ref()).set_tcp_notsent_lowat(MAX_UNSENT);
         // The reader itself replies to messages that need no decision; it waits while these replies are not written.
         let (reply_sender, reply_queue) = async_channel::bounded(EXPECTED_OPEN_REQUESTS);
-        let cut = async { Ok(End::Closing(channels.cuts.recv().await.unwrap_or(CloseReason::Memory))) };
+        let read = self.read(&stream, arrived_after, reply_sender, &channels.closes);
         let write = self.write(&stream, &channels.answers, &reply_queue);
-        let ended = future::or(
-            cut,
-            future::or(self.read(&stream, arrived_after, reply_sender, &channels.closes), write),
-        )
-        .await;
+        let cut = async {
+            let _ = channels.cuts.recv().await;
+            Ok(End::Closing(CloseReason::Stalled))
+        };
+        let ended = future::or(cut, future::or(read, write)).await;
         // No await may come between the last check of the socket, which found nothing, and this line: whatever arrives
         // from here on is discarded, and the client sends it again elsewhere.
         self.gone.set(true);
@@ -415,6 +419,7 @@
             Some(reason) => Handled::Reply(Reply::Verdict(seq, self.front.refuse(call, reason))),
             None => {
                 self.open.set(self.open.get() + 1);
+                self.gives_up_at.set(self.gives_up_at.get().max(call.deadline));
                 Handled::Forward(Box::new(Message::Request { client: self.clone(), seq, call }))
             }
         }
@@ -478,9 +483,6 @@
             let written = write.await;
             if from_director {
                 self.add_unwritten(-1, -(body.len() as isize));
-                if self.unwritten_answers.get() == 0 {
-                    self.pace.restart();
-                }
                 self.finish_request();
             } else {
                 self.unwritten_replies.set(self.unwritten_replies.get().saturating_sub(1));
@@ -512,7 +514,6 @@
             }
             let now = clock::now();
             self.last_written.set(now);
-            self.pace.record_write(written);
             self.read_progress.record_write(now, written, now.saturating_sub(began));
             bytes = &bytes[written..];
         }
--- a/silverspindle/src/front/reading.rs
+++ b/silverspindle/src/front/reading.rs
@@ -1,4 +1,4 @@
-//! Estimates how long a slow client takes to read what was written to it, and measures how fast it takes it.
+//! Estimates how long a slow client takes to read what was written to it.
 //!
 //! Bytes written to the kernel are not yet read by the client: those buffered on the client's machine can't be observed,
 //! and the end of the stream arrives behind all of them. Requests that the client sends until then are discarded, and
@@ -58,40 +58,3 @@
         (left > RESEND_WINDOW).then(|| now + left - RESEND_WINDOW)
     }
 }
-
-/// Time over which a client's pace is measured, in microseconds. A client that reads 1 MB/s takes bytes several times in it.
-pub const PACE_WINDOW: Micros = 500_000;
-
-/// Measures how fast a client takes the answers that wait for it.
-#[derive(Debug, Default)]
-pub struct ReadPace {
-    /// Start of the window, and the bytes taken since; none while no answer waits or nobody has asked for the pace.
-    window: Cell<Option<(Micros, Micros)>>,
-}
-
-impl ReadPace {
-    /// Begins a new window at the next question.
-    pub fn restart(&self) {
-        self.window.set(None);
-    }
-
-    /// Notes that the client took this many bytes.
-    pub fn record_write(&self, bytes: usize) {
-        let taken = |(since, taken)| (since, taken + bytes as Micros);
-        self.window.set(self.window.get().map(taken));
-    }
-
-    /// Whether the client took less than half of what the slowest reader takes, over the last window that is over.
-    pub fn is_too_slow(&self, now: Micros) -> bool {
-        let Some((since, taken)) = self.window.get() else {
-            self.window.set(Some((now, 0)));
-            return false;
-        };
-        let elapsed = now.saturating_sub(since);
-        if elapsed < PACE_WINDOW {
-            return false;
-        }
-        self.window.set(Some((now, 0)));
-        SLOW_READER_FACTOR * READ_TIME_PER_BYTE * taken < elapsed
-    }
-}
--- a/silverspindle/src/memory.rs
+++ b/silverspindle/src/memory.rs
@@ -42,8 +42,7 @@
     pub process: usize,
     /// All uses together, within their own limits.
     pub total: usize,
-    /// Answers that clients have not read yet. Over this limit clients that read too slowly are cut off, and no own copies are
-    /// served.
+    /// Answers that clients have not read yet. Over this limit no own copies are served.
     pub unwritten_answers: usize,
     /// All answers of caches, from when they are read until they are written. Over this limit no further one is read.
     pub answers: usize,
--- a/silverspindle/src/serve.rs
+++ b/silverspindle/src/serve.rs
@@ -270,7 +270,6 @@
         tasks.spawn(monitor_loop()).detach();
         tasks.spawn(front.clone().accept(listener, listening_since, tasks.clone())).detach();
         tasks.spawn(front.clone().run_drain_sweep()).detach();
-        tasks.spawn(front.clone().run_memory_watch()).detach();
         if let Some(listener) = management {
             tracing::info!("management on {}", listener.get_ref().local_addr()?);
             tasks
--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -1,6 +1,8 @@
 //! One actor for each member of the list (here: peer): its connections and the attempts in flight on them. A peer is
 //! identified by its member id, not by its address.
 
+mod streams;
+
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -20,6 +22,8 @@
 use crate::traffic::{Attempt, AttemptEnd, Descriptor, Message, Shared};
 use crate::{clock, loop_monitor};
 
+use streams::{Stream, Streams};
+
 /// Capacity of an actor's mailbox. Where it is full the director counts the attempt as never sent.
 pub const MAILBOX_CAPACITY: usize = 256;
 /// Capacity of a connection's command queue: its streams and the commands that abandon them.
@@ -88,8 +92,8 @@
     established: bool,
     /// Kept so that the socket can be shut down before the director learns how the attempts on it ended.
     socket: Option<Rc<Async<TcpStream>>>,
-    /// Attempts and probes in flight, by the id that their answer carries.
-    streams: HashMap<Bytes, Stream>,
+    /// Attempts and probes in flight.
+    streams: Rc<Streams>,
     /// Abandoned ids and when they were abandoned. Their answers may still arrive, so the ids are not reused on this
     /// connection for [`ABANDONED_ID_LIFETIME`].
     abandoned: HashMap<Bytes, Micros>,
@@ -104,13 +108,6 @@
     _alive: Sender<()>,
 }
 
-/// An attempt or a probe in flight, with the time at which it was queued on the connection.
-#[derive(Debug)]
-enum Stream {
-    Attempt(Rc<Attempt>, Micros),
-    Probe(Micros),
-}
-
 /// The actor of one peer.
 pub struct Peer {
     id: MemberId,
@@ -235,8 +232,8 @@
                 attempt.call.used_connections.borrow_mut().retain(|used| *used != (self.id, connection));
                 let same_attempt =
                     |s: &Stream| matches!(s, Stream::Attempt(a, _) if a.ticket == attempt.ticket);
-                if let Some(connection) = self.connections.get_mut(&connection) {
-                    connection.streams.retain(|_, stream| !same_attempt(stream));
+                if let Some(connection) = self.connections.get(&connection) {
+                    connection.streams.retain(|stream| !same_attempt(stream));
                 }
                 self.report_end(AttemptEnd::without_details(attempt.ticket, Status::Moot)).await;
             }
@@ -250,7 +247,7 @@
         let mut unwritten = Vec::new();
         for connection in self.connections.values_mut() {
             connection.closing = true;
-            connection.streams.retain(|_, stream| match stream {
+            connection.streams.retain(|stream| match stream {
                 Stream::Attempt(attempt, _) if !attempt.written.get() => {
                     attempt.connection.set(0);
                     unwritten.push(attempt.clone());
@@ -288,7 +285,8 @@
     /// connection. Where handshakes have a cost, the comparison keeps a fleet from opening a connection for each
     /// request in a busy moment. An id is used at most once on a connection, as two answers with the same id can't be
     /// told apart. A connection that the peer may be about to close is not chosen, with a wider margin for classes that
-    /// may not be repeated.
+    /// may not be repeated. One on which an answer waits for memory is chosen only where no descriptor is left: answers behind
+    /// it wait as well.
     fn choose_connection(&mut self, id: &[u8], attempt: Option<&Attempt>) -> Option<u64> {
         let streams = self.shared.site.streams_per_conn;
         let (now, idle, member) = (clock::now(), self.idle_timeout(), self.id);
@@ -303,19 +301,19 @@
                 && !attempt.is_some_and(|a| a.call.used_connections.borrow().contains(&(member, n)))
                 && !c.silent
                 && !c.closing
-                && !c.streams.contains_key(id)
+                && !c.streams.contains(id)
                 && !c.abandoned.contains_key(id)
                 && c.abandoned.len() < MAX_ABANDONED_IDS
                 && c.commands.len() < MAX_QUEUED_COMMANDS - 1
         };
         let usable = self.connections.iter().filter(|(n, c)| can_take(**n, c));
-        let best = usable.min_by_key(|(n, c)| (c.streams.len(), !c.established, **n));
-        let best = best.map(|(n, c)| (*n, c.streams.len()));
+        let best = usable.min_by_key(|(n, c)| (c.streams.is_waiting(), c.streams.len(), !c.established, **n));
+        let best = best.map(|(n, c)| (*n, c.streams.len(), c.streams.is_waiting()));
         let has_spare = self.shared.descriptors.has_spare();
         let sharing_is_cheaper =
             |streams: usize| streams as f64 * self.break_share < self.shared.site.handshake_cost;
         match best {
-            Some((n, streams)) if streams == 0 || !has_spare || sharing_is_cheaper(streams) => {
+            Some((n, streams, false)) if streams == 0 || !has_spare || sharing_is_cheaper(streams) => {
                 return Some(n);
             }
             _ => {}
@@ -324,18 +322,19 @@
             if best.is_none() {
                 tracing::warn!(member = %self.name(), "no descriptor left for another connection");
             }
-            return best.map(|(n, _)| n);
+            return best.map(|(n, ..)| n);
         };
         // Bounded by `PeerConnection::queue`: a bounded channel would take memory for all of its places from the start.
         let (commands, queued_commands) = async_channel::unbounded();
         let (alive, cancelled) = async_channel::bounded(1);
         let n = self.next_connection;
         self.next_connection += 1;
+        let streams = Rc::new(Streams::default());
         let connection = PeerConnection {
             commands,
             established: false,
             socket: None,
-            streams: HashMap::new(),
+            streams: streams.clone(),
             abandoned: HashMap::new(),
             last_used: now,
             silent: false,
@@ -349,6 +348,7 @@
             connection: n,
             address: self.address,
             queued_commands,
+            streams,
             cancelled,
             actor: self.own_mailbox.clone(),
             shared: self.shared.clone(),
@@ -374,7 +374,7 @@
         attempt.connection.set(number);
         attempt.call.used_connections.borrow_mut().push((self.id, number));
         match connection.queue(Command::Attempt(attempt.clone())) {
-            true => drop(connection.streams.insert(id, Stream::Attempt(attempt, now))),
+            true => connection.streams.insert(id, Stream::Attempt(attempt, now)),
             false => self.report_end(AttemptEnd::without_details(attempt.ticket, Status::Moot)).await,
         }
     }
@@ -402,18 +402,9 @@
     /// Stops waiting for the answer to an attempt, and tells the peer so if the attempt was written.
     fn abandon(&mut self, attempt: &Rc<Attempt>, timed_out: bool) {
         let id = attempt.call.rid.as_bytes();
-        let queued_since = |s: Option<&Stream>| match s {
-            Some(Stream::Attempt(queued, since)) if queued.ticket == attempt.ticket => Some(*since),
-            _ => None,
-        };
-        let Some((connection, since)) = self
-            .connections
-            .values_mut()
-            .find_map(|c| Some((queued_since(c.streams.get(id))?, c)))
-            .map(|(since, connection)| (connection, since))
-        else {
-            return;
-        };
+        let queued = |(n, c): (&u64, &PeerConnection)| Some((*n, c.streams.queued_since(attempt)?));
+        let Some((number, since)) = self.connections.iter().find_map(queued) else { return };
+        let Some(connection) = self.connections.get_mut(&number) else { return };
         connection.streams.remove(id);
         if attempt.written.get() {
             connection.queue(Command::Raw(resp::encode_array(&[b"never_mind", id])));
@@ -421,9 +412,13 @@
         }
         // Guards against a machine that is cut off from the network: its connections stay open but silent. New attempts
         // use a new connection, as a failed connect proves that nothing ran, and silence does not.
-        if timed_out && self.last_received <= since {
+        let answers = self.last_received > since || connection.streams.is_waiting();
+        if timed_out && !answers {
             self.connections.values_mut().for_each(|connection| connection.silent = true);
         }
+        // The answer that waits for memory is of no more use, and no other is expected: what is left of it goes with its
+        // connection.
+        self.connections.retain(|n, c| *n != number || !(c.streams.is_waiting() && c.streams.is_empty()));
     }
 
     /// Ends the attempt or probe that an answer belongs to. A malformed answer, or one that does not match its request,
@@ -503,7 +498,7 @@
             let n = connection.streams.len();
             tracing::info!(member = %self.name(), "connection ended with {n} attempts out: {error}");
         }
-        for (_, stream) in connection.streams {
+        for stream in connection.streams.take() {
             match stream {
                 Stream::Probe(since) => {
                     let elapsed = clock::now().saturating_sub(since);
@@ -541,7 +536,7 @@
             tracing::warn!("{waiting} answers of caches wait for memory, {used} bytes are in use");
         }
         self.connections.retain(|_, connection| {
-            connection.streams.retain(|_, stream| match stream {
+            connection.streams.retain(|stream| match stream {
                 Stream::Probe(since) if now.saturating_sub(*since) >= PROBE_TIMEOUT => {
                     let (status, elapsed, load) = (Status::Timeout, PROBE_TIMEOUT, None);
                     let message = Message::Probed { member: self.id, status, elapsed, load };
@@ -565,6 +560,7 @@
     connection: u64,
     address: SocketAddr,
     queued_commands: Receiver<Command>,
+    streams: Rc<Streams>,
     /// Closed when the actor drops the connection.
     cancelled: Receiver<()>,
     actor: Sender<PeerMessage>,
@@ -597,6 +593,7 @@
             // No client waits longer than the longest deadline, so an answer that trickles on is cut off then.
             let mut answers = MessageReader::new(stream, resp::measure, READ_CHUNK)
                 .with_budget(&self.shared.answer_memory, ChargedUntil::Dropped)
+                .with_owner(self.streams.clone())
                 .with_stall_timeout(STALL_TIMEOUT)
                 .with_message_timeout(longest_deadline);
             while let Some(frame) = answers.next().await? {
--- /dev/null
+++ b/silverspindle/src/upstream/streams.rs
@@ -0,0 +1,103 @@
+//! The attempts and probes in flight on one connection to a peer. The peer's actor enters and removes them; the
+//! connection's reader looks up who an answer is for before it takes memory for it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use bitternhold::Micros;
+use bytes::Bytes;
+use silverspindle_wire::framing::StreamOwner;
+use silverspindle_wire::memory::{Claim, Recipient};
+
+use crate::resp;
+use crate::traffic::Attempt;
+
+/// An attempt or a probe in flight, with the time at which it was queued on the connection.
+#[derive(Debug)]
+pub(super) enum Stream {
+    Attempt(Rc<Attempt>, Micros),
+    Probe(Micros),
+}
+
+impl Stream {
+    /// The client that its answer is for; none for a probe.
+    fn recipient(&self) -> Option<Recipient> {
+        match self {
+            Stream::Attempt(attempt, _) => Some(Recipient(attempt.client.id())),
+            Stream::Probe(_) => None,
+        }
+    }
+}
+
+/// Streams of one connection, by the id that their answer carries.
+#[derive(Debug, Default)]
+pub(super) struct Streams {
+    by_id: RefCell<HashMap<Bytes, Stream>>,
+    /// An answer waits for memory, and what is behind it is not read meanwhile.
+    waiting: Cell<bool>,
+}
+
+impl Streams {
+    /// Number of streams.
+    pub fn len(&self) -> usize {
+        self.by_id.borrow().len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.borrow().is_empty()
+    }
+
+    /// Whether there is one with this id.
+    pub fn contains(&self, id: &[u8]) -> bool {
+        self.by_id.borrow().contains_key(id)
+    }
+
+    /// Whether an answer on the connection waits for memory.
+    pub fn is_waiting(&self) -> bool {
+        self.waiting.get()
+    }
+
+    /// Adds a stream.
+    pub fn insert(&self, id: Bytes, stream: Stream) {
+        self.by_id.borrow_mut().insert(id, stream);
+    }
+
+    /// Removes the stream with this id and returns it.
+    pub fn remove(&self, id: &[u8]) -> Option<Stream> {
+        self.by_id.borrow_mut().remove(id)
+    }
+
+    /// Keeps the streams for which the function returns true.
+    pub fn retain(&self, mut keep: impl FnMut(&Stream) -> bool) {
+        self.by_id.borrow_mut().retain(|_, stream| keep(stream));
+    }
+
+    /// Removes all streams and returns them.
+    pub fn take(&self) -> Vec<Stream> {
+        self.by_id.borrow_mut().drain().map(|(_, stream)| stream).collect()
+    }
+
+    /// When this attempt was queued; none if it is not on this connection.
+    pub fn queued_since(&self, attempt: &Attempt) -> Option<Micros> {
+        match self.by_id.borrow().get(attempt.call.rid.as_bytes()) {
+            Some(Stream::Attempt(queued, since)) if queued.ticket == attempt.ticket => Some(*since),
+            _ => None,
+        }
+    }
+}
+
+impl StreamOwner for Streams {
+    /// The answer is for the client of its attempt. Other clients' attempts on the connection, and probes, come behind it.
+    fn claim(&self, received: &[u8]) -> Claim {
+        let by_id = self.by_id.borrow();
+        let recipient = resp::answer_id(received).and_then(|id| by_id.get(id)).and_then(Stream::recipient);
+        let blocks_others = by_id.values().any(|stream| stream.recipient() != recipient);
+        Claim { recipient, blocks_others }
+    }
+
+    fn set_waiting(&self, waiting: bool) {
+        self.waiting.set(waiting);
+    }
+}
--- a/wire/src/memory.rs
+++ b/wire/src/memory.rs
@@ -1,26 +1,59 @@
 //! A memory budget shared by many message readers. A reader reserves the memory of a large message before it reads
 //! it; where the budget is used up it waits, and what has arrived stays in the kernel.
 //!
-//! Readers are served in the order in which they began to wait.
+//! A reader may name the recipient that its message is for. A recipient that holds memory already gets no more than a part
+//! of what is free (a dynamic threshold, as switches use for shared buffers: Choudhury and Hahne, 1998), so that a few that
+//! are slow to give theirs back leave room for the others. Waiting readers are served by what their recipient holds, the
+//! least first; where that is equal, the recipient served longest ago goes first, then the reader that has waited longest.
 
-use std::collections::VecDeque;
+use std::collections::HashMap;
 use std::future::poll_fn;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 
+/// A recipient that holds memory may have at most this fraction (one in N) of what is free, with what it holds.
+pub const FREE_SHARE_DIVISOR: usize = 2;
+
+/// Who a message is for: the connection that it will be written to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Recipient(pub u64);
+
+/// What a reader knows of a message that it wants memory for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Claim {
+    /// Who the message is for, if that is known.
+    pub recipient: Option<Recipient>,
+    /// Messages for others come behind it on the same stream: it waits for the budget as a whole only, not for its recipient.
+    pub blocks_others: bool,
+}
+
 /// Memory for messages, in bytes.
 #[derive(Debug)]
 pub struct MemoryBudget {
     state: Mutex<State>,
 }
 
+/// What a recipient has of a budget.
+#[derive(Debug, Default)]
+struct Account {
+    /// Bytes in use.
+    used: usize,
+    /// Number of its reservations that wait.
+    waiting: usize,
+    /// When it was last served, as the number of the grant; 0 if it was not.
+    last_grant: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     limit: usize,
     used: usize,
+    /// Recipients that hold memory or wait for it.
+    accounts: HashMap<Recipient, Account>,
     /// Reservations that wait for memory, in the order in which they began to.
-    waiting: VecDeque<Waiting>,
+    waiting: Vec<Waiting>,
     last_ticket: u64,
+    last_grant: u64,
     /// A reservation began to wait since [`MemoryBudget::contended`] last returned.
     contended: bool,
     /// Waits in [`MemoryBudget::contended`].
@@ -30,23 +63,80 @@
 #[derive(Debug)]
 struct Waiting {
     ticket: u64,
+    claim: Claim,
     bytes: usize,
     waker: Waker,
 }
 
+/// Place of a reservation among those that wait, the lowest first: what its recipient holds, when that was last served, and
+/// the reservation's ticket.
+type Place = (usize, u64, u64);
+
 impl State {
     /// Whether this much more may be used. Into an unused budget anything fits, so that no message waits for ever.
     fn fits(&self, bytes: usize) -> bool {
         self.used == 0 || self.used.saturating_add(bytes) <= self.limit
     }
 
+    fn account(&self, claim: Claim) -> Option<&Account> {
+        self.accounts.get(&claim.recipient?)
+    }
+
+    /// Bytes that count against a claim: what its recipient holds.
+    fn held(&self, claim: Claim) -> usize {
+        if claim.blocks_others { 0 } else { self.account(claim).map_or(0, |account| account.used) }
+    }
+
+    /// Whether a claim may be granted this much more.
+    fn admits(&self, claim: Claim, bytes: usize) -> bool {
+        let held = self.held(claim);
+        let free = self.limit.saturating_sub(self.used);
+        self.fits(bytes) && (held == 0 || held.saturating_add(bytes) <= free / FREE_SHARE_DIVISOR)
+    }
+
+    fn place(&self, claim: Claim, ticket: u64) -> Place {
+        (self.held(claim), self.account(claim).map_or(0, |account| account.last_grant), ticket)
+    }
+
+    /// The reservation that is served next.
+    fn first(&self) -> Option<&Waiting> {
+        self.waiting.iter().min_by_key(|waiting| self.place(waiting.claim, waiting.ticket))
+    }
+
     /// Wakes the first reservation that waits, if there is memory for it now.
     fn wake_first(&self) {
-        if let Some(first) = self.waiting.front().filter(|first| self.fits(first.bytes)) {
+        if let Some(first) = self.first().filter(|first| self.admits(first.claim, first.bytes)) {
             first.waker.wake_by_ref();
         }
     }
 
+    /// Records that this much more is in use.
+    fn take(&mut self, claim: Claim, bytes: usize) {
+        self.used += bytes;
+        self.last_grant += 1;
+        if let Some(recipient) = claim.recipient {
+            let account = self.accounts.entry(recipient).or_default();
+            account.used += bytes;
+            account.last_grant = self.last_grant;
+        }
+    }
+
+    /// Records that this much is no longer in use.
+    fn give_back(&mut self, claim: Claim, bytes: usize) {
+        self.used -= bytes;
+        self.change_account(claim, |account| account.used -= bytes);
+    }
+
+    /// Changes the account of a claim's recipient, and forgets it once it is empty.
+    fn change_account(&mut self, claim: Claim, change: impl FnOnce(&mut Account)) {
+        let Some(recipient) = claim.recipient else { return };
+        let account = self.accounts.entry(recipient).or_default();
+        change(account);
+        if account.used == 0 && account.waiting == 0 {
+            self.accounts.remove(&recipient);
+        }
+    }
+
     /// Records that a reservation began to wait.
     fn note_contention(&mut self) {
         self.contended = true;
@@ -106,6 +196,7 @@
 #[derive(Debug)]
 pub struct Reservation {
     budget: Arc<MemoryBudget>,
+    claim: Claim,
     bytes: usize,
     /// Its place among those that wait for memory.
     ticket: Option<u64>,
@@ -114,7 +205,14 @@
 impl Reservation {
     /// A reservation of nothing yet.
     pub fn new(budget: &Arc<MemoryBudget>) -> Self {
-        Self { budget: budget.clone(), bytes: 0, ticket: None }
+        Self { budget: budget.clone(), claim: Claim::default(), bytes: 0, ticket: None }
+    }
+
+    /// Sets what is known of the message, before anything is reserved for it; later calls change nothing.
+    pub fn set_claim(&mut self, claim: Claim) {
+        if self.bytes == 0 && self.ticket.is_none() {
+            self.claim = claim;
+        }
     }
 
     /// Whether it has at least this many bytes.
@@ -126,25 +224,23 @@
     pub fn force(&mut self, bytes: usize) {
         self.stop_waiting();
         if bytes > self.bytes {
-            self.budget.lock().used += bytes - self.bytes;
+            self.budget.lock().take(self.claim, bytes - self.bytes);
             self.bytes = bytes;
         }
     }
 
-    /// Grows to this many bytes when there is memory for them and nobody who began to wait earlier.
+    /// Grows to this many bytes when there is memory for them and nobody who goes before.
     pub fn poll_grow(&mut self, context: &mut Context<'_>, bytes: usize) -> Poll<()> {
         if self.covers(bytes) {
             self.stop_waiting();
             return Poll::Ready(());
         }
-        let more = bytes - self.bytes;
+        let (claim, more) = (self.claim, bytes - self.bytes);
         let mut state = self.budget.lock();
-        let first = match self.ticket {
-            Some(ticket) => state.waiting.front().is_some_and(|first| first.ticket == ticket),
-            None => state.waiting.is_empty(),
-        };
-        if first && state.fits(more) {
-            state.used += more;
+        let place = state.place(claim, self.ticket.unwrap_or(u64::MAX));
+        let is_first = state.first().is_none_or(|first| place <= state.place(first.claim, first.ticket));
+        if is_first && state.admits(claim, more) {
+            state.take(claim, more);
             self.bytes = bytes;
             drop(state);
             self.stop_waiting();
@@ -157,7 +253,8 @@
             None => {
                 state.last_ticket += 1;
                 let ticket = state.last_ticket;
-                state.waiting.push_back(Waiting { ticket, bytes: more, waker });
+                state.waiting.push(Waiting { ticket, claim, bytes: more, waker });
+                state.change_account(claim, |account| account.waiting += 1);
                 self.ticket = Some(ticket);
                 state.note_contention();
             }
@@ -170,6 +267,7 @@
         if let Some(ticket) = self.ticket.take() {
             let mut state = self.budget.lock();
             state.waiting.retain(|waiting| waiting.ticket != ticket);
+            state.change_account(self.claim, |account| account.waiting -= 1);
             state.wake_first();
         }
     }
@@ -179,7 +277,7 @@
     fn drop(&mut self) {
         self.stop_waiting();
         let mut state = self.budget.lock();
-        state.used -= self.bytes;
+        state.give_back(self.claim, self.bytes);
         state.wake_first();
     }
 }
--- a/wire/src/reader.rs
+++ b/wire/src/reader.rs
@@ -4,6 +4,7 @@
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -17,7 +18,7 @@
 use crate::clock;
 use crate::framing::Measure;
 use crate::loop_monitor::{self, Backlog};
-use crate::memory::{MemoryBudget, Reservation};
+use crate::memory::{Claim, MemoryBudget, Reservation};
 
 /// First interval at which a reader that waits for memory checks whether its message has arrived as a whole; it doubles
 /// with each check.
@@ -42,6 +43,14 @@
 /// Tells how many bytes can be read from a stream at once.
 type Available = Box<dyn Fn() -> usize>;
 
+/// The owner of a stream, as far as memory for its messages is concerned.
+pub trait StreamOwner {
+    /// What is known of the message that begins with these bytes.
+    fn claim(&self, received: &[u8]) -> Claim;
+    /// A message has begun to wait for memory, or no longer waits. Nothing behind it is read meanwhile.
+    fn set_waiting(&self, waiting: bool);
+}
+
 /// A reader's part in a budget.
 struct Charge {
     budget: Arc<MemoryBudget>,
@@ -50,6 +59,8 @@
     reservation: Reservation,
     /// Number of bytes that can be read from the stream at once, where that can be told.
     available: Option<Available>,
+    /// Says who the messages are for, where that is known.
+    owner: Option<Rc<dyn StreamOwner>>,
 }
 
 /// A complete message together with the memory that it is charged for.
@@ -132,7 +143,16 @@
     /// unread.
     pub fn with_budget(self, budget: &Arc<MemoryBudget>, until: ChargedUntil) -> Self {
         let (budget, reservation) = (budget.clone(), Reservation::new(budget));
-        Self { charge: Some(Charge { budget, until, reservation, available: None }), ..self }
+        let charge = Charge { budget, until, reservation, available: None, owner: None };
+        Self { charge: Some(charge), ..self }
+    }
+
+    /// Sets who is asked what a message is for before there is memory for it, and is told when one waits.
+    pub fn with_owner(mut self, owner: Rc<dyn StreamOwner>) -> Self {
+        if let Some(charge) = &mut self.charge {
+            charge.owner = Some(owner);
+        }
+        self
     }
 
     /// Sets how many bytes can be read from the stream at once; `usize::MAX` once its end is behind them. A message that has
@@ -250,9 +270,18 @@
     async fn reserve(&mut self, length: usize) -> io::Result<()> {
         let timeout = read_timeout(self.partial_since, self.message_timeout, None);
         let missing = length - self.received().len();
-        let Some(Charge { reservation, available, .. }) = &mut self.charge else { return Ok(()) };
+        let received = &self.buffer[self.returned..self.filled];
+        let Some(Charge { reservation, available, owner, .. }) = &mut self.charge else { return Ok(()) };
+        if let Some(owner) = owner {
+            reservation.set_claim(owner.claim(received));
+        }
         let granted = async {
-            poll_fn(|context| reservation.poll_grow(context, length)).await;
+            poll_fn(|context| {
+                let granted = reservation.poll_grow(context, length);
+                owner.iter().for_each(|owner| owner.set_waiting(granted.is_pending()));
+                granted
+            })
+            .await;
             Ok(true)
         };
         let arrived = async {
--- a/wire/src/resp.rs
+++ b/wire/src/resp.rs
@@ -140,6 +140,18 @@
     walk_strings(buffer, |_, _| ())
 }
 
+/// The id of the answer that begins with these bytes; none if it has not arrived as a whole.
+pub fn answer_id(buffer: &[u8]) -> Option<&[u8]> {
+    let mut id = None;
+    walk_strings(buffer, |i, string| {
+        if i == 0 {
+            id = Some(string)
+        }
+    })
+    .ok()?;
+    id
+}
+
 /// Decodes a whole answer.
 pub fn decode(frame: &[u8]) -> Result<Answer<'_>, Malformed> {
     let mut strings = [&b""[..]; 4];
