An answer that waits for memory counts as come, and no cache is blamed for who reads slowly

What callers saw: while a client read nothing for 2 s, its answers that waited at the caches were asked for again (70 attempts for 60 requests), failed at their time though the client was reading on, and told the module of late caches, for which it sets caches aside and lowers their limits for everybody. Cause: the module heard of an answer only once it was read as a whole, so waiting for a slow client was taken for the cache's time. Change: when an answer begins to wait for memory, its cache's actor reads its head, and the director gives the module the outcome. The body follows. Past its request's time it is waited for while the client still has earlier answers to read, 10 s at most. Where it breaks off, the request goes to the module anew if its attempts prove that a retry does no harm, else it fails.

--- a/silverspindle/src/director.rs
+++ b/silverspindle/src/director.rs
@@ -16,7 +16,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use bitternhold::{
-    Action, Event, FillMode, Keep, Lifecycle, ListKind, Member, MemberId, Micros, OwnCopy, Request,
+    Action, Event, FillMode, Keep, Lifecycle, ListKind, Member, MemberId, Micros, Outcome, OwnCopy, Request,
     RequestId, Settings, Status,
 };
 use futures_lite::future;
@@ -31,8 +31,8 @@
 use crate::memory::{MemoryPool, process_memory};
 use crate::skew::Skew;
 use crate::traffic::{
-    Attempt, AttemptHistory, Call, ClientHandle, FetchOptions, Message, Notification, Refusal, SafeToRetry,
-    Shared, Verdict,
+    Attempt, AttemptEnd, AttemptHistory, Call, ClientHandle, FetchOptions, Message, Notification, Refusal,
+    SafeToRetry, Shared, Verdict,
 };
 use crate::upstream::{Peer, PeerMessage};
 use crate::withheld::Withheld;
@@ -57,6 +57,10 @@
     in_flight: Vec<u64>,
     /// The router's own copy that was offered to the module for this request.
     own_copy: Option<Rc<Copy>>,
+    /// An answer has begun to arrive: for the module the request is finished.
+    begun: bool,
+    /// Number of attempts before the module was asked for the request, if that was not the first time.
+    earlier_attempts: u32,
     closed: bool,
 }
 
@@ -70,6 +74,25 @@
     peer: Sender<PeerMessage>,
     sent_at: Micros,
     attempt: Rc<Attempt>,
+    /// Its answer has begun to arrive and waits for memory. The module has its outcome.
+    begun: bool,
+}
+
+impl InFlight {
+    /// The attempt's outcome for the module. `closed`: the request is finished.
+    fn outcome(&self, now: Micros, closed: bool, end: &AttemptEnd) -> Outcome {
+        Outcome {
+            id: self.id,
+            attempt: self.number,
+            member: self.member,
+            status: end.status,
+            elapsed: now.saturating_sub(self.sent_at),
+            closed,
+            note: end.note,
+            fill_time: end.waited,
+            load: end.load,
+        }
+    }
 }
 
 /// What a timer is for.
@@ -389,6 +412,7 @@
             Message::GiveUp { client } => {
                 self.open_requests_of(client).into_iter().for_each(|id| self.give_up(id))
             }
+            Message::AnswerBegun(end) => self.answer_begun(end),
             Message::Ended(end) => self.attempt_ended(end),
             Message::ExportKnowledge { reply } => {
                 let report = self.module.report(self.now());
@@ -439,28 +463,35 @@
         self.last_number += 1;
         let id = RequestId(u128::from(self.last_number));
         let call = Rc::new(call);
-        self.by_client.insert((client.id(), seq), id);
-        let now = self.now();
-        let copy = self.offered_copy(now, &call);
-        let own_copy = copy.as_ref().map(|copy| OwnCopy {
-            age: self.skew.copy_age(now, copy.stamp),
-            since_cache_hit: now.saturating_sub(copy.confirmed_at()),
-            delivery_time: self.copies.transfer_time(now, copy.bytes(call.holds(&copy.tag))),
-        });
         let history = AttemptHistory::new(self.settings.classes.get(call.class));
-        let (in_flight, closed) = (Vec::new(), false);
         let open = OpenRequest {
-            call: call.clone(),
-            received_at: now,
+            call,
+            received_at: self.now(),
             client,
             seq,
             history,
-            in_flight,
-            own_copy: copy,
-            closed,
+            in_flight: Vec::new(),
+            own_copy: None,
+            begun: false,
+            earlier_attempts: 0,
+            closed: false,
         };
-        self.requests.insert(id, open);
         self.pending_answers.set(self.pending_answers.get() + 1);
+        self.ask_module(id, open);
+    }
+
+    /// Passes an open request to the module under this id, with the router's own copy if there is one.
+    fn ask_module(&mut self, id: RequestId, mut open: OpenRequest) {
+        let (now, call) = (self.now(), open.call.clone());
+        let copy = self.offered_copy(now, &call);
+        let own_copy = copy.as_ref().map(|copy| OwnCopy {
+            age: self.skew.copy_age(now, copy.stamp),
+            since_cache_hit: now.saturating_sub(copy.confirmed_at()),
+            delivery_time: self.copies.transfer_time(now, copy.bytes(call.holds(&copy.tag))),
+        });
+        open.own_copy = copy;
+        self.by_client.insert((open.client.id(), open.seq), id);
+        self.requests.insert(id, open);
         self.set_timer(call.deadline + FALLBACK_FAIL_DELAY, TimerKind::Request(id));
         self.handle_event(Event::Request(Request {
             own_copy,
@@ -497,9 +528,10 @@
         while let Some(entry) = self.timers.first_entry().filter(|e| e.key().0 <= now) {
             match entry.remove() {
                 TimerKind::Module(token) => self.handle_event(Event::Timer { token }),
-                TimerKind::Attempt(ticket) => self.end_attempt(ticket, Status::Timeout),
+                TimerKind::Attempt(ticket) => self.attempt_overdue(ticket),
                 TimerKind::Request(id) => {
-                    if let Some(open) = self.requests.get(&id).filter(|open| !open.closed) {
+                    let left_open = self.requests.get(&id).filter(|open| !open.closed);
+                    if let Some(open) = left_open.filter(|open| !open.begun) {
                         tracing::warn!(rid = open.call.rid, "no answer from the module at the deadline");
                         self.answer(id, Verdict::Failed);
                         self.handle_event(Event::ClientGone { id });
--- a/silverspindle/src/director/attempts.rs
+++ b/silverspindle/src/director/attempts.rs
@@ -5,7 +5,7 @@
 
 use bitternhold::{Event, Idempotency, MemberId, Micros, Outcome, RequestId, Status};
 
-use super::{Director, InFlight, TimerKind, format_member};
+use super::{Director, InFlight, OpenRequest, TimerKind, format_member};
 use crate::invariant;
 use crate::traffic::{Attempt, AttemptEnd, Call, FetchOptions, Verdict};
 use crate::upstream::PeerMessage;
@@ -15,7 +15,67 @@
 /// connection and arrived together with later ones would exceed the member's budget.
 const COLD_WRITE_DIVISOR: Micros = 10;
 
+/// Longest time after a request's deadline, in microseconds, for which its answer waits at the cache while the client is
+/// still reading earlier ones.
+const MAX_DELIVERY_DELAY: Micros = 10_000_000;
+/// Interval, in microseconds, at which it is checked then whether the client still is.
+const DELIVERY_CHECK_INTERVAL: Micros = 100_000;
+
 impl Director {
+    /// Handles an answer that has begun to arrive and waits for memory. The module has the outcome now: how long the answer
+    /// waits depends on who reads slowly and says nothing about the cache.
+    pub(super) fn answer_begun(&mut self, end: AttemptEnd) {
+        let Some(in_flight) = self.attempts.get_mut(&end.ticket).filter(|in_flight| !in_flight.begun) else {
+            return;
+        };
+        let Some(open) = self.requests.get_mut(&in_flight.id).filter(|open| !open.closed) else { return };
+        (in_flight.begun, open.begun) = (true, true);
+        let outcome = in_flight.outcome(self.shared.state.clock().now(), true, &end);
+        self.handle_event(Event::Outcome(outcome));
+    }
+
+    /// Goes on with a request whose answer had begun to arrive and then broke off, and which has no attempt in flight: the
+    /// module, which took it for finished, decides on it anew. Fails it where a retry might do harm or comes too late.
+    fn decide_again(&mut self, id: RequestId) {
+        let now = self.now();
+        let is_stuck = |open: &OpenRequest| !open.closed && open.begun && open.in_flight.is_empty();
+        let Some(open) = self.requests.get(&id).filter(|open| is_stuck(open)) else { return };
+        if open.history.safe_to_retry().is_none() || now >= open.call.deadline || open.client.is_gone() {
+            return self.answer(id, Verdict::Failed);
+        }
+        let Some(mut open) = self.requests.remove(&id) else { return };
+        (open.begun, open.earlier_attempts) = (false, open.history.attempts());
+        self.last_number += 1;
+        self.ask_module(RequestId(u128::from(self.last_number)), open);
+    }
+
+    /// Gives up those of a finished request's attempts whose answer has begun to arrive: the module no longer knows them.
+    pub(super) fn abandon_begun(&mut self, tickets: &[u64]) {
+        for ticket in tickets {
+            if self.attempts.get(ticket).is_some_and(|in_flight| in_flight.begun) {
+                self.end_attempt(*ticket, Status::Cancelled);
+            }
+        }
+    }
+
+    /// Handles an attempt whose time is over. An answer that has begun to arrive and waits because its own client is still
+    /// reading earlier ones is waited for: that time does not count.
+    pub(super) fn attempt_overdue(&mut self, ticket: u64) {
+        let now = self.now();
+        let Some(in_flight) = self.attempts.get(&ticket) else { return };
+        let InFlight { attempt, begun, .. } = in_flight;
+        let deadline = attempt.call.deadline;
+        let next_check = match now < deadline {
+            true => deadline,
+            false => now + DELIVERY_CHECK_INTERVAL,
+        };
+        let in_time = now < deadline || (attempt.client.is_behind() && now < deadline + MAX_DELIVERY_DELAY);
+        match *begun && in_time {
+            true => self.set_timer(next_check, TimerKind::Attempt(ticket)),
+            false => self.end_attempt(ticket, Status::Timeout),
+        }
+    }
+
     /// Handles the end of an attempt: answers the request if it was served, and passes the outcome to the
     /// module.
     pub(super) fn attempt_ended(&mut self, end: AttemptEnd) {
@@ -37,11 +97,11 @@
         }
         if end.status == Status::Ok {
             self.keep_copy(&in_flight.attempt.call, &end);
-            let verdict = end.body.map_or(Verdict::NotModified, Verdict::Served);
+            let verdict = end.body.clone().map_or(Verdict::NotModified, Verdict::Served);
             self.answer(in_flight.id, verdict);
         }
-        let AttemptEnd { status, note, waited, load, .. } = end;
-        let elapsed = self.now().saturating_sub(in_flight.sent_at);
+        let AttemptEnd { status, note, .. } = end;
+        let elapsed = now.saturating_sub(in_flight.sent_at);
         let rid = &in_flight.attempt.call.rid;
         tracing::trace!(
             rid,
@@ -51,17 +111,12 @@
             "end {status:?} {note:?}"
         );
         let closed = self.remove_attempt(in_flight.id, end.ticket);
-        self.handle_event(Event::Outcome(Outcome {
-            id: in_flight.id,
-            attempt: in_flight.number,
-            member: in_flight.member,
-            status,
-            elapsed,
-            closed,
-            note,
-            fill_time: waited,
-            load,
-        }));
+        if !in_flight.begun {
+            let finished = closed || self.requests.get(&in_flight.id).is_none_or(|open| open.begun);
+            let outcome = in_flight.outcome(now, finished, &end);
+            self.handle_event(Event::Outcome(outcome));
+        }
+        self.decide_again(in_flight.id);
     }
 
     /// Removes an attempt that is no longer in flight from its request. Returns whether the request is
@@ -114,7 +169,8 @@
             invariant!(false, "an attempt for a request that is not open");
             return;
         };
-        let number = open.history.attempts();
+        let all_attempts = open.history.attempts();
+        let number = all_attempts - open.earlier_attempts;
         let deadline = if until == 0 { open.call.deadline } else { until.min(open.call.deadline) };
         let class = self.settings.classes.get(open.call.class);
         let window = class.filter(|c| c.idempotency == Idempotency::Deduplicated).map(|c| c.dedup_window);
@@ -137,12 +193,12 @@
             purge_seq: self.shared.state.purge_seq(),
             written: Cell::new(false),
             abandoned: Cell::new(false),
-            is_first: number == 0,
+            is_first: all_attempts == 0,
             without_source: Cell::new(false),
             tokens: Cell::new(0),
         });
         // As in the simulator, an attempt that may not or can't be sent any more ends as never sent.
-        let may_send = !open.closed && deadline > now && (max_attempts == 0 || number < max_attempts);
+        let may_send = !open.closed && deadline > now && (max_attempts == 0 || all_attempts < max_attempts);
         self.shared.state.attempt_started(&attempt, member);
         let peer = peer.filter(|p| may_send && p.try_send(PeerMessage::Send(attempt.clone())).is_ok());
         let Some(peer) = peer else {
@@ -166,7 +222,7 @@
             (attempt.options.source.map_or_else(String::new, format_member), attempt.options.mode.held_only);
         let Call { rid, class, object, part, size_kb, .. } = &*attempt.call;
         let member_name = format_member(member);
-        if number > 0 {
+        if all_attempts > 0 {
             self.counters.retried(open.history.last_end().filter(|_| open.in_flight.is_empty()));
         }
         tracing::trace!(
@@ -183,7 +239,8 @@
         );
         open.in_flight.push(ticket);
         open.history.record_sent(now, member, &attempt);
-        self.attempts.insert(ticket, InFlight { id, number, member, peer, sent_at: now, attempt });
+        self.attempts
+            .insert(ticket, InFlight { id, number, member, peer, sent_at: now, attempt, begun: false });
         self.set_timer(deadline, TimerKind::Attempt(ticket));
     }
 }
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -129,6 +129,10 @@
             && (!reads_slowly || self.front.has_room_for_slow(self.unwritten_bytes.get(), bytes))
     }
 
+    fn is_behind(&self) -> bool {
+        self.unwritten_answers.get() > 0
+    }
+
     /// Checks the socket itself: the reader may not have reached the end of the stream yet, or may be waiting for room
     /// in a queue.
     fn is_gone(&self) -> bool {
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -143,6 +143,10 @@
     fn has_room(&self, _bytes: usize) -> bool {
         true
     }
+    /// Whether earlier answers wait for the client to read them.
+    fn is_behind(&self) -> bool {
+        false
+    }
     /// Whether the client has closed the connection, even if the front has not noticed it yet.
     fn is_gone(&self) -> bool;
 }
@@ -177,6 +181,8 @@
         /// Number of the connection.
         client: u64,
     },
+    /// An attempt's answer has begun to arrive and waits for memory; its end, with the body, follows.
+    AnswerBegun(AttemptEnd),
     /// An attempt ended.
     Ended(AttemptEnd),
     /// Asks for all knowledge that can be shared with other routers.
--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -67,6 +67,8 @@
     Retire,
     /// A connection is established.
     Connected(u64, Rc<Async<TcpStream>>),
+    /// A connection received the first bytes of an answer that waits for memory.
+    AnswerBegun(u64, Bytes),
     /// A connection received an answer.
     Answer(u64, Bytes),
     /// A connection did not write an attempt, because it was no longer allowed to be sent.
@@ -223,6 +225,7 @@
                     (connection.established, connection.socket) = (true, Some(socket));
                 }
             }
+            PeerMessage::AnswerBegun(connection, head) => self.handle_begun(connection, &head).await,
             PeerMessage::Answer(connection, frame) => self.handle_answer(connection, frame).await,
             // The attempt has moved to another connection, which reports its end.
             PeerMessage::NotWritten(connection, attempt) if attempt.connection.get() != connection => {}
@@ -329,7 +332,7 @@
         let (alive, cancelled) = async_channel::bounded(1);
         let n = self.next_connection;
         self.next_connection += 1;
-        let streams = Rc::new(Streams::default());
+        let streams = Rc::new(Streams::new(n, self.own_mailbox.clone()));
         let connection = PeerConnection {
             commands,
             established: false,
@@ -421,6 +424,26 @@
         self.connections.retain(|n, c| *n != number || !(c.streams.is_waiting() && c.streams.is_empty()));
     }
 
+    /// Tells the director that an answer with a body has come as far as there is memory for it. Of any other answer it hears
+    /// when that is whole.
+    async fn handle_begun(&mut self, number: u64, head: &[u8]) {
+        let Some(connection) = self.connections.get_mut(&number) else { return };
+        let now = clock::now();
+        (connection.last_used, connection.silent) = (now, false);
+        self.last_received = now;
+        let Ok(Some(answer)) = resp::decode_head(head) else { return };
+        let Some(attempt) = connection.streams.attempt(answer.id) else { return };
+        if answer.code == AnswerCode::Hit && answer.version.is_some() {
+            let end = AttemptEnd {
+                note: answer.note,
+                waited: answer.waited,
+                load: answer.load,
+                ..AttemptEnd::without_details(attempt.ticket, answer.code.status())
+            };
+            let _ = self.shared.director.send(Message::AnswerBegun(end)).await;
+        }
+    }
+
     /// Ends the attempt or probe that an answer belongs to. A malformed answer, or one that does not match its request,
     /// ends the connection.
     async fn handle_answer(&mut self, number: u64, frame: Bytes) {
--- a/silverspindle/src/upstream/streams.rs
+++ b/silverspindle/src/upstream/streams.rs
@@ -5,11 +5,13 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use async_channel::Sender;
 use bitternhold::Micros;
 use bytes::Bytes;
 use silverspindle_wire::framing::StreamOwner;
 use silverspindle_wire::memory::{Claim, Recipient};
 
+use super::PeerMessage;
 use crate::resp;
 use crate::traffic::Attempt;
 
@@ -31,14 +33,23 @@
 }
 
 /// Streams of one connection, by the id that their answer carries.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Streams {
+    /// Number of the connection in the actor.
+    connection: u64,
+    /// The actor, which is told when an answer begins to wait.
+    actor: Sender<PeerMessage>,
     by_id: RefCell<HashMap<Bytes, Stream>>,
     /// An answer waits for memory, and what is behind it is not read meanwhile.
     waiting: Cell<bool>,
 }
 
 impl Streams {
+    /// No streams yet on this connection of the actor.
+    pub fn new(connection: u64, actor: Sender<PeerMessage>) -> Self {
+        Self { connection, actor, by_id: RefCell::default(), waiting: Cell::new(false) }
+    }
+
     /// Number of streams.
     pub fn len(&self) -> usize {
         self.by_id.borrow().len()
@@ -79,6 +90,14 @@
         self.by_id.borrow_mut().drain().map(|(_, stream)| stream).collect()
     }
 
+    /// The attempt with this id; none for a probe.
+    pub fn attempt(&self, id: &[u8]) -> Option<Rc<Attempt>> {
+        match self.by_id.borrow().get(id)? {
+            Stream::Attempt(attempt, _) => Some(attempt.clone()),
+            Stream::Probe(_) => None,
+        }
+    }
+
     /// When this attempt was queued; none if it is not on this connection.
     pub fn queued_since(&self, attempt: &Attempt) -> Option<Micros> {
         match self.by_id.borrow().get(attempt.call.rid.as_bytes()) {
@@ -97,7 +116,14 @@
         Claim { recipient, blocks_others }
     }
 
-    fn set_waiting(&self, waiting: bool) {
-        self.waiting.set(waiting);
+    /// Where the actor's mailbox is full, it learns of the answer when that is whole.
+    fn wait_began(&self, received: &[u8]) {
+        self.waiting.set(true);
+        let begun = PeerMessage::AnswerBegun(self.connection, Bytes::copy_from_slice(received));
+        let _ = self.actor.try_send(begun);
+    }
+
+    fn wait_ended(&self) {
+        self.waiting.set(false);
     }
 }
--- a/silverspindle/tests/common/orders.rs
+++ b/silverspindle/tests/common/orders.rs
@@ -107,6 +107,7 @@
 
 const WRITTEN_ENDINGS: [Ending; 6] =
     [Ending::Served, Ending::Error, Ending::Full, Ending::Miss, Ending::TooLate, Ending::Reset];
+const BEGUN_ENDINGS: [Ending; 2] = [Ending::Served, Ending::Reset];
 const UNWRITTEN_ENDINGS: [Ending; 2] = [Ending::ConnectFailed, Ending::NeverSent];
 
 impl Ending {
@@ -134,6 +135,8 @@
 pub enum Step {
     /// The first byte of the attempt with this index is written, if the final check allows it.
     Write(usize),
+    /// The answer to the attempt with this index begins to arrive, and waits for memory.
+    Begin(usize),
     /// The attempt with this index ends.
     End(usize, Ending),
     /// The client no longer waits for the answer.
@@ -171,6 +174,7 @@
     member: MemberId,
     cell: u64,
     written: Option<Micros>,
+    begun: bool,
     ended: Option<Ending>,
     given_up: bool,
 }
@@ -368,7 +372,12 @@
     pub fn possible_steps(&self) -> Vec<Step> {
         let mut steps = Vec::new();
         for (index, sent) in self.sent.iter().enumerate().filter(|(_, s)| s.ended.is_none() && !s.given_up) {
-            if sent.written.is_some() {
+            if sent.begun {
+                steps.extend(BEGUN_ENDINGS.map(|ending| Step::End(index, ending)));
+            } else if sent.written.is_some() {
+                if !self.case.write {
+                    steps.push(Step::Begin(index));
+                }
                 steps.extend(WRITTEN_ENDINGS.map(|ending| Step::End(index, ending)));
             } else {
                 steps.push(Step::Write(index));
@@ -418,6 +427,10 @@
         let first = self.sent.first().map(|s| s.member);
         match step {
             Step::Write(index) => self.write(index),
+            Step::Begin(index) => {
+                self.sent[index].begun = true;
+                self.director.handle_message(Message::AnswerBegun(self.end(index, Status::Ok)));
+            }
             Step::End(index, ending) => self.end_attempt(index, ending),
             Step::Forget => {
                 self.closed = true;
@@ -547,8 +560,8 @@
                 match order {
                     PeerMessage::Send(attempt) => {
                         let cell = self.members.get(member).map_or(0, |m| m.cell);
-                        let (written, ended, given_up) = (None, None, false);
-                        let sent = Sent { attempt, member: *member, cell, written, ended, given_up };
+                        let (written, begun, ended, given_up) = (None, false, None, false);
+                        let sent = Sent { attempt, member: *member, cell, written, begun, ended, given_up };
                         self.trace.push(format!("  attempt {} at member {}", self.sent.len(), member.0));
                         self.sent.push(sent);
                     }
--- a/silverspindle/tests/common/process.rs
+++ b/silverspindle/tests/common/process.rs
@@ -96,3 +96,10 @@
     assert!(r.lines.any(|l| l.contains("ended: all is answered")));
     assert!(r.child.wait().unwrap().success());
 }
+
+/// Anonymous memory of a process, in bytes.
+pub fn anonymous_memory(process: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).unwrap();
+    line.split_whitespace().next().unwrap().parse::<usize>().unwrap() * 1024
+}
--- a/silverspindle/tests/common/world.rs
+++ b/silverspindle/tests/common/world.rs
@@ -161,6 +161,16 @@
         }
     }
 
+    /// Receives that the answer to this attempt has begun to arrive, without its body.
+    pub async fn answer_begun(&self, ticket: u64) {
+        match self.messages.recv().await.unwrap() {
+            Message::AnswerBegun(begun) => {
+                assert_eq!((begun.ticket, begun.status, begun.body), (ticket, Status::Ok, None));
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+
     /// Ticket and status of the next attempt that ends.
     pub async fn end(&self) -> (u64, Status) {
         match self.messages.recv().await.unwrap() {
--- a/silverspindle/tests/memory_limits.rs
+++ b/silverspindle/tests/memory_limits.rs
@@ -9,14 +9,14 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Waker};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use async_io::{Async, Timer};
+use async_io::Timer;
 use bitternhold::Status;
-use common::process::start;
+use common::process::{anonymous_memory, start};
 use common::world::{ActorHarness, WaitingClient};
 use common::*;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::{AsyncWriteExt, future};
 use silverspindle::clock::Stamp;
 use silverspindle::copies::Copies;
 use silverspindle::feed::PurgeTarget;
@@ -53,13 +53,6 @@
     stream.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
 }
 
-/// Anonymous memory of a process, in bytes.
-fn anonymous_memory(process: u32) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).unwrap();
-    line.split_whitespace().next().unwrap().parse::<usize>().unwrap() * 1024
-}
-
 /// Guards against a router that is killed for memory: as many half-written messages as it has connections for, each of
 /// the largest size. Its memory is looked at until it has closed all of them; a request beside them is served.
 #[test]
@@ -240,6 +233,7 @@
         while memory.waiting() == 0 {
             future::yield_now().await;
         }
+        harness.answer_begun(2).await;
         assert!(memory.used() < 2 * LARGEST_OBJECT && harness.messages.is_empty());
         drop(first);
         let Message::Ended(second) = harness.messages.recv().await.unwrap() else { panic!() };
@@ -277,11 +271,34 @@
         peer.send(PeerMessage::Send(quick)).await.unwrap();
         let (wanted, second) = harness.cache.next().await;
         assert_ne!(port(&first), port(&second));
+        harness.answer_begun(1).await;
         reply(&second, &[&wanted[1], "HIT", NAMED, "x"]).await;
         assert_eq!(harness.end().await, (2, Status::Ok));
     });
 }
 
+/// An answer that waits for memory breaks off: the attempt ends as reset once it is read, and not before.
+#[test]
+fn an_answer_that_breaks_off_while_it_waits_ends_as_reset() {
+    run(async |tasks| {
+        let harness = ActorHarness::new(tasks, 9);
+        let memory = harness.shared.answer_memory.clone();
+        let held = held(&memory, 64 * MB);
+        let peer = harness.peer();
+        peer.send(PeerMessage::Send(harness.attempt(1, "00000000000000a1"))).await.unwrap();
+        let (wanted, connection) = harness.cache.next().await;
+        let body = vec![b'x'; LARGEST_OBJECT];
+        let answer =
+            silverspindle::resp::encode_array(&[wanted[1].as_bytes(), b"HIT", NAMED.as_bytes(), &body]);
+        (&*connection).write_all(&answer[..LARGEST_OBJECT / 4]).await.unwrap();
+        connection.get_ref().shutdown(std::net::Shutdown::Both).unwrap();
+        harness.answer_begun(1).await;
+        assert!(harness.messages.is_empty());
+        drop(held);
+        assert_eq!(harness.end().await, (1, Status::Reset));
+    });
+}
+
 /// A reservation of all of these bytes.
 fn held(budget: &Arc<MemoryBudget>, bytes: usize) -> Reservation {
     let mut reservation = Reservation::new(budget);
@@ -289,82 +306,6 @@
     reservation
 }
 
-/// Encodes a request of the largest object by a client.
-fn largest(client: usize, seq: usize) -> Vec<u8> {
-    let rid = format!("{:016x}", client * 1000 + seq);
-    let mut fields: Vec<(&str, &str)> = page("");
-    fields[1].1 = &rid;
-    serve(seq as i32, &fields, b"")
-}
-
-/// Reads whole answers with the largest object.
-async fn read_answers(mut stream: &Async<TcpStream>, answers: usize) {
-    let expected = served_answer(1, &[b'x'; LARGEST_OBJECT]).len();
-    for n in 0..answers {
-        let mut answer = vec![0; expected];
-        stream.read_exact(&mut answer).await.unwrap_or_else(|e| panic!("answer {n}: {e}"));
-        let frame = u32::from_be_bytes([answer[0], answer[1], answer[2], answer[3]]);
-        assert_eq!(4 + frame as usize, expected, "answer {n} is no served one");
-    }
-}
-
-/// Guards against requests that are lost, and other clients that wait, while a few clients read nothing for seconds and then
-/// read on (review, case 8), at the limits that the operators name and half of the least. The memory keeps to its limit.
-#[test]
-fn clients_that_pause_lose_nothing_and_make_no_other_wait() {
-    const PAUSED_CLIENTS: usize = 6;
-    const AT_ONCE: usize = 10;
-    const QUICK_REQUESTS: usize = 20;
-    const PAUSE: Duration = Duration::from_secs(2);
-    for limit_mb in [16, 32, 64] {
-        run(async |tasks| {
-            let cache = Cache::start(tasks);
-            let (_coordinator, address) = listen();
-            let mut file =
-                configuration(&[entry(1, "box", cache.address), entry(99, "origin", address)], address);
-            file["limits"]["memory_mb"] = limit_mb.into();
-            let router = start(&file, &format!("{}:0", ip()));
-            let answers = tasks.clone();
-            let body = "x".repeat(LARGEST_OBJECT);
-            let serve_all = async move {
-                loop {
-                    let (wanted, connection) = cache.next().await;
-                    let body = body.clone();
-                    let answer = async move {
-                        if wanted[0] == "want" {
-                            reply(&connection, &[&wanted[1], "HIT", NAMED, &body]).await;
-                        }
-                    };
-                    answers.spawn(answer).detach();
-                }
-            };
-            tasks.spawn(serve_all).detach();
-            let mut paused = Vec::new();
-            for client in 1..=PAUSED_CLIENTS {
-                let stream = connect_with_small_buffer(router.clients).await;
-                let requests: Vec<u8> = (1..=AT_ONCE).flat_map(|seq| largest(client, seq)).collect();
-                (&stream).write_all(&requests).await.unwrap();
-                paused.push(stream);
-            }
-            let read_on_at = Instant::now() + PAUSE;
-            // The others read on only once the quick client has all its answers.
-            let quick = Async::<TcpStream>::connect(router.clients).await.unwrap();
-            for seq in 1..=QUICK_REQUESTS {
-                (&quick).write_all(&largest(0, seq)).await.unwrap();
-                read_answers(&quick, 1).await;
-                let memory = anonymous_memory(router.child.id());
-                assert!(memory <= limit_mb * MB, "{memory} bytes of {limit_mb} MB");
-            }
-            Timer::at(read_on_at).await;
-            for stream in &paused {
-                read_answers(stream, AT_ONCE).await;
-            }
-            let memory = anonymous_memory(router.child.id());
-            assert!(memory <= limit_mb * MB, "{memory} bytes of {limit_mb} MB");
-        });
-    }
-}
-
 /// The parts of the limit leave room for the program itself, at each limit that the operators name.
 #[test]
 fn the_parts_of_the_memory_limit_leave_room_for_the_program() {
--- a/wire/src/reader.rs
+++ b/wire/src/reader.rs
@@ -47,8 +47,10 @@
 pub trait StreamOwner {
     /// What is known of the message that begins with these bytes.
     fn claim(&self, received: &[u8]) -> Claim;
-    /// A message has begun to wait for memory, or no longer waits. Nothing behind it is read meanwhile.
-    fn set_waiting(&self, waiting: bool);
+    /// The message that begins with these bytes begins to wait for memory. Nothing behind it is read meanwhile.
+    fn wait_began(&self, received: &[u8]);
+    /// It waits no longer.
+    fn wait_ended(&self);
 }
 
 /// A reader's part in a budget.
@@ -147,7 +149,8 @@
         Self { charge: Some(charge), ..self }
     }
 
-    /// Sets who is asked what a message is for before there is memory for it, and is told when one waits.
+    /// Sets who is asked what a message is for before there is memory for it, and is told when one waits. The wait does not
+    /// count against the message's timeout: the owner ends what nobody waits for.
     pub fn with_owner(mut self, owner: Rc<dyn StreamOwner>) -> Self {
         if let Some(charge) = &mut self.charge {
             charge.owner = Some(owner);
@@ -268,20 +271,31 @@
 
     /// Waits until the budget has memory for a message of this length.
     async fn reserve(&mut self, length: usize) -> io::Result<()> {
-        let timeout = read_timeout(self.partial_since, self.message_timeout, None);
         let missing = length - self.received().len();
         let received = &self.buffer[self.returned..self.filled];
         let Some(Charge { reservation, available, owner, .. }) = &mut self.charge else { return Ok(()) };
         if let Some(owner) = owner {
             reservation.set_claim(owner.claim(received));
-        }
-        let granted = async {
+            let mut waits = false;
             poll_fn(|context| {
                 let granted = reservation.poll_grow(context, length);
-                owner.iter().for_each(|owner| owner.set_waiting(granted.is_pending()));
+                if granted.is_pending() && !waits {
+                    waits = true;
+                    owner.wait_began(received);
+                }
                 granted
             })
             .await;
+            if waits {
+                owner.wait_ended();
+                // The sender has had no chance to go on meanwhile.
+                self.partial_since = Some(clock::now());
+            }
+            return Ok(());
+        }
+        let timeout = read_timeout(self.partial_since, self.message_timeout, None);
+        let granted = async {
+            poll_fn(|context| reservation.poll_grow(context, length)).await;
             Ok(true)
         };
         let arrived = async {
--- a/wire/src/resp.rs
+++ b/wire/src/resp.rs
@@ -152,6 +152,15 @@
     id
 }
 
+/// Decodes an answer that begins with these bytes and whose body has not arrived as a whole; the body is empty. None if the
+/// strings before it are not complete either.
+pub fn decode_head(buffer: &[u8]) -> Result<Option<Answer<'_>>, Malformed> {
+    let (mut strings, mut complete) = ([&b""[..]; 4], 0);
+    walk_strings(buffer, |i, s| (strings[i], complete) = (s, i + 1))?;
+    let [id, word, fields, _] = strings;
+    if complete < 3 { Ok(None) } else { parse(id, word, fields, b"").map(Some) }
+}
+
 /// Decodes a whole answer.
 pub fn decode(frame: &[u8]) -> Result<Answer<'_>, Malformed> {
     let mut strings = [&b""[..]; 4];
@@ -159,6 +168,11 @@
         return Err(Malformed("not exactly one whole answer"));
     }
     let [id, word, fields, body] = strings;
+    parse(id, word, fields, body)
+}
+
+/// Parses the strings of an answer.
+fn parse<'a>(id: &'a [u8], word: &[u8], fields: &'a [u8], body: &'a [u8]) -> Result<Answer<'a>, Malformed> {
     let code = CODES.iter().find(|(text, _)| *text == word).ok_or(Malformed("unknown word"))?.1;
     let mut answer = Answer { id, code, note: None, waited: None, load: None, version: None, body };
     let (mut tag, mut stamp) = (None, None);
