Where clients that read nothing hold all the memory, others have their answers in pieces

Cause: an answer is read as a whole before any of it is written, so each client holds up to 240 KB from its first answer on. Change: a client that holds nothing and whose answer does not fit has it in pieces of 4 KiB as it takes them; the rest stays at the cache. One at a time, in a quarter of the budget beside it. The end of the body goes out once the answer has ended as it should; where it breaks off, the client's connection ends (close reason broken_answer). A connection to a cache gets no other attempts meanwhile. Rejected: larger send buffers of the kernel (memory that nobody sees, lost at a close); cutting who reads nothing.

--- a/silverspindle/src/counters.rs
+++ b/silverspindle/src/counters.rs
@@ -23,6 +23,8 @@
     MakeRoom,
     /// The bytes received could not be decoded.
     Malformed,
+    /// An answer that was passed on in pieces broke off at its cache.
+    BrokenAnswer,
     /// The client accepted no byte of an answer for too long.
     Stalled,
 }
@@ -37,6 +39,7 @@
             CloseReason::Drained => "drained",
             CloseReason::MakeRoom => "room",
             CloseReason::Malformed => "malformed",
+            CloseReason::BrokenAnswer => "broken_answer",
             CloseReason::Stalled => "stalled",
         }
     }
--- a/silverspindle/src/director/answers.rs
+++ b/silverspindle/src/director/answers.rs
@@ -40,7 +40,7 @@
             tracing::debug!(rid, class, may_have_run, "{}; attempts: {}", verdict.name(), open.history);
         }
         let elapsed = self.now().saturating_sub(open.received_at);
-        let served = matches!(verdict, Verdict::Served(_) | Verdict::NotModified);
+        let served = matches!(verdict, Verdict::Served(_) | Verdict::Streamed(_) | Verdict::NotModified);
         self.shared.state.answered(served && elapsed <= self.aim(&open.call));
         if self.close(id) {
             self.counters.answered(verdict.name());
--- a/silverspindle/src/director/attempts.rs
+++ b/silverspindle/src/director/attempts.rs
@@ -97,7 +97,11 @@
         }
         if end.status == Status::Ok {
             self.keep_copy(&in_flight.attempt.call, &end);
-            let verdict = end.body.clone().map_or(Verdict::NotModified, Verdict::Served);
+            let verdict = match (end.body.clone(), end.streamed_body.clone()) {
+                (Some(body), _) => Verdict::Served(body),
+                (None, Some(body)) => Verdict::Streamed(body),
+                (None, None) => Verdict::NotModified,
+            };
             self.answer(in_flight.id, verdict);
         }
         let AttemptEnd { status, note, .. } = end;
--- a/silverspindle/src/director/own_copies.rs
+++ b/silverspindle/src/director/own_copies.rs
@@ -23,6 +23,8 @@
         };
         self.skew.record(self.now(), *stamp);
         match &end.body {
+            // It is never held as a whole.
+            None if end.streamed_body.is_some() => {}
             Some(body) => self.copies.store(self.now(), key, call.group, tag, *stamp, body),
             None => self.copies.mark_confirmed(self.now(), key, tag),
         }
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -21,7 +21,7 @@
 use crate::counters::{CloseReason, RefusalReason};
 use crate::drain::{ConnectionState, Drain, HoldReason};
 use crate::framing::{ChargedUntil, Malformed, MessageReader};
-use crate::traffic::{Call, ClientHandle, Message, Verdict};
+use crate::traffic::{Call, ClientHandle, Message, StreamedBody, Verdict};
 use crate::{clock, invariant, thrift};
 
 /// Maximum number of bytes that are read of a request before there is memory for all of it.
@@ -50,6 +50,13 @@
     Unknown(i32, String),
 }
 
+impl Reply {
+    /// Bytes of the body that are held until it is written.
+    fn held_bytes(&self) -> usize {
+        if let Reply::Verdict(_, verdict) = self { verdict.bytes() } else { 0 }
+    }
+}
+
 /// A connection's state, shared between its task, the director and the front.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -309,6 +316,10 @@
                 CloseReason::Malformed
             }
             ErrorKind::TimedOut => CloseReason::Stalled,
+            ErrorKind::UnexpectedEof => {
+                tracing::warn!(client = self.id, "an answer broke off at its cache; closed");
+                CloseReason::BrokenAnswer
+            }
             _ => {
                 tracing::debug!(client = self.id, "{error}");
                 CloseReason::ClientLeft
@@ -473,20 +484,10 @@
         let answer = async || answers.recv().await.map(|reply| (true, reply));
         let reply = async || reply_queue.recv().await.map(|reply| (false, reply));
         while let Ok((from_director, reply)) = future::or(answer(), reply()).await {
-            let (mut head, body, tail) = encode(reply);
-            let write = async {
-                if body.len() <= MAX_COPIED_BODY {
-                    head.extend_from_slice(&body);
-                    head.extend_from_slice(&tail);
-                    return self.write_part(stream, &head).await;
-                }
-                self.write_part(stream, &head).await?;
-                self.write_part(stream, &body).await?;
-                self.write_part(stream, &tail).await
-            };
-            let written = write.await;
+            let held_bytes = reply.held_bytes();
+            let written = self.write_reply(stream, encode(reply)).await;
             if from_director {
-                self.add_unwritten(-1, -(body.len() as isize));
+                self.add_unwritten(-1, -(held_bytes as isize));
                 self.finish_request();
             } else {
                 self.unwritten_replies.set(self.unwritten_replies.get().saturating_sub(1));
@@ -504,6 +505,40 @@
 }
 
 impl Connection {
+    /// Writes the parts of a reply.
+    async fn write_reply(&self, stream: &Async<TcpStream>, reply: EncodedReply) -> io::Result<()> {
+        let EncodedReply { mut head, body, tail } = reply;
+        match body {
+            EncodedBody::Whole(body) if body.len() <= MAX_COPIED_BODY => {
+                head.extend_from_slice(&body);
+                head.extend_from_slice(&tail);
+                return self.write_part(stream, &head).await;
+            }
+            EncodedBody::Whole(body) => {
+                self.write_part(stream, &head).await?;
+                self.write_part(stream, &body).await?;
+            }
+            EncodedBody::Arriving(body) => {
+                self.write_part(stream, &head).await?;
+                self.write_arriving(stream, body).await?;
+            }
+        }
+        self.write_part(stream, &tail).await
+    }
+
+    /// Writes a body as it arrives. Fails with [`ErrorKind::UnexpectedEof`] where it breaks off: the client can tell by the end
+    /// of the connection that the answer is not whole.
+    async fn write_arriving(&self, stream: &Async<TcpStream>, body: StreamedBody) -> io::Result<()> {
+        let mut left = body.length;
+        while left > 0 {
+            let mut piece = body.pieces.recv().await.map_err(|_| ErrorKind::UnexpectedEof)?;
+            piece.truncate(left);
+            self.write_part(stream, &piece).await?;
+            left -= piece.len();
+        }
+        Ok(())
+    }
+
     /// Writes all bytes; fails if the client takes none of them for [`WRITE_TIMEOUT`].
     async fn write_part(&self, mut stream: &Async<TcpStream>, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
@@ -563,26 +598,40 @@
     ErrorKind::BrokenPipe.into()
 }
 
-/// Encodes a reply in three parts: the bytes before the body, the body without a copy, the bytes after it.
-fn encode(reply: Reply) -> (Vec<u8>, Bytes, Vec<u8>) {
-    let whole = |frame| (frame, Bytes::new(), Vec::new());
+/// The body of a reply.
+enum EncodedBody {
+    Whole(Bytes),
+    Arriving(StreamedBody),
+}
+
+/// A reply in three parts: the bytes before the body, the body without a copy, the bytes after it.
+struct EncodedReply {
+    head: Vec<u8>,
+    body: EncodedBody,
+    tail: Vec<u8>,
+}
+
+/// Encodes a reply.
+fn encode(reply: Reply) -> EncodedReply {
+    let whole = |head| EncodedReply { head, body: EncodedBody::Whole(Bytes::new()), tail: Vec::new() };
+    let with_body = |[head, tail]: [Vec<u8>; 2], body| EncodedReply { head, body, tail };
     match reply {
         Reply::Verdict(seq, Verdict::Served(body)) => {
-            let [head, tail] = thrift::encode_answer("serve", seq, body.len(), &[], true);
-            (head, body, tail)
+            let parts = thrift::encode_answer("serve", seq, body.len(), &[], true);
+            with_body(parts, EncodedBody::Whole(body))
+        }
+        Reply::Verdict(seq, Verdict::Streamed(body)) => {
+            let parts = thrift::encode_answer("serve", seq, body.length, &[], true);
+            with_body(parts, EncodedBody::Arriving(body))
         }
         Reply::Verdict(seq, Verdict::NotModified) => {
-            let [head, tail] = thrift::encode_answer("serve", seq, 0, &[("keep", "1")], true);
-            (head, Bytes::new(), tail)
+            whole(thrift::encode_answer("serve", seq, 0, &[("keep", "1")], true).concat())
         }
         Reply::Verdict(seq, Verdict::Refused(refusal)) => {
             whole(thrift::encode_throttled(seq, refusal.backoff()))
         }
         Reply::Verdict(seq, Verdict::Failed) => whole(thrift::encode_broken(seq)),
-        Reply::IsWell(seq, good) => {
-            let [head, tail] = thrift::encode_answer("isWell", seq, 0, &[], good);
-            (head, Bytes::new(), tail)
-        }
+        Reply::IsWell(seq, good) => whole(thrift::encode_answer("isWell", seq, 0, &[], good).concat()),
         Reply::Unknown(seq, name) => whole(thrift::encode_unknown_method(&name, seq)),
     }
 }
--- a/silverspindle/src/traffic.rs
+++ b/silverspindle/src/traffic.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use bitternhold::settings::SiteSettings;
 use bitternhold::{FillMode, Keep, Load, MemberId, Micros, Note, Status};
@@ -78,11 +78,30 @@
     }
 }
 
+/// A body that is passed on in pieces as it arrives, because there is no memory for all of it.
+#[derive(Clone, Debug)]
+pub struct StreamedBody {
+    /// Number of bytes.
+    pub length: usize,
+    /// Its bytes in order, perhaps with bytes behind the body. Closed before the body is complete: its stream has broken off.
+    pub pieces: Receiver<Bytes>,
+}
+
+impl PartialEq for StreamedBody {
+    fn eq(&self, other: &Self) -> bool {
+        self.length == other.length && self.pieces.same_channel(&other.pieces)
+    }
+}
+
+impl Eq for StreamedBody {}
+
 /// The final answer to a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// Served, with the body.
     Served(Bytes),
+    /// Served, with a body that is still arriving.
+    Streamed(StreamedBody),
     /// Served without a body: the copy that the client holds is current.
     NotModified,
     /// Refused: a retry does no harm.
@@ -95,14 +114,14 @@
     /// Name in log lines and counters.
     pub fn name(&self) -> &'static str {
         match self {
-            Verdict::Served(_) => "served",
+            Verdict::Served(_) | Verdict::Streamed(_) => "served",
             Verdict::NotModified => "holds",
             Verdict::Refused(_) => "refused",
             Verdict::Failed => "failed",
         }
     }
 
-    /// Size of the body in bytes.
+    /// Bytes of the body that are held.
     pub fn bytes(&self) -> usize {
         if let Verdict::Served(body) = self { body.len() } else { 0 }
     }
@@ -382,6 +401,8 @@
     pub load: Option<Load>,
     /// The body, if it was served; `None` if the copy that the client holds is current.
     pub body: Option<Bytes>,
+    /// The body, if it is still arriving.
+    pub streamed_body: Option<StreamedBody>,
     /// Tag of the copy and the time at which the origin issued it, if the answer has them.
     pub version: Option<(Bytes, Stamp)>,
 }
@@ -389,7 +410,8 @@
 impl AttemptEnd {
     /// An end with a status only.
     pub fn without_details(ticket: u64, status: Status) -> Self {
-        Self { ticket, status, note: None, waited: None, load: None, body: None, version: None }
+        let (body, streamed_body) = (None, None);
+        Self { ticket, status, note: None, waited: None, load: None, body, streamed_body, version: None }
     }
 }
 
--- a/silverspindle/src/upstream.rs
+++ b/silverspindle/src/upstream.rs
@@ -16,10 +16,10 @@
 use futures_lite::{AsyncWriteExt, future};
 use rustix::io::Errno;
 
-use crate::framing::{ChargedUntil, MessageReader};
+use crate::framing::{ChargedUntil, Incoming, Malformed, MessageReader};
 use crate::limited::LimitedLine;
 use crate::resp::{self, AnswerCode};
-use crate::traffic::{Attempt, AttemptEnd, Descriptor, Message, Shared};
+use crate::traffic::{Attempt, AttemptEnd, Descriptor, Message, Shared, StreamedBody};
 use crate::{clock, loop_monitor};
 
 use streams::{Stream, Streams};
@@ -71,6 +71,8 @@
     AnswerBegun(u64, Bytes),
     /// A connection received an answer.
     Answer(u64, Bytes),
+    /// A connection received the first bytes of an answer, whose body is passed on as it arrives.
+    StreamedAnswer(u64, Bytes, StreamedBody),
     /// A connection did not write an attempt, because it was no longer allowed to be sent.
     NotWritten(u64, Rc<Attempt>),
     /// A connection ended, or could not be established.
@@ -227,6 +229,9 @@
             }
             PeerMessage::AnswerBegun(connection, head) => self.handle_begun(connection, &head).await,
             PeerMessage::Answer(connection, frame) => self.handle_answer(connection, frame).await,
+            PeerMessage::StreamedAnswer(connection, head, body) => {
+                self.handle_streamed(connection, &head, body).await;
+            }
             // The attempt has moved to another connection, which reports its end.
             PeerMessage::NotWritten(connection, attempt) if attempt.connection.get() != connection => {}
             PeerMessage::NotWritten(connection, attempt) => {
@@ -288,8 +293,8 @@
     /// connection. Where handshakes have a cost, the comparison keeps a fleet from opening a connection for each
     /// request in a busy moment. An id is used at most once on a connection, as two answers with the same id can't be
     /// told apart. A connection that the peer may be about to close is not chosen, with a wider margin for classes that
-    /// may not be repeated. One on which an answer waits for memory is chosen only where no descriptor is left: answers behind
-    /// it wait as well.
+    /// may not be repeated. One on which an answer waits for memory or for its client is chosen only where no descriptor is
+    /// left: answers behind it wait as well.
     fn choose_connection(&mut self, id: &[u8], attempt: Option<&Attempt>) -> Option<u64> {
         let streams = self.shared.site.streams_per_conn;
         let (now, idle, member) = (clock::now(), self.idle_timeout(), self.id);
@@ -310,8 +315,8 @@
                 && c.commands.len() < MAX_QUEUED_COMMANDS - 1
         };
         let usable = self.connections.iter().filter(|(n, c)| can_take(**n, c));
-        let best = usable.min_by_key(|(n, c)| (c.streams.is_waiting(), c.streams.len(), !c.established, **n));
-        let best = best.map(|(n, c)| (*n, c.streams.len(), c.streams.is_waiting()));
+        let best = usable.min_by_key(|(n, c)| (c.streams.is_held_up(), c.streams.len(), !c.established, **n));
+        let best = best.map(|(n, c)| (*n, c.streams.len(), c.streams.is_held_up()));
         let has_spare = self.shared.descriptors.has_spare();
         let sharing_is_cheaper =
             |streams: usize| streams as f64 * self.break_share < self.shared.site.handshake_cost;
@@ -415,7 +420,7 @@
         }
         // Guards against a machine that is cut off from the network: its connections stay open but silent. New attempts
         // use a new connection, as a failed connect proves that nothing ran, and silence does not.
-        let answers = self.last_received > since || connection.streams.is_waiting();
+        let answers = self.last_received > since || connection.streams.is_held_up();
         if timed_out && !answers {
             self.connections.values_mut().for_each(|connection| connection.silent = true);
         }
@@ -444,6 +449,32 @@
         }
     }
 
+    /// Ends the attempt that an answer belongs to whose body is passed on as it arrives.
+    async fn handle_streamed(&mut self, number: u64, head: &Bytes, body: StreamedBody) {
+        let Some(connection) = self.connections.get_mut(&number) else { return };
+        let now = clock::now();
+        (connection.last_used, connection.silent) = (now, false);
+        self.last_received = now;
+        self.break_share -= BREAK_WEIGHT * self.break_share;
+        let Ok(Some(answer)) = resp::decode_head(head) else { return };
+        // Where the attempt was abandoned meanwhile, the body is dropped and its rest discarded.
+        match connection.streams.remove(answer.id) {
+            Some(Stream::Attempt(attempt, _)) => {
+                self.report_end(AttemptEnd {
+                    note: answer.note,
+                    waited: answer.waited,
+                    load: answer.load,
+                    streamed_body: Some(body),
+                    version: answer.version.map(|(tag, stamp)| (head.slice_ref(tag), stamp)),
+                    ..AttemptEnd::without_details(attempt.ticket, answer.code.status())
+                })
+                .await;
+            }
+            Some(Stream::Probe(_)) => {}
+            None => drop(connection.abandoned.remove(answer.id)),
+        }
+    }
+
     /// Ends the attempt or probe that an answer belongs to. A malformed answer, or one that does not match its request,
     /// ends the connection.
     async fn handle_answer(&mut self, number: u64, frame: Bytes) {
@@ -499,6 +530,7 @@
                     waited,
                     load,
                     body,
+                    streamed_body: None,
                     version,
                 })
                 .await;
@@ -571,7 +603,8 @@
             });
             connection.abandoned.retain(|_, at| now.saturating_sub(*at) < ABANDONED_ID_LIFETIME);
             let is_idle = now.saturating_sub(connection.last_used) >= idle;
-            !connection.streams.is_empty() || !(is_idle || connection.silent || connection.closing)
+            let is_in_use = !connection.streams.is_empty() || connection.streams.is_in_pieces();
+            is_in_use || !(is_idle || connection.silent || connection.closing)
         });
     }
 }
@@ -619,8 +652,18 @@
                 .with_owner(self.streams.clone())
                 .with_stall_timeout(STALL_TIMEOUT)
                 .with_message_timeout(longest_deadline);
-            while let Some(frame) = answers.next().await? {
-                self.actor.send(PeerMessage::Answer(self.connection, frame)).await.map_err(closed_error)?;
+            while let Some(incoming) = answers.next_incoming().await? {
+                match incoming {
+                    Incoming::Whole(frame) => {
+                        let answer = PeerMessage::Answer(self.connection, frame);
+                        self.actor.send(answer).await.map_err(closed_error)?;
+                    }
+                    Incoming::Begun(head) => {
+                        self.streams.set_in_pieces(true);
+                        self.pass_on_pieces(&mut answers, head).await?;
+                        self.streams.set_in_pieces(false);
+                    }
+                }
             }
             Err(io::Error::new(io::ErrorKind::UnexpectedEof, "closed by the peer"))
         };
@@ -646,6 +689,37 @@
 }
 
 impl ConnectionTask {
+    /// Passes on an answer of which these bytes have arrived, piece by piece as it is read. The end of the body goes out once
+    /// the answer has ended as it should. Where nobody takes the pieces, they are discarded.
+    async fn pass_on_pieces(
+        &self,
+        answers: &mut MessageReader<&Async<TcpStream>>,
+        head: Bytes,
+    ) -> io::Result<()> {
+        let Some((start, length)) = resp::body_position(&head) else {
+            return Err(Malformed("an answer without a body in pieces").into());
+        };
+        let (pieces, body) = async_channel::bounded(1);
+        let mut held = head.slice(start..);
+        let streamed = StreamedBody { length, pieces: body };
+        let answer = PeerMessage::StreamedAnswer(self.connection, head, streamed);
+        self.actor.send(answer).await.map_err(closed_error)?;
+        while let Some(piece) = answers.next_piece().await? {
+            held = match piece.len() > resp::LINE_END.len() {
+                true => {
+                    let _ = pieces.send(held).await;
+                    piece
+                }
+                false => [held, piece].concat().into(),
+            };
+        }
+        if !held.ends_with(resp::LINE_END) {
+            return Err(Malformed("string without its line end").into());
+        }
+        let _ = pieces.send(held).await;
+        Ok(())
+    }
+
     /// Writes the first bytes of an attempt. Returns its command and the number of bytes written; none if the attempt may
     /// no longer be sent. This is the one place where attempts are checked before they are sent: nothing may come
     /// between the check and the write, so a wait for room in the socket is followed by another check.
--- a/silverspindle/src/upstream/streams.rs
+++ b/silverspindle/src/upstream/streams.rs
@@ -11,10 +11,14 @@
 use silverspindle_wire::framing::StreamOwner;
 use silverspindle_wire::memory::{Claim, Recipient};
 
-use super::PeerMessage;
-use crate::resp;
+use super::{PeerMessage, READ_CHUNK};
+use crate::resp::{self, AnswerCode};
 use crate::traffic::Attempt;
 
+/// Memory in bytes that an answer takes while it is passed on in pieces: one that is being read, one in the channel and one
+/// that is being written.
+const PIECES_MEMORY: usize = 3 * READ_CHUNK;
+
 /// An attempt or a probe in flight, with the time at which it was queued on the connection.
 #[derive(Debug)]
 pub(super) enum Stream {
@@ -42,12 +46,20 @@
     by_id: RefCell<HashMap<Bytes, Stream>>,
     /// An answer waits for memory, and what is behind it is not read meanwhile.
     waiting: Cell<bool>,
+    /// The answer that is read is passed on in pieces.
+    in_pieces: Cell<bool>,
 }
 
 impl Streams {
     /// No streams yet on this connection of the actor.
     pub fn new(connection: u64, actor: Sender<PeerMessage>) -> Self {
-        Self { connection, actor, by_id: RefCell::default(), waiting: Cell::new(false) }
+        Self {
+            connection,
+            actor,
+            by_id: RefCell::default(),
+            waiting: Cell::new(false),
+            in_pieces: Cell::new(false),
+        }
     }
 
     /// Number of streams.
@@ -70,6 +82,21 @@
         self.waiting.get()
     }
 
+    /// Whether an answer on the connection is passed on in pieces, as fast as its client takes them.
+    pub fn is_in_pieces(&self) -> bool {
+        self.in_pieces.get()
+    }
+
+    /// Whether answers on the connection have to wait for a client.
+    pub fn is_held_up(&self) -> bool {
+        self.is_waiting() || self.is_in_pieces()
+    }
+
+    /// Notes that an answer is passed on in pieces from now on, or no longer is.
+    pub fn set_in_pieces(&self, in_pieces: bool) {
+        self.in_pieces.set(in_pieces);
+    }
+
     /// Adds a stream.
     pub fn insert(&self, id: Bytes, stream: Stream) {
         self.by_id.borrow_mut().insert(id, stream);
@@ -113,7 +140,10 @@
         let by_id = self.by_id.borrow();
         let recipient = resp::answer_id(received).and_then(|id| by_id.get(id)).and_then(Stream::recipient);
         let blocks_others = by_id.values().any(|stream| stream.recipient() != recipient);
-        Claim { recipient, blocks_others }
+        let head = resp::decode_head(received).ok().flatten();
+        let has_body = head.is_some_and(|head| head.code == AnswerCode::Hit && head.version.is_some());
+        let can_stream = has_body && resp::body_position(received).is_some();
+        Claim { recipient, blocks_others, piece: if can_stream { PIECES_MEMORY } else { 0 } }
     }
 
     /// Where the actor's mailbox is full, it learns of the answer when that is whole.
--- a/silverspindle/tests/common/orders.rs
+++ b/silverspindle/tests/common/orders.rs
@@ -618,7 +618,7 @@
                 ];
                 violations.into_iter().find(|(violated, _)| *violated).map(|(_, violation)| violation)
             }
-            Verdict::Served(_) => {
+            Verdict::Served(_) | Verdict::Streamed(_) => {
                 let served = self.sent.iter().any(|s| s.ended == Some(Ending::Served));
                 (!served).then_some("served what no cache answered")
             }
--- a/silverspindle/tests/memory_limits.rs
+++ b/silverspindle/tests/memory_limits.rs
@@ -24,7 +24,7 @@
 use silverspindle::memory::{MemoryLimits, MemoryPool};
 use silverspindle::traffic::Message;
 use silverspindle::upstream::PeerMessage;
-use silverspindle_wire::memory::{MemoryBudget, Reservation};
+use silverspindle_wire::memory::{Claim, MemoryBudget, Recipient, Reservation};
 
 const MB: usize = 1_000_000;
 /// Bytes of each message in part, of [`MESSAGE_BYTES`].
@@ -256,7 +256,7 @@
         let harness = ActorHarness::with(tasks, 9, &options);
         let memory = harness.shared.answer_memory.clone();
         memory.set_limit(2 * LARGEST_OBJECT);
-        let _held = held(&memory, 2 * LARGEST_OBJECT);
+        let _held = held(&memory, Recipient(1), 2 * LARGEST_OBJECT);
         let peer = harness.peer();
         let slow = harness.attempt_for(waiting_client(1), 1, "00000000000000a1");
         peer.send(PeerMessage::Send(slow)).await.unwrap();
@@ -283,7 +283,7 @@
     run(async |tasks| {
         let harness = ActorHarness::new(tasks, 9);
         let memory = harness.shared.answer_memory.clone();
-        let held = held(&memory, 64 * MB);
+        let held = held(&memory, Recipient(harness.client.number), 64 * MB);
         let peer = harness.peer();
         peer.send(PeerMessage::Send(harness.attempt(1, "00000000000000a1"))).await.unwrap();
         let (wanted, connection) = harness.cache.next().await;
@@ -299,9 +299,70 @@
     });
 }
 
-/// A reservation of all of these bytes.
-fn held(budget: &Arc<MemoryBudget>, bytes: usize) -> Reservation {
+/// What a cache writes in place of a whole answer.
+enum Spoilt {
+    Whole,
+    BrokenOff,
+    WithoutLineEnd,
+}
+
+/// Guards answers that are passed on in pieces while all memory is held by others: the body is complete and unchanged, or its
+/// stream ends before it is complete. The connection serves on behind a whole one.
+#[test]
+fn an_answer_in_pieces_is_whole_or_ends_early() {
+    for spoilt in [Spoilt::Whole, Spoilt::BrokenOff, Spoilt::WithoutLineEnd] {
+        run(async |tasks| {
+            let harness = ActorHarness::new(tasks, 9);
+            let memory = harness.shared.answer_memory.clone();
+            let _held = held(&memory, Recipient(99), 64 * MB);
+            let peer = harness.peer();
+            peer.send(PeerMessage::Send(harness.attempt(1, "00000000000000a1"))).await.unwrap();
+            let (wanted, connection) = harness.cache.next().await;
+            let body: Vec<u8> = (0..LARGEST_OBJECT).map(|n| (n % 251) as u8).collect();
+            let mut answer =
+                silverspindle::resp::encode_array(&[wanted[1].as_bytes(), b"HIT", NAMED.as_bytes(), &body]);
+            match spoilt {
+                Spoilt::Whole => {}
+                Spoilt::BrokenOff => answer.truncate(LARGEST_OBJECT / 2),
+                Spoilt::WithoutLineEnd => *answer.last_mut().unwrap() = b'x',
+            }
+            let (whole, cache) = (matches!(spoilt, Spoilt::Whole), connection.clone());
+            let write = async move {
+                (&*cache).write_all(&answer).await.unwrap();
+                if !whole {
+                    cache.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+                }
+            };
+            tasks.spawn(write).detach();
+            let Message::Ended(end) = harness.messages.recv().await.unwrap() else { panic!() };
+            assert_eq!((end.ticket, end.status, end.body), (1, Status::Ok, None));
+            let streamed = end.streamed_body.unwrap();
+            assert_eq!(streamed.length, LARGEST_OBJECT);
+            let mut received = Vec::new();
+            while let Ok(piece) = streamed.pieces.recv().await {
+                received.extend_from_slice(&piece);
+                assert!(memory.used() < 64 * MB + LARGEST_OBJECT / 2);
+            }
+            if !whole {
+                assert!(received.len() < LARGEST_OBJECT && body.starts_with(&received));
+                return;
+            }
+            received.truncate(LARGEST_OBJECT);
+            assert_eq!(received, body);
+            assert_eq!(memory.used(), 64 * MB);
+            peer.send(PeerMessage::Send(harness.attempt(2, "00000000000000a2"))).await.unwrap();
+            let (wanted, again) = harness.cache.next().await;
+            assert_eq!(port(&again), port(&connection), "the connection is free again");
+            reply(&again, &[&wanted[1], "HIT", NAMED, "x"]).await;
+            assert_eq!(harness.end().await, (2, Status::Ok));
+        });
+    }
+}
+
+/// A reservation of all of these bytes for a recipient.
+fn held(budget: &Arc<MemoryBudget>, recipient: Recipient, bytes: usize) -> Reservation {
     let mut reservation = Reservation::new(budget);
+    reservation.set_claim(Claim { recipient: Some(recipient), ..Claim::default() });
     reservation.force(bytes);
     reservation
 }
--- a/silverspindle/tests/slow_readers.rs
+++ b/silverspindle/tests/slow_readers.rs
@@ -138,6 +138,41 @@
     }
 }
 
+/// Guards against requests that wait for a crowd of clients which read nothing: more of them than the memory has room for one
+/// answer each. They lose nothing, the quick client is served meanwhile, and the memory keeps to its limit.
+#[test]
+fn a_crowd_of_clients_that_pause_makes_no_other_wait() {
+    const CROWD: usize = 120;
+    const QUICK_REQUESTS: usize = 20;
+    for limit_mb in [16, 32] {
+        run(async |tasks| {
+            let cache = QuickCache::start(tasks);
+            let router = start_router(limit_mb, 1024, &[&cache]);
+            let mut crowd = Vec::new();
+            for client in 1..=CROWD {
+                let stream = connect_with_small_buffer(router.clients).await;
+                (&stream).write_all(&largest(client, 1, LONG_BUDGET_MS)).await.unwrap();
+                crowd.push(stream);
+            }
+            while cache.requests.get() < CROWD {
+                Timer::after(Duration::from_millis(1)).await;
+            }
+            let quick = Async::<TcpStream>::connect(router.clients).await.unwrap();
+            for seq in 1..=QUICK_REQUESTS {
+                (&quick).write_all(&largest(0, seq, LONG_BUDGET_MS)).await.unwrap();
+                // The crowd reads on only once the quick client has all its answers.
+                read_answers(&quick, 1).await;
+                assert_within(&router, limit_mb);
+            }
+            for stream in &crowd {
+                read_answers(stream, 1).await;
+            }
+            assert_eq!(cache.requests.get(), CROWD + QUICK_REQUESTS);
+            assert_within(&router, limit_mb);
+        });
+    }
+}
+
 /// Guards caches against the blame for clients that read slowly: an answer that waits for its client is no late one, so it is
 /// not asked for again, and both caches are used on.
 #[test]
--- a/wire/src/framing.rs
+++ b/wire/src/framing.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-pub use crate::reader::{ChargedUntil, MessageReader, StreamOwner};
+pub use crate::reader::{ChargedUntil, Incoming, MessageReader, StreamOwner};
 
 /// Error of a message that can't be decoded, with the reason.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/wire/src/memory.rs
+++ b/wire/src/memory.rs
@@ -11,6 +11,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 
+/// Messages that are passed on in pieces may use this fraction (one in N) of a budget's limit, beyond it.
+pub const PIECES_DIVISOR: usize = 4;
+
 /// A recipient that holds memory may have at most this fraction (one in N) of what is free, with what it holds.
 pub const FREE_SHARE_DIVISOR: usize = 2;
 
@@ -25,6 +28,18 @@
     pub recipient: Option<Recipient>,
     /// Messages for others come behind it on the same stream: it waits for the budget as a whole only, not for its recipient.
     pub blocks_others: bool,
+    /// Memory in bytes that it takes if it is passed on in pieces; 0: it can be passed on as a whole only.
+    pub piece: usize,
+}
+
+/// How a message may be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Grant {
+    /// There is memory for all of it.
+    Whole,
+    /// There is memory for one piece at a time: its recipient holds nothing, so it takes each piece as fast as it can, and the
+    /// rest need not wait until others give theirs back.
+    Pieces,
 }
 
 /// Memory for messages, in bytes.
@@ -48,6 +63,8 @@
 struct State {
     limit: usize,
     used: usize,
+    /// Part of `used` that messages passed on in pieces take.
+    used_by_pieces: usize,
     /// Recipients that hold memory or wait for it.
     accounts: HashMap<Recipient, Account>,
     /// Reservations that wait for memory, in the order in which they began to.
@@ -94,6 +111,17 @@
         self.fits(bytes) && (held == 0 || held.saturating_add(bytes) <= free / FREE_SHARE_DIVISOR)
     }
 
+    /// How this much more may be granted to a claim; none if it has to wait.
+    fn grant(&self, claim: Claim, bytes: usize) -> Option<Grant> {
+        if self.admits(claim, bytes) {
+            return Some(Grant::Whole);
+        }
+        let holds_nothing =
+            claim.recipient.is_some() && self.account(claim).is_none_or(|account| account.used == 0);
+        let has_room = self.used_by_pieces + claim.piece <= self.limit / PIECES_DIVISOR;
+        (claim.piece > 0 && holds_nothing && has_room && !self.fits(bytes)).then_some(Grant::Pieces)
+    }
+
     fn place(&self, claim: Claim, ticket: u64) -> Place {
         (self.held(claim), self.account(claim).map_or(0, |account| account.last_grant), ticket)
     }
@@ -105,7 +133,7 @@
 
     /// Wakes the first reservation that waits, if there is memory for it now.
     fn wake_first(&self) {
-        if let Some(first) = self.first().filter(|first| self.admits(first.claim, first.bytes)) {
+        if let Some(first) = self.first().filter(|first| self.grant(first.claim, first.bytes).is_some()) {
             first.waker.wake_by_ref();
         }
     }
@@ -200,12 +228,14 @@
     bytes: usize,
     /// Its place among those that wait for memory.
     ticket: Option<u64>,
+    /// It was granted for pieces.
+    in_pieces: bool,
 }
 
 impl Reservation {
     /// A reservation of nothing yet.
     pub fn new(budget: &Arc<MemoryBudget>) -> Self {
-        Self { budget: budget.clone(), claim: Claim::default(), bytes: 0, ticket: None }
+        Self { budget: budget.clone(), claim: Claim::default(), bytes: 0, ticket: None, in_pieces: false }
     }
 
     /// Sets what is known of the message, before anything is reserved for it; later calls change nothing.
@@ -229,22 +259,26 @@
         }
     }
 
-    /// Grows to this many bytes when there is memory for them and nobody who goes before.
-    pub fn poll_grow(&mut self, context: &mut Context<'_>, bytes: usize) -> Poll<()> {
+    /// Grows to this many bytes when there is memory for them and nobody who goes before; to one piece where the claim allows
+    /// that and the message would have to wait for others.
+    pub fn poll_grow(&mut self, context: &mut Context<'_>, bytes: usize) -> Poll<Grant> {
         if self.covers(bytes) {
             self.stop_waiting();
-            return Poll::Ready(());
+            return Poll::Ready(Grant::Whole);
         }
         let (claim, more) = (self.claim, bytes - self.bytes);
         let mut state = self.budget.lock();
         let place = state.place(claim, self.ticket.unwrap_or(u64::MAX));
         let is_first = state.first().is_none_or(|first| place <= state.place(first.claim, first.ticket));
-        if is_first && state.admits(claim, more) {
-            state.take(claim, more);
-            self.bytes = bytes;
+        if let Some(grant) = state.grant(claim, more).filter(|_| is_first) {
+            self.in_pieces = grant == Grant::Pieces;
+            let granted = if self.in_pieces { claim.piece } else { more };
+            state.take(claim, granted);
+            state.used_by_pieces += if self.in_pieces { granted } else { 0 };
+            self.bytes += granted;
             drop(state);
             self.stop_waiting();
-            return Poll::Ready(());
+            return Poll::Ready(grant);
         }
         let waker = context.waker().clone();
         let own = self.ticket.and_then(|ticket| state.waiting.iter_mut().find(|w| w.ticket == ticket));
@@ -278,6 +312,7 @@
         self.stop_waiting();
         let mut state = self.budget.lock();
         state.give_back(self.claim, self.bytes);
+        state.used_by_pieces -= if self.in_pieces { self.bytes } else { 0 };
         state.wake_first();
     }
 }
--- a/wire/src/reader.rs
+++ b/wire/src/reader.rs
@@ -18,7 +18,7 @@
 use crate::clock;
 use crate::framing::Measure;
 use crate::loop_monitor::{self, Backlog};
-use crate::memory::{Claim, MemoryBudget, Reservation};
+use crate::memory::{Claim, Grant, MemoryBudget, Reservation};
 
 /// First interval at which a reader that waits for memory checks whether its message has arrived as a whole; it doubles
 /// with each check.
@@ -77,6 +77,16 @@
     }
 }
 
+/// What [`MessageReader::next_incoming`] has read.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Incoming {
+    /// A whole message.
+    Whole(Bytes),
+    /// The first bytes of a message for which there is memory in pieces only. The rest of it comes from
+    /// [`MessageReader::next_piece`] and has to be read before anything else.
+    Begun(Bytes),
+}
+
 /// Reads whole messages from a stream.
 pub struct MessageReader<R> {
     stream: R,
@@ -86,6 +96,8 @@
     filled: usize,
     /// Number of bytes at the start of the buffer that belong to returned messages.
     returned: usize,
+    /// Number of bytes still to be read of a message that is passed on in pieces.
+    rest: usize,
     /// When the first bytes of an incomplete message were read.
     partial_since: Option<Micros>,
     /// Lower bound of the arrival time of every byte not read yet: the last time the stream was known to be empty.
@@ -114,6 +126,7 @@
             buffer: Buffer::default(),
             filled: 0,
             returned: 0,
+            rest: 0,
             partial_since: None,
             empty_at: clock::now(),
             received_at: 0,
@@ -199,14 +212,25 @@
 
     /// The next message; none at the end of the stream. Cancel-safe: the future may be dropped and `next` called again.
     pub async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        match self.next_incoming().await? {
+            Some(Incoming::Whole(message)) => Ok(Some(message)),
+            Some(Incoming::Begun(_)) => Err(io::Error::other("a message in pieces that was not asked for")),
+            None => Ok(None),
+        }
+    }
+
+    /// As [`Self::next`], for an owner whose claims allow messages in pieces.
+    pub async fn next_incoming(&mut self) -> io::Result<Option<Incoming>> {
         loop {
             let needed = (self.measure)(self.received())?;
             if needed <= self.received().len() {
-                return Ok(Some(self.take_message(needed)));
+                return Ok(Some(Incoming::Whole(self.take_message(needed))));
             }
             self.discard_returned();
             let read = if needed > self.chunk {
-                self.reserve(needed).await?;
+                if self.reserve(needed).await? == Grant::Pieces {
+                    return Ok(Some(self.begin_pieces(needed)));
+                }
                 let room = self.room_for(needed);
                 self.make_room(room);
                 self.read(Self::poll_read_rest, room - self.filled).await?
@@ -219,6 +243,36 @@
         }
     }
 
+    /// Takes what has come of a message of `length` bytes, the rest of which is read in pieces.
+    fn begin_pieces(&mut self, length: usize) -> Incoming {
+        let received = Bytes::copy_from_slice(self.received());
+        (self.buffer, self.filled, self.returned) = (Buffer::default(), 0, 0);
+        self.rest = length - received.len();
+        self.partial_since = None;
+        Incoming::Begun(received)
+    }
+
+    /// The next piece of the message that has begun; none behind its end. Fails where the stream ends before.
+    pub async fn next_piece(&mut self) -> io::Result<Option<Bytes>> {
+        if self.rest == 0 {
+            return Ok(None);
+        }
+        let room = self.rest.min(self.chunk);
+        let read = self.read(Self::poll_read_chunk, room).await?;
+        if read == 0 {
+            return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "closed in the middle of a message"));
+        }
+        let piece = std::mem::take(&mut self.buffer).into();
+        self.filled = 0;
+        self.rest -= read;
+        // Whoever takes the pieces may be slow.
+        self.partial_since = None;
+        if let Some(charge) = self.charge.as_mut().filter(|_| self.rest == 0) {
+            charge.reservation = Reservation::new(&charge.budget);
+        }
+        Ok(Some(piece))
+    }
+
     /// Takes the first message, of `length` bytes, from the buffer.
     fn take_message(&mut self, length: usize) -> Bytes {
         let end = self.returned + length;
@@ -270,14 +324,16 @@
     }
 
     /// Waits until the budget has memory for a message of this length.
-    async fn reserve(&mut self, length: usize) -> io::Result<()> {
+    async fn reserve(&mut self, length: usize) -> io::Result<Grant> {
         let missing = length - self.received().len();
         let received = &self.buffer[self.returned..self.filled];
-        let Some(Charge { reservation, available, owner, .. }) = &mut self.charge else { return Ok(()) };
+        let Some(Charge { reservation, available, owner, .. }) = &mut self.charge else {
+            return Ok(Grant::Whole);
+        };
         if let Some(owner) = owner {
             reservation.set_claim(owner.claim(received));
             let mut waits = false;
-            poll_fn(|context| {
+            let grant = poll_fn(|context| {
                 let granted = reservation.poll_grow(context, length);
                 if granted.is_pending() && !waits {
                     waits = true;
@@ -291,7 +347,7 @@
                 // The sender has had no chance to go on meanwhile.
                 self.partial_since = Some(clock::now());
             }
-            return Ok(());
+            return Ok(grant);
         }
         let timeout = read_timeout(self.partial_since, self.message_timeout, None);
         let granted = async {
@@ -311,7 +367,7 @@
         if !granted {
             reservation.force(length);
         }
-        Ok(())
+        Ok(Grant::Whole)
     }
 
     /// Reads up to `room` bytes by `poll_read`; returns their number.
@@ -320,7 +376,7 @@
         poll_read: fn(&mut Self, &mut Context<'_>) -> Poll<io::Result<usize>>,
         room: usize,
     ) -> io::Result<usize> {
-        let stall_timeout = self.stall_timeout.filter(|_| self.filled > 0);
+        let stall_timeout = self.stall_timeout.filter(|_| self.filled > 0 || self.rest > 0);
         let timeout = read_timeout(self.partial_since, self.message_timeout, stall_timeout);
         let (mut waited, mut polled_at) = (false, 0);
         let read = poll_fn(|context| {
@@ -358,13 +414,14 @@
         read
     }
 
-    /// Reads up to a chunk, of which no more is kept than was received.
+    /// Reads up to a chunk, or up to the end of a message in pieces. No more is kept than was received.
     fn poll_read_chunk(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
         READ_BUFFER.with_borrow_mut(|read_buffer| {
             if read_buffer.len() < self.chunk {
                 read_buffer.resize(self.chunk, 0);
             }
-            let read = Pin::new(&mut self.stream).poll_read(context, &mut read_buffer[..self.chunk]);
+            let room = if self.rest > 0 { self.rest.min(self.chunk) } else { self.chunk };
+            let read = Pin::new(&mut self.stream).poll_read(context, &mut read_buffer[..room]);
             if let Poll::Ready(Ok(read)) = read {
                 self.buffer.replace_from(self.filled, &read_buffer[..read]);
                 self.filled += read;
--- a/wire/src/resp.rs
+++ b/wire/src/resp.rs
@@ -14,6 +14,9 @@
 /// Longest length line of an array or string in bytes, including the `*` or `$` and the line end.
 const MAX_LINE: usize = 12;
 
+/// Line end behind each string.
+pub const LINE_END: &[u8] = b"\r\n";
+
 /// Answer words on the wire.
 const CODES: [(&[u8], AnswerCode); 8] = [
     (b"HIT", AnswerCode::Hit),
@@ -128,7 +131,7 @@
         at = end + 2;
         match buffer.get(end..at) {
             None => return Ok(at),
-            Some(b"\r\n") => each(i, &buffer[start..end]),
+            Some(LINE_END) => each(i, &buffer[start..end]),
             Some(_) => return Err(Malformed("string without its line end")),
         }
     }
@@ -161,6 +164,21 @@
     if complete < 3 { Ok(None) } else { parse(id, word, fields, b"").map(Some) }
 }
 
+/// Where the body lies in the frame of an answer with one, of which these are the first bytes: its start, and its length in
+/// bytes. None if that has not arrived. Behind the body come the two bytes of its line end.
+pub fn body_position(buffer: &[u8]) -> Option<(usize, usize)> {
+    let (count, mut at) = length_line(buffer, 0, b'*').ok()??;
+    if count != 4 {
+        return None;
+    }
+    for _ in 0..3 {
+        let (length, start) = length_line(buffer, at, b'$').ok()??;
+        at = start + length + 2;
+    }
+    let (length, start) = length_line(buffer, at, b'$').ok()??;
+    Some((start, length))
+}
+
 /// Decodes a whole answer.
 pub fn decode(frame: &[u8]) -> Result<Answer<'_>, Malformed> {
     let mut strings = [&b""[..]; 4];
--- a/wire/tests/memory.rs
+++ b/wire/tests/memory.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
 
-use silverspindle_wire::memory::{Claim, FREE_SHARE_DIVISOR, MemoryBudget, Recipient, Reservation};
+use silverspindle_wire::memory::{
+    Claim, FREE_SHARE_DIVISOR, Grant, MemoryBudget, PIECES_DIVISOR, Recipient, Reservation,
+};
 
 const MESSAGE: usize = 100;
-const SLOW: Claim = Claim { recipient: Some(Recipient(1)), blocks_others: false };
-const QUICK: Claim = Claim { recipient: Some(Recipient(2)), blocks_others: false };
-const THIRD: Claim = Claim { recipient: Some(Recipient(3)), blocks_others: false };
+const SLOW: Claim = Claim { recipient: Some(Recipient(1)), blocks_others: false, piece: 0 };
+const QUICK: Claim = Claim { recipient: Some(Recipient(2)), blocks_others: false, piece: 0 };
+const THIRD: Claim = Claim { recipient: Some(Recipient(3)), blocks_others: false, piece: 0 };
 
 /// A reservation for a message of [`MESSAGE`] bytes, and whether it was granted.
 fn reserve(budget: &Arc<MemoryBudget>, claim: Claim) -> (Reservation, bool) {
@@ -20,7 +22,7 @@
 
 fn try_again(reservation: &mut Reservation) -> bool {
     let mut context = Context::from_waker(Waker::noop());
-    reservation.poll_grow(&mut context, MESSAGE) == Poll::Ready(())
+    reservation.poll_grow(&mut context, MESSAGE) == Poll::Ready(Grant::Whole)
 }
 
 /// Guards against one recipient that takes all the memory: it leaves a part of it free, and others are served from that
@@ -34,7 +36,9 @@
     assert_eq!(granted, MESSAGES / (FREE_SHARE_DIVISOR + 1));
     let left = MESSAGES - granted;
     let others: Vec<_> = (0..left as u64)
-        .map(|n| reserve(&budget, Claim { recipient: Some(Recipient(10 + n)), blocks_others: false }))
+        .map(|n| {
+            reserve(&budget, Claim { recipient: Some(Recipient(10 + n)), blocks_others: false, piece: 0 })
+        })
         .collect();
     assert!(others.iter().all(|(_, granted)| *granted), "each of the others has room for one");
     assert_eq!(budget.used(), MESSAGES * MESSAGE);
@@ -62,6 +66,46 @@
     assert!(try_again(&mut slow_again));
 }
 
+/// Guards against recipients that hold all the memory and read nothing: who holds nothing has its message in pieces, one at a
+/// time, within a part of the budget. Once there is room again it comes as a whole.
+#[test]
+fn a_recipient_that_holds_nothing_has_its_message_in_pieces_where_all_memory_is_held() {
+    const PIECE: usize = MESSAGE / 10;
+    let budget = MemoryBudget::new(4 * MESSAGE);
+    let in_pieces = |number| Claim { recipient: Some(Recipient(number)), blocks_others: false, piece: PIECE };
+    let mut context = Context::from_waker(Waker::noop());
+    let mut grow = |reservation: &mut Reservation| reservation.poll_grow(&mut context, MESSAGE);
+    let reservation = |claim| {
+        let mut reservation = Reservation::new(&budget);
+        reservation.set_claim(claim);
+        reservation
+    };
+    let mut held: Vec<_> = (1..=4).map(|number| reservation(in_pieces(number))).collect();
+    assert!(held.iter_mut().all(|held| grow(held) == Poll::Ready(Grant::Whole)));
+    let mut again = reservation(in_pieces(1));
+    assert!(grow(&mut again).is_pending(), "it holds a message");
+    let mut first = reservation(in_pieces(5));
+    assert_eq!(grow(&mut first), Poll::Ready(Grant::Pieces));
+    let mut second = reservation(in_pieces(5));
+    assert!(grow(&mut second).is_pending(), "it has one in pieces already");
+    let pieces = 4 * MESSAGE / PIECES_DIVISOR / PIECE;
+    let mut others: Vec<_> = (10..).take(pieces).map(|number| reservation(in_pieces(number))).collect();
+    let granted = others.iter_mut().filter_map(|other| match grow(other) {
+        Poll::Ready(grant) => Some(grant),
+        Poll::Pending => None,
+    });
+    assert_eq!(
+        granted.collect::<Vec<_>>(),
+        vec![Grant::Pieces; pieces - 1],
+        "the part for pieces is used up"
+    );
+    assert_eq!(budget.used(), 4 * MESSAGE + pieces * PIECE);
+    drop(first);
+    assert_eq!(grow(others.last_mut().unwrap()), Poll::Ready(Grant::Pieces));
+    drop((others, held, again));
+    assert_eq!(grow(&mut second), Poll::Ready(Grant::Whole));
+}
+
 /// A message with others behind it waits for the budget as a whole only.
 #[test]
 fn a_message_that_others_wait_behind_is_not_held_back_for_its_recipient() {
