Tests of a drain and a shutdown beside clients that read nothing for 5 s

Evidence: both fail on (the connection ended), where memory cut such clients off after 0.6 s and the drain after 3.4 s. Under the drain each request is served, under SIGTERM each has a whole answer and the process exits with 0.

--- a/silverspindle/tests/slow_readers.rs
+++ b/silverspindle/tests/slow_readers.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
-use common::process::{Router, anonymous_memory, start};
+use common::process::{Router, anonymous_memory, put, start};
 use common::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 
@@ -207,3 +207,52 @@
         }
     });
 }
+
+/// How long clients read nothing beside a drain or a shutdown: past the time at which these are over.
+const LONG_PAUSE: Duration = Duration::from_secs(5);
+
+/// Guards a drain beside clients that read nothing for longer than a drain usually takes: they lose nothing.
+#[test]
+fn a_drain_waits_for_clients_that_pause() {
+    run(async |tasks| {
+        let cache = QuickCache::start(tasks);
+        let router = start_router(16, 1024, &[&cache]);
+        let slow = connect_slow_clients(&router, LONG_BUDGET_MS).await;
+        while cache.requests.get() < SLOW_CLIENTS * AT_ONCE {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+        assert_eq!(put(&router, "/-/drain"), 200);
+        Timer::after(LONG_PAUSE).await;
+        for stream in &slow {
+            read_answers(stream, AT_ONCE).await;
+        }
+    });
+}
+
+/// Guards a shutdown beside clients that read nothing until after the time at which SIGKILL may come: where none comes, each
+/// request has a whole answer, and the process ends by itself.
+#[test]
+fn a_shutdown_without_a_kill_waits_for_clients_that_pause() {
+    run(async |tasks| {
+        let cache = QuickCache::start(tasks);
+        let mut router = start_router(16, 1024, &[&cache]);
+        let slow = connect_slow_clients(&router, LONG_BUDGET_MS).await;
+        while cache.requests.get() < SLOW_CLIENTS * AT_ONCE {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+        let process = rustix::process::Pid::from_child(&router.child);
+        rustix::process::kill_process(process, rustix::process::Signal::TERM).unwrap();
+        Timer::after(LONG_PAUSE).await;
+        for stream in &slow {
+            let mut stream = stream;
+            for n in 0..AT_ONCE {
+                let mut length = [0; 4];
+                stream.read_exact(&mut length).await.unwrap_or_else(|e| panic!("answer {n}: {e}"));
+                let mut answer = vec![0; u32::from_be_bytes(length) as usize];
+                stream.read_exact(&mut answer).await.unwrap_or_else(|e| panic!("answer {n}: {e}"));
+            }
+        }
+        drop(slow);
+        assert!(router.child.wait().unwrap().success());
+    });
+}
