Unread replies that repeat long method names keep to a budget

Cause: each connection kept up to 32 replies that repeat the name; they counted in no budget. Evidence: unread_replies_that_repeat_long_names_stay_within_the_memory_limit fails before (40,607,744 bytes at the look that ended it). Change: a message with such a name takes memory of the budget of requests in part until its reply is written, also where it has arrived as a whole; one connection gets a part of what is free. Replies have a module of their own, front/replies.rs. Measured: the test passes, with names of 3,900 bytes too; the_exit_waits_for_replies_that_need_no_decision is as it was and passes.

--- a/silverspindle/src/front.rs
+++ b/silverspindle/src/front.rs
@@ -30,6 +30,7 @@
 mod drain_log;
 pub mod queue;
 pub mod reading;
+mod replies;
 mod request;
 
 use closing::ClosingConnections;
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -1,6 +1,7 @@
 //! One client's connection. A task of its own reads and writes it, and it is closed in one place, [`Connection::run`].
 
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, TcpStream};
 use std::rc::{Rc, Weak};
@@ -13,10 +14,12 @@
 use futures_lite::{AsyncWriteExt, future};
 use rustix::event::{PollFd, PollFlags, poll};
 use rustix::time::Timespec;
+use silverspindle_wire::memory::{Claim, Recipient, Reservation};
 use socket2::SockRef;
 
 use super::closing::{LINGER_TIMEOUT, MAX_UNSENT, discard_until_closed};
 use super::reading::ReadProgress;
+use super::replies::{EncodedBody, EncodedReply, LONG_NAME, LongNames, Reply, UnknownMethod, encode};
 use super::{EXPECTED_OPEN_REQUESTS, Front, MAX_QUEUED_ANSWERS};
 use crate::counters::{CloseReason, RefusalReason};
 use crate::drain::{ConnectionState, Drain, HoldReason};
@@ -42,21 +45,6 @@
 /// for.
 const PARTIAL_MESSAGE_WAIT: Micros = 300_000;
 
-/// Reply for the writer to encode and send.
-#[derive(Debug)]
-pub(super) enum Reply {
-    Verdict(i32, Verdict),
-    IsWell(i32, bool),
-    Unknown(i32, String),
-}
-
-impl Reply {
-    /// Bytes of the body that are held until it is written.
-    fn held_bytes(&self) -> usize {
-        if let Reply::Verdict(_, verdict) = self { verdict.bytes() } else { 0 }
-    }
-}
-
 /// A connection's state, shared between its task, the director and the front.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -342,7 +330,8 @@
         let mut frames = MessageReader::new(stream, thrift::measure, READ_CHUNK)
             .unread_since(arrived_after)
             .with_budget(&front.incomplete_requests, ChargedUntil::Complete)
-            .with_available(unread_bytes);
+            .with_available(unread_bytes)
+            .with_owner(Rc::new(LongNames(Recipient(self.id))));
         let mut last_seq = 0;
         loop {
             let partial_since = frames.partial_since();
@@ -370,7 +359,10 @@
             // The frame is dropped before anything is waited for: a client that reads no replies must not hold it.
             match self.handle_frame(frame, frames.received_at(), &mut last_seq)? {
                 Handled::Forward(message) => front.director.send(*message).await.map_err(closed_error)?,
-                Handled::Reply(reply) => {
+                Handled::Reply(mut reply) => {
+                    if let Reply::Unknown(unknown) = &mut reply {
+                        self.reserve_name(unknown, frames.take_reservation()).await;
+                    }
                     self.unwritten_replies.set(self.unwritten_replies.get() + 1);
                     reply_sender.send(reply).await.map_err(closed_error)?;
                 }
@@ -415,11 +407,29 @@
             }
             thrift::Message::IsWell(seq) => Handled::Reply(Reply::IsWell(seq, front.drain.borrow().ready())),
             thrift::Message::Unknown { seq, name, .. } => {
-                Handled::Reply(Reply::Unknown(seq, String::from_utf8_lossy(name).into_owned()))
+                let name = String::from_utf8_lossy(name).into_owned();
+                Handled::Reply(Reply::Unknown(UnknownMethod { seq, name, reservation: None }))
             }
         })
     }
 
+    /// Accounts for the memory of a long name that a reply repeats, in the budget of requests in part; waits until there is room
+    /// unless it is `reserved`.
+    async fn reserve_name(&self, unknown: &mut UnknownMethod, reserved: Option<Reservation>) {
+        let length = unknown.name.len();
+        if length < LONG_NAME {
+            return;
+        }
+        let mut reservation = reserved.unwrap_or_else(|| Reservation::new(&self.front.incomplete_requests));
+        if reservation.recipient().is_none() {
+            reservation.set_claim(Claim { recipient: Some(Recipient(self.id)), ..Claim::default() });
+            poll_fn(|context| reservation.poll_grow(context, length)).await;
+        }
+        // Bytes that are no text are repeated as longer ones.
+        reservation.force(length);
+        unknown.reservation = Some(reservation);
+    }
+
     /// Passes a valid request on, or refuses it where this connection or a drain has no place for it. Nothing has run, so
     /// a refusal is safe; reading must go on, as a `forget` may follow.
     fn admit_call(self: &Rc<Self>, arrived: Micros, seq: i32, call: Call) -> Handled {
@@ -507,7 +517,7 @@
 impl Connection {
     /// Writes the parts of a reply.
     async fn write_reply(&self, stream: &Async<TcpStream>, reply: EncodedReply) -> io::Result<()> {
-        let EncodedReply { mut head, body, tail } = reply;
+        let EncodedReply { mut head, body, tail, reservation: _reservation } = reply;
         match body {
             EncodedBody::Whole(body) if body.len() <= MAX_COPIED_BODY => {
                 head.extend_from_slice(&body);
@@ -597,41 +607,3 @@
 fn closed_error<T>(_: T) -> io::Error {
     ErrorKind::BrokenPipe.into()
 }
-
-/// The body of a reply.
-enum EncodedBody {
-    Whole(Bytes),
-    Arriving(StreamedBody),
-}
-
-/// A reply in three parts: the bytes before the body, the body without a copy, the bytes after it.
-struct EncodedReply {
-    head: Vec<u8>,
-    body: EncodedBody,
-    tail: Vec<u8>,
-}
-
-/// Encodes a reply.
-fn encode(reply: Reply) -> EncodedReply {
-    let whole = |head| EncodedReply { head, body: EncodedBody::Whole(Bytes::new()), tail: Vec::new() };
-    let with_body = |[head, tail]: [Vec<u8>; 2], body| EncodedReply { head, body, tail };
-    match reply {
-        Reply::Verdict(seq, Verdict::Served(body)) => {
-            let parts = thrift::encode_answer("serve", seq, body.len(), &[], true);
-            with_body(parts, EncodedBody::Whole(body))
-        }
-        Reply::Verdict(seq, Verdict::Streamed(body)) => {
-            let parts = thrift::encode_answer("serve", seq, body.length, &[], true);
-            with_body(parts, EncodedBody::Arriving(body))
-        }
-        Reply::Verdict(seq, Verdict::NotModified) => {
-            whole(thrift::encode_answer("serve", seq, 0, &[("keep", "1")], true).concat())
-        }
-        Reply::Verdict(seq, Verdict::Refused(refusal)) => {
-            whole(thrift::encode_throttled(seq, refusal.backoff()))
-        }
-        Reply::Verdict(seq, Verdict::Failed) => whole(thrift::encode_broken(seq)),
-        Reply::IsWell(seq, good) => whole(thrift::encode_answer("isWell", seq, 0, &[], good).concat()),
-        Reply::Unknown(seq, name) => whole(thrift::encode_unknown_method(&name, seq)),
-    }
-}
--- a/silverspindle/src/upstream/streams.rs
+++ b/silverspindle/src/upstream/streams.rs
@@ -136,14 +136,14 @@
 
 impl StreamOwner for Streams {
     /// The answer is for the client of its attempt. Other clients' attempts on the connection, and probes, come behind it.
-    fn claim(&self, received: &[u8]) -> Claim {
+    fn claim(&self, received: &[u8]) -> Option<Claim> {
         let by_id = self.by_id.borrow();
         let recipient = resp::answer_id(received).and_then(|id| by_id.get(id)).and_then(Stream::recipient);
         let blocks_others = by_id.values().any(|stream| stream.recipient() != recipient);
         let head = resp::decode_head(received).ok().flatten();
         let has_body = head.is_some_and(|head| head.code == AnswerCode::Hit && head.version.is_some());
         let can_stream = has_body && resp::body_position(received).is_some();
-        Claim { recipient, blocks_others, piece: if can_stream { PIECES_MEMORY } else { 0 } }
+        Some(Claim { recipient, blocks_others, piece: if can_stream { PIECES_MEMORY } else { 0 } })
     }
 
     /// Where the actor's mailbox is full, it learns of the answer when that is whole.
--- a/silverspindle/tests/memory_limits.rs
+++ b/silverspindle/tests/memory_limits.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Waker};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use bitternhold::Status;
@@ -125,6 +125,52 @@
     clients.into_iter().for_each(|client| client.join().unwrap());
 }
 
+/// Guards against a router that is killed for memory: hundreds of clients call methods that there are not, with the longest
+/// names that a message holds or with the longest that are read at once, and read none of the replies, which repeat them. A
+/// request beside them is served.
+#[test]
+fn unread_replies_that_repeat_long_names_stay_within_the_memory_limit() {
+    const LIMIT_MB: usize = 32;
+    const CLIENTS: usize = 300;
+    const CALLS_OF_EACH: i32 = 40;
+    const NAME_LENGTHS: [usize; 2] = [64_000, 3_900];
+    /// Time without a byte written after which nothing more is read of any client.
+    const SETTLED: Duration = Duration::from_millis(300);
+    for length in NAME_LENGTHS {
+        run(async |tasks| {
+            let cache = Cache::start(tasks);
+            let (_coordinator, address) = listen();
+            let mut file =
+                configuration(&[entry(1, "box", cache.address), entry(99, "origin", address)], address);
+            file["limits"]["memory_mb"] = LIMIT_MB.into();
+            let router = start(&file, &format!("{}:0", ip()));
+            let name = "x".repeat(length);
+            let calls: Vec<u8> = (1..=CALLS_OF_EACH).flat_map(|seq| call(1, &name, seq, &[0])).collect();
+            let mut crowd = Vec::new();
+            for _ in 0..CLIENTS {
+                let stream = connect_with_small_buffer(router.clients).await;
+                crowd.push((stream, &calls[..]));
+            }
+            let mut last_written = Instant::now();
+            while last_written.elapsed() < SETTLED {
+                for (stream, left) in &mut crowd {
+                    if let Ok(written) = stream.get_ref().write(left) {
+                        *left = &left[written..];
+                        last_written = if written > 0 { Instant::now() } else { last_written };
+                    }
+                }
+                let memory = anonymous_memory(router.child.id());
+                assert!(memory <= LIMIT_MB * MB, "{memory} bytes with names of {length}");
+            }
+            let client = Client::connect(tasks, router.clients).await;
+            client.send(&serve(1, &page("00000000000000a1"), b"")).await;
+            let (wanted, connection) = cache.next().await;
+            reply(&connection, &[&wanted[1], "HIT", NAMED, "x"]).await;
+            assert_eq!(client.next().await.unwrap(), served_answer(1, b"x"));
+        });
+    }
+}
+
 /// Number of half-written messages that use up the memory for those, and some.
 const CROWD: usize = 40;
 
--- a/wire/src/memory.rs
+++ b/wire/src/memory.rs
@@ -245,6 +245,11 @@
         }
     }
 
+    /// Who the message is for, if that is known.
+    pub fn recipient(&self) -> Option<Recipient> {
+        self.claim.recipient
+    }
+
     /// Whether it has at least this many bytes.
     pub fn covers(&self, bytes: usize) -> bool {
         self.bytes >= bytes
--- a/wire/src/reader.rs
+++ b/wire/src/reader.rs
@@ -45,12 +45,13 @@
 
 /// The owner of a stream, as far as memory for its messages is concerned.
 pub trait StreamOwner {
-    /// What is known of the message that begins with these bytes.
-    fn claim(&self, received: &[u8]) -> Claim;
+    /// What is known of the message that begins with these bytes. It then waits for memory also where it has arrived as a
+    /// whole. None: it is read as without an owner.
+    fn claim(&self, received: &[u8]) -> Option<Claim>;
     /// The message that begins with these bytes begins to wait for memory. Nothing behind it is read meanwhile.
-    fn wait_began(&self, received: &[u8]);
+    fn wait_began(&self, _received: &[u8]) {}
     /// It waits no longer.
-    fn wait_ended(&self);
+    fn wait_ended(&self) {}
 }
 
 /// A reader's part in a budget.
@@ -63,6 +64,8 @@
     available: Option<Available>,
     /// Says who the messages are for, where that is known.
     owner: Option<Rc<dyn StreamOwner>>,
+    /// Memory of the last message, if it was claimed for a recipient and is charged until it is complete.
+    last: Option<Reservation>,
 }
 
 /// A complete message together with the memory that it is charged for.
@@ -158,7 +161,7 @@
     /// unread.
     pub fn with_budget(self, budget: &Arc<MemoryBudget>, until: ChargedUntil) -> Self {
         let (budget, reservation) = (budget.clone(), Reservation::new(budget));
-        let charge = Charge { budget, until, reservation, available: None, owner: None };
+        let charge = Charge { budget, until, reservation, available: None, owner: None, last: None };
         Self { charge: Some(charge), ..self }
     }
 
@@ -181,6 +184,11 @@
         self
     }
 
+    /// The memory of the last message, for whoever keeps a part of it; none if it was not claimed for a recipient.
+    pub fn take_reservation(&mut self) -> Option<Reservation> {
+        self.charge.as_mut()?.last.take()
+    }
+
     /// When the first bytes of an incomplete message were read; none if the buffer holds no such bytes.
     pub fn partial_since(&self) -> Option<Micros> {
         self.partial_since
@@ -190,7 +198,13 @@
     pub fn has_arrived(&self) -> bool {
         let Ok(needed) = (self.measure)(self.received()) else { return false };
         let missing = needed.saturating_sub(self.received().len());
-        let waits = self.charge.as_ref().is_some_and(|charge| !charge.reservation.covers(needed));
+        let is_claimed = |charge: &Charge| {
+            charge.owner.as_ref().is_some_and(|owner| owner.claim(self.received()).is_some())
+        };
+        let waits = self
+            .charge
+            .as_ref()
+            .is_some_and(|charge| !charge.reservation.covers(needed) && !is_claimed(charge));
         waits && needed > self.chunk && self.unread_bytes().is_some_and(|unread| unread >= missing)
     }
 
@@ -289,7 +303,10 @@
         let Some(charge) = &mut self.charge else { return message.into() };
         let mut reservation = std::mem::replace(&mut charge.reservation, Reservation::new(&charge.budget));
         match charge.until {
-            ChargedUntil::Complete => message.into(),
+            ChargedUntil::Complete => {
+                charge.last = Some(reservation).filter(|reservation| reservation.recipient().is_some());
+                message.into()
+            }
             ChargedUntil::Dropped => {
                 reservation.force(length);
                 Bytes::from_owner(ChargedMessage { bytes: message, _reservation: reservation })
@@ -330,8 +347,8 @@
         let Some(Charge { reservation, available, owner, .. }) = &mut self.charge else {
             return Ok(Grant::Whole);
         };
-        if let Some(owner) = owner {
-            reservation.set_claim(owner.claim(received));
+        if let Some((owner, claim)) = owner.as_ref().and_then(|owner| Some((owner, owner.claim(received)?))) {
+            reservation.set_claim(claim);
             let mut waits = false;
             let grant = poll_fn(|context| {
                 let granted = reservation.poll_grow(context, length);
--- a/wire/src/thrift.rs
+++ b/wire/src/thrift.rs
@@ -80,6 +80,14 @@
     Ok(4 + length as usize)
 }
 
+/// Length in bytes of the name of the method that a frame which begins with these bytes calls; none if that has not arrived.
+pub fn method_name_length(buffer: &[u8]) -> Option<usize> {
+    const FRAME_LENGTH_AND_KIND: usize = 8;
+    let mut c = Cursor(buffer);
+    c.take(FRAME_LENGTH_AND_KIND).ok()?;
+    c.number(4).ok().map(|length| length as usize)
+}
+
 /// Decodes a whole frame.
 pub fn decode(frame: &[u8]) -> Result<Message<'_>, Malformed> {
     let mut c = Cursor(frame);
