--- a/silverspindle/tests/slow_readers.rs
+++ b/silverspindle/tests/slow_readers.rs
@@ -116,10 +116,10 @@
 fn clients_that_pause_lose_nothing_and_make_no_other_wait() {
     const QUICK_REQUESTS: usize = 20;
     const PAUSE: Duration = Duration::from_secs(2);
-    for limit_mb in [16, 32, 64] {
+    for (limit_mb, sockets) in [(16, 1024), (32, 1024), (64, 1024), (32, 128)] {
         run(async |tasks| {
             let cache = QuickCache::start(tasks);
-            let router = start_router(limit_mb, 1024, &[&cache]);
+            let router = start_router(limit_mb, sockets, &[&cache]);
             let slow = connect_slow_clients(&router, LONG_BUDGET_MS).await;
             // They read on only once the quick client has all its answers.
             let read_on_at = Instant::now() + PAUSE;
