--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -408,7 +408,7 @@
             thrift::Message::IsWell(seq) => Handled::Reply(Reply::IsWell(seq, front.drain.borrow().ready())),
             thrift::Message::Unknown { seq, name, .. } => {
                 let name = String::from_utf8_lossy(name).into_owned();
-                Handled::Reply(Reply::Unknown(UnknownMethod { seq, name, reservation: None }))
+                Handled::Reply(Reply::Unknown(Box::new(UnknownMethod { seq, name, reservation: None })))
             }
         })
     }
--- a/silverspindle/src/front/replies.rs
+++ b/silverspindle/src/front/replies.rs
@@ -17,8 +17,9 @@
     Verdict(i32, Verdict),
     /// The answer to a health check.
     IsWell(i32, bool),
-    /// The reply to a call of a method that there is not.
-    Unknown(UnknownMethod),
+    /// The reply to a call of a method that there is not. In a box, as it is rare and each connection has room for many replies
+    /// from its start.
+    Unknown(Box<UnknownMethod>),
 }
 
 impl Reply {
@@ -96,7 +97,8 @@
         Reply::IsWell(seq, good) => {
             EncodedReply::without_body(thrift::encode_answer("isWell", seq, 0, &[], good).concat())
         }
-        Reply::Unknown(UnknownMethod { seq, name, reservation }) => {
+        Reply::Unknown(unknown) => {
+            let UnknownMethod { seq, name, reservation } = *unknown;
             let head = thrift::encode_unknown_method(&name, seq);
             EncodedReply { reservation, ..EncodedReply::without_body(head) }
         }
