A call without a reply gives the memory of its long name back once it is read

What callers saw: 12 connections that each sent one oneway call with a name of 64,000 bytes and then nothing kept the memory of requests in part at 16 MB until they went idle; a reply to another such call was not had, and its connection ended after 2.5 s. Cause: since the reader hands that memory to the reply, and what nobody took stayed with it until its next message. Found by reading the change again. Evidence: a_long_name_that_is_not_repeated_holds_no_memory fails before (no answer). Change: the memory is taken with each message and dropped unless a reply keeps it. Finishing a request copies the list of its attempts only where an answer has begun to arrive.

--- a/silverspindle/src/director/answers.rs
+++ b/silverspindle/src/director/answers.rs
@@ -16,11 +16,11 @@
         open.own_copy = None;
         self.by_client.remove(&(open.client.id(), open.seq));
         self.pending_answers.set(self.pending_answers.get() - 1);
-        let in_flight = open.in_flight.clone();
-        if in_flight.is_empty() {
+        let begun = if open.begun { open.in_flight.clone() } else { Vec::new() };
+        if open.in_flight.is_empty() {
             self.requests.remove(&id);
         }
-        self.abandon_begun(&in_flight);
+        self.abandon_begun(&begun);
         true
     }
 
--- a/silverspindle/src/front/connection.rs
+++ b/silverspindle/src/front/connection.rs
@@ -356,12 +356,14 @@
                 },
                 Err(e) => return Err(e),
             };
+            // Given back with the message, unless a reply keeps it.
+            let reservation = frames.take_reservation();
             // The frame is dropped before anything is waited for: a client that reads no replies must not hold it.
             match self.handle_frame(frame, frames.received_at(), &mut last_seq)? {
                 Handled::Forward(message) => front.director.send(*message).await.map_err(closed_error)?,
                 Handled::Reply(mut reply) => {
                     if let Reply::Unknown(unknown) = &mut reply {
-                        self.reserve_name(unknown, frames.take_reservation()).await;
+                        self.reserve_name(unknown, reservation).await;
                     }
                     self.unwritten_replies.set(self.unwritten_replies.get() + 1);
                     reply_sender.send(reply).await.map_err(closed_error)?;
--- a/silverspindle/tests/memory_limits.rs
+++ b/silverspindle/tests/memory_limits.rs
@@ -22,6 +22,7 @@
 use silverspindle::feed::PurgeTarget;
 use silverspindle::front::Front;
 use silverspindle::memory::{MemoryLimits, MemoryPool};
+use silverspindle::thrift;
 use silverspindle::traffic::Message;
 use silverspindle::upstream::PeerMessage;
 use silverspindle_wire::memory::{Claim, MemoryBudget, Recipient, Reservation};
@@ -171,6 +172,32 @@
     }
 }
 
+/// Guards the memory of requests in part against calls that expect no reply: one with a long name holds none once it is read,
+/// though nothing more comes on its connection. Beside more of them than there is room for at once a reply is had.
+#[test]
+fn a_long_name_that_is_not_repeated_holds_no_memory() {
+    const ONEWAY: u8 = 4;
+    const CALL: u8 = 1;
+    const CONNECTIONS: usize = 12;
+    run(async |tasks| {
+        let harness = ActorHarness::new(tasks, 9);
+        let (listener, address) = listen();
+        let (site, director) = (harness.shared.site.clone(), harness.shared.director.clone());
+        let front = Front::new(site, director, 16 * MB, 1024, Rc::default());
+        tasks.spawn(front.accept(listener, silverspindle::clock::now(), tasks.clone())).detach();
+        let name = "x".repeat(64_000);
+        let mut silent = Vec::new();
+        for _ in 0..CONNECTIONS {
+            let client = Client::connect(tasks, address).await;
+            client.send(&call(ONEWAY, &name, 1, &[0])).await;
+            silent.push(client);
+        }
+        let client = Client::connect(tasks, address).await;
+        client.send(&call(CALL, &name, 1, &[0])).await;
+        assert_eq!(client.next().await.unwrap(), thrift::encode_unknown_method(&name, 1));
+    });
+}
+
 /// Number of half-written messages that use up the memory for those, and some.
 const CROWD: usize = 40;
 
