--- a/silverspindle/tests/common/process.rs
+++ b/silverspindle/tests/common/process.rs
@@ -5,6 +5,10 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use async_io::Async;
+
+use super::{Cache, Tasks, configuration, entry, ip, listen};
+
 /// Kills the process at the end of the test, also if the test fails.
 impl Drop for Router {
     fn drop(&mut self) {
@@ -33,6 +37,16 @@
     start_in(file, listen, &std::env::temp_dir())
 }
 
+/// Starts a router with this memory limit, one scripted cache, and an origin that never answers. The last value is the listener
+/// of its coordinator, which is silent.
+pub fn start_with_cache(tasks: &Tasks, limit_mb: usize) -> (Router, Cache, Async<std::net::TcpListener>) {
+    let cache = Cache::start(tasks);
+    let (coordinator, address) = listen();
+    let mut file = configuration(&[entry(1, "box", cache.address), entry(99, "origin", address)], address);
+    file["limits"]["memory_mb"] = limit_mb.into();
+    (start(&file, &format!("{}:0", ip())), cache, coordinator)
+}
+
 /// As [`start`], with this directory for temporary files.
 pub fn start_in(file: &serde_json::Value, listen: &str, directory: &std::path::Path) -> Router {
     start_with(file, listen, directory, &[])
--- a/silverspindle/tests/departed_parties.rs
+++ b/silverspindle/tests/departed_parties.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use common::process::{anonymous_memory, end, start};
+use common::process::{anonymous_memory, end, start_with_cache};
 use common::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use rustix::process::{Pid, Signal, kill_process};
@@ -37,10 +37,7 @@
 #[test]
 fn nothing_is_sent_for_a_client_that_left_behind_unread_requests() {
     run(async |tasks| {
-        let cache = Cache::start(tasks);
-        let (_coordinator, nowhere) = listen();
-        let file = configuration(&[entry(1, "box", cache.address), entry(99, "origin", nowhere)], nowhere);
-        let router = start(&file, &format!("{}:0", ip()));
+        let (router, cache, _coordinator) = start_with_cache(tasks, LIMIT_MB);
         let mut leaves = TcpStream::connect(router.clients).unwrap();
         let good = Client::connect(tasks, router.clients).await;
         assert!(good.is_well(1).await);
@@ -149,12 +146,7 @@
 fn a_client_at_full_speed_holds_up_no_other() {
     const REQUESTS: i32 = 2000;
     run(async |tasks| {
-        let cache = Cache::start(tasks);
-        let (_coordinator, nowhere) = listen();
-        let mut file =
-            configuration(&[entry(1, "box", cache.address), entry(99, "origin", nowhere)], nowhere);
-        file["limits"]["memory_mb"] = LIMIT_MB.into();
-        let router = start(&file, &format!("{}:0", ip()));
+        let (router, cache, _coordinator) = start_with_cache(tasks, LIMIT_MB);
         let over = Arc::new(AtomicBool::new(false));
         let stream = TcpStream::connect(router.clients).unwrap();
         let (mut reader, mut writer, is_over) = (stream.try_clone().unwrap(), stream, over.clone());
--- a/silverspindle/tests/memory_limits.rs
+++ b/silverspindle/tests/memory_limits.rs
@@ -13,7 +13,7 @@
 
 use async_io::Timer;
 use bitternhold::Status;
-use common::process::{anonymous_memory, start};
+use common::process::{anonymous_memory, start, start_with_cache};
 use common::world::{ActorHarness, WaitingClient};
 use common::*;
 use futures_lite::{AsyncWriteExt, future};
@@ -61,12 +61,7 @@
     const LIMIT_MB: usize = 16;
     const ALL_CONNECTIONS: usize = 340;
     run(async |tasks| {
-        let cache = Cache::start(tasks);
-        let (_coordinator, address) = listen();
-        let mut file =
-            configuration(&[entry(1, "box", cache.address), entry(99, "origin", address)], address);
-        file["limits"]["memory_mb"] = LIMIT_MB.into();
-        let router = start(&file, &format!("{}:0", ip()));
+        let (router, cache, _coordinator) = start_with_cache(tasks, LIMIT_MB);
         let client = Client::connect(tasks, router.clients).await;
         let crowd: Vec<TcpStream> = (0..ALL_CONNECTIONS).map(|_| send_incomplete(router.clients)).collect();
         client.send(&serve(1, &page("00000000000000a1"), b"")).await;
@@ -139,12 +134,7 @@
     const SETTLED: Duration = Duration::from_millis(300);
     for length in NAME_LENGTHS {
         run(async |tasks| {
-            let cache = Cache::start(tasks);
-            let (_coordinator, address) = listen();
-            let mut file =
-                configuration(&[entry(1, "box", cache.address), entry(99, "origin", address)], address);
-            file["limits"]["memory_mb"] = LIMIT_MB.into();
-            let router = start(&file, &format!("{}:0", ip()));
+            let (router, cache, _coordinator) = start_with_cache(tasks, LIMIT_MB);
             let name = "x".repeat(length);
             let calls: Vec<u8> = (1..=CALLS_OF_EACH).flat_map(|seq| call(1, &name, seq, &[0])).collect();
             let mut crowd = Vec::new();
